Place models and adapters on registered engines

Change: a pure planner treats the engines as a cache of models: what requests wait for is loaded at once in place of what is worth least, hot models get copies by load, free adapter places are filled before they are asked for. The leader carries jobs out one at a time an engine; gateways stop using what makes way before the order goes out; orders name instance and expected sequence.

Found on the way, each mended: heartbeats re-added unloaded adapters to the ledger, so a ninth adapter was ordered (LIMIT, and the engine fell); all models counted as idle at the start, so hot ones were evicted; an engine refuses adapter orders during a load (409), so places are filled before.

--- a/src/crowsill/control/registrations.py
+++ b/src/crowsill/control/registrations.py
@@ -40,7 +40,6 @@
     """Takes in registrations and routes at one member.
 
     Attributes:
-        seen_s: Clock of the last heartbeat of each replica that came to this member.
         listen_port: Port of the listener; alike on all members.
     """
 
@@ -60,7 +59,6 @@
         self._machine = machine
         self._codec = codec
         self._newest_sequence: dict[str, int] = {}
-        self.seen_s: dict[str, float] = {}
 
     async def _commit(self, command: Command, timeout_s: float) -> bool:
         """Have a command committed through the leader; return whether it is known to be."""
@@ -84,7 +82,7 @@
             text; or a problem, after which the heartbeat may still have been taken in.
         """
         instance_id = beat.instance.instance_id
-        self.seen_s[instance_id] = monotonic_s()
+        self._service.note_seen([instance_id])
         late = beat.sequence < self._newest_sequence.get(instance_id, -1)
         if not late:
             self._newest_sequence[instance_id] = beat.sequence
@@ -99,7 +97,7 @@
         if not await self._commit(RemoveInstance(instance_id), BEAT_TIMEOUT_S):
             return Failure(Problem(ErrorKind.NO_LEADER, "no majority recorded the end"))
         self._newest_sequence.pop(instance_id, None)
-        self.seen_s.pop(instance_id, None)
+        self._service.seen_s.pop(instance_id, None)
         return Success(None)
 
     async def publish(self, content: bytes) -> Result[int, Problem]:
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -9,6 +9,7 @@
 
 from crowsill.api.operators import operator_application
 from crowsill.api.server import HttpServer
+from crowsill.backends.engine_calls import EngineCalls
 from crowsill.backends.http_control import HttpControl
 from crowsill.clock import monotonic_s
 from crowsill.consensus.membership import Membership
@@ -21,6 +22,7 @@
 from crowsill.control.joining import Joiner
 from crowsill.control.leader_link import LeaderLink
 from crowsill.control.members import MemberChanges
+from crowsill.control.model_placer import ModelPlacer, ModelPlacerPorts, StoreLimits
 from crowsill.control.operations import Operations
 from crowsill.control.placement_controller import PlacementController, PlacementPorts
 from crowsill.control.registrations import Registrations
@@ -31,6 +33,8 @@
 from crowsill.metrics import REVISION
 from crowsill.model.configuration import ConfigurationDelta
 from crowsill.model.fleet import FleetDelta, FleetView
+from crowsill.model.route_codec import unpack
+from crowsill.model.routes import RouteConfiguration
 from crowsill.placement.core import PlacementLimits
 from crowsill.platform_ports import PlatformPorts
 from crowsill.settings import ControlSettings, Settings
@@ -42,6 +46,7 @@
     CommandResult,
     ConfigurationDecision,
     ConfigurationResult,
+    OfferModels,
     PublishRoutes,
     RecordBeat,
     RemoveInstance,
@@ -106,6 +111,8 @@
         self._server: ConnectionServer | None = None
         self._operators: HttpServer | None = None
         self._registrations: HttpServer | None = None
+        self._engine_calls: EngineCalls | None = None
+        self._routes: RouteConfiguration | None = None
 
     def _recover(self) -> Result[RecoveredState, str]:
         try:
@@ -143,6 +150,8 @@
             application = operator_application(operations, self._control.operator_token_sha256)
             self._operators = HttpServer(application, self._control.operators)
             await self._operators.start()
+        if self._ports.engine_calls is not None:
+            self._engine_calls = self._ports.engine_calls()
         if self._control.registrations is not None:
             registrations = Registrations(
                 service, self._machine, self._ports.codec, self._control.registrations.port
@@ -280,6 +289,8 @@
                     address=instance.address,
                     state=instance.state,
                     models=",".join(held.name for held in instance.models),
+                    in_memory=",".join(instance.in_memory),
+                    on_disk=",".join(instance.on_disk),
                     sequence=command.beat.sequence,
                     directory=directory.version,
                 )
@@ -289,21 +300,58 @@
                     replica=command.instance_id,
                     directory=directory.version,
                 )
-        if isinstance(command, RecordBeat | RemoveInstance) and directory.last_change is not None:
+        if isinstance(command, PublishRoutes) or directory.last_change is None:
+            return
+        if isinstance(command, RecordBeat | RemoveInstance | OfferModels):
             self._subscribers.push_directory(directory.last_change)
 
     def _on_role(self, role: Role) -> None:
         for task in self._leading:
             task.cancel()
         self._leading = []
+        if self._service is not None:
+            self._service.on_wanted = self._service.pass_on_wanted
         if role is not Role.LEADER or self._service is None:
             return
         driver = self._driver()
         changes = MemberChanges(driver, self._local, self._control.target_voters)
         self._leading = [asyncio.create_task(changes.reconcile())]
+        if self._engine_calls is not None:
+            self._lead_registered(self._service, self._engine_calls, driver)
         if self._backends is not None:
             self._lead_fleet(self._service, self._backends, driver)
 
+    def _lead_registered(
+        self, service: MemberService, calls: EngineCalls, driver: ConsensusDriver
+    ) -> None:
+        """Place models on engines that registered themselves."""
+        started_s = monotonic_s()
+        ports = ModelPlacerPorts(
+            machine=self._machine,
+            calls=calls,
+            submit=driver.submit,
+            has_lease=driver.has_lease,
+            routes=self._current_routes,
+            collect_demand=service.demand.collect,
+            collect_urgent=service.urgent.collect,
+            silent_s=lambda instance_id: service.silent_s(instance_id, started_s),
+        )
+        control = self._control
+        limits = StoreLimits(control.store_window_s, control.store_burst)
+        term = driver.node.term
+        placer = ModelPlacer(ports, limits, self._settings.node, term, control.order_lease_s)
+        service.on_wanted = placer.want
+        self._leading.append(asyncio.create_task(placer.run()))
+
+    def _current_routes(self) -> RouteConfiguration | None:
+        """Return the routes in force, read once for each version."""
+        document = self._machine.routes.current
+        if document.version == 0:
+            return None
+        if self._routes is None or self._routes.version != document.version:
+            self._routes = self._ports.codec.decode(unpack(document)).value_or(None)
+        return self._routes
+
     def _lead_fleet(
         self, service: MemberService, backends: HttpControl, driver: ConsensusDriver
     ) -> None:
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -26,6 +26,7 @@
     MemberBlank,
     MembersRequest,
     NotLeader,
+    SeenInstances,
     SubmitCommand,
 )
 from crowsill.transport.stream import LocalIdentity
@@ -43,6 +44,8 @@
         driver: The consensus driver; None until the group is known.
         live_entries: Entries heard of lately, here or through followers.
         demand: Requests by resource, to be collected by the leader or passed on to it.
+        urgent: Those of them that have a short target.
+        seen_s: Clock of the last heartbeat of each replica that this member knows of.
         leader_stream: Stream to the leader while this member follows.
         on_wanted: Called with what gateways wait for, on the leader.
     """
@@ -66,7 +69,7 @@
         """
         self._target_voters = target_voters
         self._has_been_full = False
-        self.on_wanted: Callable[[dict[str, int]], None] = self.demand_of
+        self.on_wanted: Callable[[dict[str, int]], None] = self.pass_on_wanted
         self._links = links
         self._local = local
         self._was_blank = is_blank
@@ -74,6 +77,8 @@
         self.driver: ConsensusDriver | None = None
         self.live_entries = LiveEntries()
         self.demand = DemandCounter()
+        self.urgent = DemandCounter()
+        self.seen_s: dict[str, float] = {}
         self.leader_stream: Connection | None = None
         self._relay = CurrencyRelay(self._ask_leader)
 
@@ -146,8 +151,8 @@
         address = None if driver is None else driver.leader_address()
         return "" if address is None else address.rpartition(":")[0]
 
-    def demand_of(self, wanted: dict[str, int]) -> None:
-        """Count what gateways wait for as demand, and pass it on to the leader at once."""
+    def pass_on_wanted(self, wanted: dict[str, int]) -> None:
+        """Pass on to the leader at once what gateways wait for."""
         stream = self.leader_stream
         if stream is not None and not stream.is_closed:
             stream.push(DemandNotice(wanted))
@@ -159,6 +164,21 @@
             self.driver.receive(body.envelopes)
         elif isinstance(body, DemandNotice):
             self.on_wanted(body.wanted)
+        elif isinstance(body, SeenInstances):
+            self.note_seen(body.instance_ids)
+
+    def note_seen(self, instance_ids: list[str]) -> None:
+        """Note that replicas sent a heartbeat; a follower tells the leader."""
+        now_s = monotonic_s()
+        for instance_id in instance_ids:
+            self.seen_s[instance_id] = now_s
+        stream = self.leader_stream
+        if stream is not None and not stream.is_closed:
+            stream.push(SeenInstances(instance_ids))
+
+    def silent_s(self, instance_id: str, since_s: float) -> float:
+        """Return for how long, since a moment, a replica has sent no heartbeat."""
+        return monotonic_s() - max(since_s, self.seen_s.get(instance_id, since_s))
 
     def _is_blank(self) -> bool:
         if not self._was_blank:
@@ -170,6 +190,7 @@
     ) -> Body:
         self.live_entries.note(heartbeat.entries, monotonic_s())
         self.demand.add(heartbeat.demand)
+        self.urgent.add(heartbeat.urgent)
         self._subscribers.subscribe(connection, heartbeat)
         currency = await self.confirmed_currency()
         return currency or NotLeader(driver.leader_address())
@@ -194,11 +215,15 @@
             return None
         entries = self.live_entries.live(monotonic_s())
         demand = self.demand.collect()
-        heartbeat = Heartbeat(*self._subscribers.fleet_position(), entries, demand, False)
+        urgent = self.urgent.collect()
+        heartbeat = Heartbeat(
+            *self._subscribers.fleet_position(), entries, demand, False, urgent=urgent
+        )
         try:
             reply = await stream.request(heartbeat, LEADER_REPLY_TIMEOUT_S)
         except ConnectionLostError:
             self.demand.add(demand)
+            self.urgent.add(urgent)
             return None
         return reply if isinstance(reply, Currency) else None
 
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -28,6 +28,7 @@
 
 ANSWER_MARGIN_S = 0.02
 LONGEST_HOLD_SHARE = 0.4
+LONGEST_HOLD_TARGETS = 2.0
 MOST_SENDINGS = 4
 CONNECTION_SHARE = 0.9
 FEWEST_CONNECTIONS = 2
@@ -62,7 +63,7 @@
     def ask_for(self, service: str, model: str, adapter: str) -> None:
         """Tell the control group that a model or adapter is asked for and held nowhere."""
 
-    def note_demand(self, service: str, model: str, adapter: str) -> None:
+    def note_demand(self, service: str, model: str, adapter: str, target_ms: float) -> None:
         """Count a request for a model or adapter."""
 
     async def changed(self, timeout_s: float) -> bool:
@@ -117,7 +118,10 @@
         self._service = pick_service(route, self._context.random)
         deadline_s = self._deadline_s(route)
         self._context.budget(self._service).earn(self._loop.time())
-        self._context.note_demand(self._service, self._request.model, self._request.adapter)
+        request = self._request
+        self._context.note_demand(
+            self._service, request.model, request.adapter, route.target_latency_ms
+        )
         try:
             async with asyncio.timeout_at(deadline_s):
                 await self._serve(route, deadline_s)
@@ -134,7 +138,7 @@
         while True:
             choice = self._choose()
             if isinstance(choice, NoChoice):
-                if not await self._hold(choice, deadline_s):
+                if not await self._hold(choice, self._hold_until_s(route, deadline_s)):
                     self._give_up(choice)
                     return
                 continue
@@ -158,7 +162,17 @@
         records = context.book.of_service(self._service)
         return choose(records, self._request, self._progress.tried, limits, self._loop.time())
 
-    async def _hold(self, why: NoChoice, deadline_s: float) -> bool:
+    def _hold_until_s(self, route: Route, deadline_s: float) -> float:
+        """Clock when a request that was not sent yet is given up.
+
+        Early enough for the caller to try again, and no later than its answer would be of use.
+        """
+        arrived_s = self._request.arrived_s
+        share_s = (deadline_s - arrived_s) * LONGEST_HOLD_SHARE
+        useful_s = route.target_latency_ms / 1000.0 * LONGEST_HOLD_TARGETS
+        return arrived_s + min(share_s, useful_s)
+
+    async def _hold(self, why: NoChoice, until_s: float) -> bool:
         """Wait for something to change; return False when it is time to give up."""
         if why is NoChoice.ALL_TRIED:
             return False
@@ -168,7 +182,6 @@
         if self._progress.held_for is not why:
             self._progress.held_for = why
             self._log_held(why)
-        until_s = request.arrived_s + (deadline_s - request.arrived_s) * LONGEST_HOLD_SHARE
         left_s = until_s - self._loop.time()
         if left_s <= 0:
             return False
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -57,6 +57,7 @@
         book: The replicas.
         routes_version: Version of the newest routes taken in; it never falls.
         demand: Requests by resource since the last heartbeat.
+        urgent: Those of them that have a short target.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.book = book
         self.routes_version = 0
         self.demand = DemandCounter()
+        self.urgent = DemandCounter()
         self._local = local
         self._seeds = seeds
         self._members: list[Address] = []
@@ -131,6 +133,7 @@
     async def _heartbeat(self, connection: Connection) -> bool:
         status = EntryStatus(self._local.identity, self._local.node, self._local.zone, 0)
         demand = self.demand.collect()
+        urgent = self.urgent.collect()
         heartbeat = Heartbeat(
             fleet_epoch=0,
             fleet_sequence=0,
@@ -140,6 +143,7 @@
             follows_routes=True,
             routes_version=self.routes_version,
             directory_version=self.book.version,
+            urgent=urgent,
         )
         try:
             reply = await connection.request(heartbeat, HEARTBEAT_TIMEOUT_S)
@@ -147,6 +151,7 @@
             reply = None
         if not isinstance(reply, Currency):
             self.demand.add(demand)
+            self.urgent.add(urgent)
             return False
         if reply.members:
             self._members = [parse_address(member) for member in reply.members]
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -31,6 +31,7 @@
 BACKLOG = 1024
 CALLER_SILENCE_S = 4.0
 NOTICE_INTERVAL_S = 0.3
+URGENT_TARGET_MS = 2000.0
 STOP_POLL_S = 0.05
 # How long before the end of the grace time the process ends by itself.
 STOP_MARGIN_S = 0.5
@@ -163,10 +164,14 @@
         if self._follower.send_notice(DemandNotice({resource: 1})):
             self._asked[resource] = now_s
 
-    def note_demand(self, service: str, model: str, adapter: str) -> None:
+    def note_demand(self, service: str, model: str, adapter: str, target_ms: float) -> None:
         """Count a request for a model or adapter."""
-        if model:
-            self._follower.demand.add({resource_name(service, model, adapter): 1})
+        if not model:
+            return
+        count = {resource_name(service, model, adapter): 1}
+        self._follower.demand.add(count)
+        if target_ms <= URGENT_TARGET_MS:
+            self._follower.urgent.add(count)
 
     async def changed(self, timeout_s: float) -> bool:
         """Wait for a change of the directory or the routes."""
--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -7,6 +7,7 @@
 from the store once, so that they are near when they are asked for.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from crowsill.model.instances import Instance
@@ -20,8 +21,27 @@
 IDLE_S = 8.0
 # A copy is not taken away again so soon after its load, in seconds.
 YOUNG_S = 3.0
-# How much more load per copy must be relieved than is lost where a copy makes way.
-RELIEF_RATIO = 2.0
+# What a request with a short target weighs against one that can wait.
+URGENT_WEIGHT = 10.0
+# Weight that is assumed for a model not asked for yet: operators list the models that matter
+# most first, so it falls with the place in the list.
+FIRST_UNKNOWN_WEIGHT = 1.5
+UNKNOWN_WEIGHT_PLACES = 8.0
+# A further copy is worth less than the only one.
+FURTHER_COPY = 0.25
+# What a waiting request is worth where nothing is known of its model's demand.
+WAITING_WEIGHT = 1.0
+# Gain of fetching a model ahead; enough only against further copies without demand.
+AHEAD_WEIGHT = 0.3
+# The gain of a load must pass the loss of what makes way by this factor.
+GAIN_RATIO = 1.5
+MOST_FETCHED_AHEAD = 3
+COPIES_KEPT_FOR_AHEAD = 2
+
+# Reasons of jobs.
+WAITED_FOR = "waited for"
+MORE_LOAD = "more load"
+AHEAD = "fetched ahead"
 
 
 @dataclass(slots=True)
@@ -32,7 +52,9 @@
         instance: What the directory says of it.
         limits: What it can take.
         held: Models that it holds, each with its adapters.
-        is_busy: Whether a job is under way there, or its state is not known yet.
+        is_busy: Whether a model job is under way there, or its state is not known yet.
+        takes_adapters: Whether an adapter job may begin there.
+        pending_mb: Memory of a model whose load is under way.
         loaded_s: Clock of the last load of each resource.
     """
 
@@ -40,6 +62,8 @@
     limits: EngineLimits
     held: dict[str, set[str]]
     is_busy: bool = False
+    takes_adapters: bool = True
+    pending_mb: float = 0.0
     loaded_s: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -80,6 +104,7 @@
         engines: Its engines that accept work.
         loading: Models with a load under way, each with the number of engines.
         demand: Requests a second by model, and by `model/adapter`.
+        urgent: Those of them that have a short target, by the same names.
         asked_s: Clock of the last request by the same names.
         wanted: Resources that requests wait for now and that no engine holds.
         store_loads: Loads that may be fetched from the weight store now.
@@ -90,6 +115,7 @@
     engines: list[EngineView]
     loading: dict[str, int]
     demand: dict[str, float]
+    urgent: dict[str, float]
     asked_s: dict[str, float]
     wanted: list[str]
     store_loads: int
@@ -102,6 +128,7 @@
     def __init__(self, view: ServiceView) -> None:
         self._view = view
         self._models = {model.name: model for model in view.limits.models}
+        self._places = {model.name: place for place, model in enumerate(view.limits.models)}
         self._copies: dict[str, int] = dict(view.loading)
         for engine in view.engines:
             for model in engine.held:
@@ -112,10 +139,14 @@
 
     def plan(self) -> list[Job]:
         """Return the jobs to start now, at most one for each engine."""
-        for resource in self._view.wanted:
+        view = self._view
+        urgent_first = sorted(view.wanted, key=lambda item: -view.urgent.get(item, 0.0))
+        for resource in urgent_first:
             self._serve_waiting(resource)
         self._add_copies()
-        if not self._jobs and not self._view.loading:
+        self._fill_adapter_places()
+        quiet = not view.asked_s and sum(view.loading.values()) < MOST_FETCHED_AHEAD
+        if quiet and not self._jobs:
             self._fetch_ahead()
         return self._jobs
 
@@ -126,13 +157,16 @@
         if model not in self._models:
             return
         if self._copies.get(model, 0) == 0:
-            self._load_model(model, "waited for")
+            self._load_model(model, WAITED_FOR)
         elif adapter:
             self._load_adapter(model, adapter)
 
     def _load_adapter(self, model: str, adapter: str) -> None:
-        holders = [engine for engine in self._free_engines() if model in engine.held]
-        if not holders or any(adapter in engine.held[model] for engine in holders):
+        holders = [engine for engine in self._view.engines if model in engine.held]
+        if any(adapter in engine.held[model] for engine in holders):
+            return
+        holders = [engine for engine in holders if self._may_take_adapter(engine)]
+        if not holders:
             return
         engine = min(holders, key=lambda item: (item.adapters, self._pressure(item)))
         unload: tuple[str, ...] = ()
@@ -143,6 +177,9 @@
             unload = (victim,)
         self._add(Job(engine.instance.instance_id, unload, model, adapter, False, 0.02, "adapter"))
 
+    def _may_take_adapter(self, engine: EngineView) -> bool:
+        return engine.takes_adapters and engine.instance.instance_id not in self._taken
+
     def _fits_adapter(self, engine: EngineView, model: str) -> bool:
         return self._used_mb(engine) + self._models[model].adapter_memory_mb <= (
             engine.limits.memory_mb
@@ -154,13 +191,52 @@
         candidates = [resource for resource in resources if resource not in wanted]
         return min(candidates, key=self._last_asked_s, default=None)
 
+    def _fill_adapter_places(self) -> None:
+        """Bring adapters of models in demand near while nothing waits for them.
+
+        An engine takes no adapter during a load, so one that is there before saves that wait.
+        """
+        for engine in self._view.engines:
+            if not self._may_take_adapter(engine) or engine.adapters >= engine.limits.adapter_slots:
+                continue
+            models = [name for name in engine.held if not self._is_idle(name)]
+            for name in sorted(models, key=lambda item: -self._view.demand.get(item, 0.0)):
+                adapter = self._next_adapter(engine, name)
+                if adapter and self._fits_adapter(engine, name):
+                    instance_id = engine.instance.instance_id
+                    self._add(Job(instance_id, (), name, adapter, False, 0.02, "place free"))
+                    break
+
+    def _next_adapter(self, engine: EngineView, name: str) -> str:
+        """Return a model's adapter most worth having at an engine, or an empty text."""
+        model = self._models.get(name)
+        if model is None:
+            return ""
+        missing = [
+            f"a{number}"
+            for number in range(1, model.adapters + 1)
+            if f"a{number}" not in engine.held[name]
+        ]
+        elsewhere = {
+            adapter
+            for other in self._view.engines
+            for adapter in other.held.get(name, ())
+            if other is not engine
+        }
+        asked = self._view.demand
+        return max(
+            missing,
+            key=lambda item: (item not in elsewhere, asked.get(f"{name}/{item}", 0.0)),
+            default="",
+        )
+
     # Copies as the load needs them.
 
     def _add_copies(self) -> None:
         demand = self._view.demand
         for model in sorted(self._models, key=lambda name: -demand.get(name, 0.0)):
             if self._copies.get(model, 0) < self._copies_wanted(model):
-                self._load_model(model, "load")
+                self._load_model(model, MORE_LOAD)
 
     def _copies_wanted(self, model: str) -> int:
         if self._is_idle(model):
@@ -182,7 +258,7 @@
         for name, model in self._models.items():
             if self._copies.get(name, 0) > 0 or self._is_at_hand(model):
                 continue
-            if self._load_model(name, "fetched ahead"):
+            if self._load_model(name, AHEAD):
                 return
 
     def _is_at_hand(self, model: ModelWeights) -> bool:
@@ -216,8 +292,10 @@
         unload = self._room_for(engine, model, reason)
         if unload is None:
             return None
-        loss = sum(self._worth(victim) for victim in unload)
-        cost = load_s + 10.0 * loss + 0.5 * self._pressure(engine)
+        loss = sum(self._loss(victim) for victim in unload)
+        # While it loads, an engine takes no adapters.
+        blocked = load_s * self._adapter_demand(engine)
+        cost = load_s + 10.0 * loss + 0.5 * self._pressure(engine) + blocked
         instance_id = engine.instance.instance_id
         job = Job(instance_id, tuple(unload), name, "", from_store, load_s, reason)
         return cost, job
@@ -233,7 +311,7 @@
         """Return models that make way for another one; None when none may."""
         used_mb = self._used_mb(engine)
         unload: list[str] = []
-        candidates = sorted(engine.held, key=self._worth)
+        candidates = sorted(engine.held, key=self._loss)
         while used_mb + model.memory_mb > engine.limits.memory_mb:
             victim = next((item for item in candidates if item not in unload), None)
             if victim is None or not self._may_leave(engine, victim, model.name, reason):
@@ -245,20 +323,36 @@
     def _may_leave(self, engine: EngineView, victim: str, name: str, reason: str) -> bool:
         view = self._view
         young = view.now_s - engine.loaded_s.get(victim, float("-inf")) < YOUNG_S
-        if victim in view.wanted:
+        if young or victim in view.wanted:
             return False
-        if self._copies.get(victim, 0) > max(1, self._copies_wanted(victim)):
-            return not young
-        if self._is_idle(victim):
-            return not young
-        if reason == "fetched ahead":
+        if reason == AHEAD and self._copies.get(victim, 0) < COPIES_KEPT_FOR_AHEAD + 1:
             return False
-        if self._copies.get(victim, 0) <= 1:
-            # The only copy of a model in use gives way only to a request that waits, and only
-            # where it is asked for far less often than others.
-            return reason == "waited for" and not young
-        gained = view.demand.get(name, 0.0) / max(1, self._copies.get(name, 0))
-        return reason == "waited for" or gained > RELIEF_RATIO * self._worth(victim)
+        return self._gain(name, reason) > GAIN_RATIO * self._loss(victim)
+
+    def _weight(self, model: str) -> float:
+        """Requests a second for a model, those with a short target counted higher."""
+        view = self._view
+        if model not in view.asked_s:
+            place = self._places.get(model, len(self._places))
+            return FIRST_UNKNOWN_WEIGHT * math.exp(-place / UNKNOWN_WEIGHT_PLACES)
+        urgent = view.urgent.get(model, 0.0)
+        return view.demand.get(model, 0.0) + (URGENT_WEIGHT - 1.0) * urgent
+
+    def _loss(self, model: str) -> float:
+        """What is lost with one copy of a model."""
+        copies = self._copies.get(model, 0)
+        if copies <= 1:
+            return self._weight(model)
+        return self._weight(model) / copies * FURTHER_COPY
+
+    def _gain(self, model: str, reason: str) -> float:
+        """What is won with one more copy of a model."""
+        if reason == AHEAD:
+            return AHEAD_WEIGHT
+        weight = self._weight(model)
+        if reason == WAITED_FOR:
+            return max(weight, WAITING_WEIGHT)
+        return weight / max(1, self._copies.get(model, 0))
 
     def _worth(self, model: str) -> float:
         """Requests a second that one copy of a model serves."""
@@ -276,6 +370,15 @@
     def _pressure(self, engine: EngineView) -> float:
         return sum(self._worth(model) for model in engine.held)
 
+    def _adapter_demand(self, engine: EngineView) -> float:
+        """Requests a second for adapters of the models that an engine holds."""
+        copies = self._copies
+        return sum(
+            rate / max(1, copies.get(resource.partition("/")[0], 0))
+            for resource, rate in self._view.demand.items()
+            if "/" in resource and resource.partition("/")[0] in engine.held
+        )
+
     def _model_mb(self, engine: EngineView, name: str) -> float:
         model = self._models.get(name)
         if model is None:
@@ -284,7 +387,8 @@
         return model.memory_mb + len(engine.held.get(name, ())) * model.adapter_memory_mb
 
     def _used_mb(self, engine: EngineView) -> float:
-        return sum(self._model_mb(engine, name) for name in engine.held)
+        held_mb = sum(self._model_mb(engine, name) for name in engine.held)
+        return held_mb + engine.pending_mb
 
     def _add(self, job: Job) -> None:
         self._jobs.append(job)
--- a/src/crowsill/platform_ports.py
+++ b/src/crowsill/platform_ports.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from crowsill.backends.engine_calls import EngineCalls
 from crowsill.gateway.dialect import HeaderNames
 from crowsill.model.route_codec import JsonRouteCodec, RouteCodec
 
@@ -31,8 +32,10 @@
         codec: Reads route documents.
         registration_application: Makes the ASGI application for replicas that register
             themselves and for operators of routes.
+        engine_calls: Makes the port to registered engines; None where no models are placed.
     """
 
     header_names: HeaderNames = field(default_factory=HeaderNames)
     codec: RouteCodec = field(default_factory=JsonRouteCodec)
     registration_application: Callable[["Registrations"], Any] = _own_registration_application
+    engine_calls: Callable[[], EngineCalls] | None = None
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from crowsill.model.configuration import ConfigurationChange
-from crowsill.model.instances import Beat
+from crowsill.model.instances import Beat, HeldModel
 from crowsill.state.route_store import RouteDocument
 
 
@@ -144,6 +144,14 @@
     at_s: float = 0.0
 
 
+class OfferModels(msgspec.Struct, frozen=True, array_like=True, tag="offer-models"):
+    """Record what gateways may use at an engine, by the word of whoever places models."""
+
+    instance_id: str
+    models: list[HeldModel]
+    at_s: float = 0.0
+
+
 Command = (
     ChangeConfiguration
     | OpenClaim
@@ -154,6 +162,7 @@
     | PublishRoutes
     | RecordBeat
     | RemoveInstance
+    | OfferModels
 )
 
 
--- a/src/crowsill/state/directory.py
+++ b/src/crowsill/state/directory.py
@@ -8,16 +8,37 @@
 
 import msgspec
 
-from crowsill.model.instances import Beat, Instance, InstanceState
+from crowsill.model.instances import Beat, HeldModel, Instance, InstanceState
 
 REMEMBERED_GONE = 4000
 
 
+class DirectoryEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One registered replica.
+
+    Attributes:
+        beat: The newest heartbeat that changed anything.
+        offered: What gateways may use there, by the word of the member that places models; None
+            while none has spoken, so that the replica's own word counts.
+    """
+
+    beat: Beat
+    offered: list[HeldModel] | None = None
+
+    @property
+    def instance(self) -> Instance:
+        """The replica as gateways should see it."""
+        reported = self.beat.instance
+        if self.offered is None:
+            return reported
+        return msgspec.structs.replace(reported, models=self.offered)
+
+
 class DirectorySnapshot(msgspec.Struct, frozen=True, array_like=True):
     """The whole directory."""
 
     version: int = 0
-    instances: list[Beat] = []
+    entries: list[DirectoryEntry] = []
     gone: list[str] = []
 
 
@@ -40,30 +61,46 @@
     def __init__(self) -> None:
         self.version = 0
         self.last_change: DirectoryChange | None = None
-        self._beats: dict[str, Beat] = {}
+        self._entries: dict[str, DirectoryEntry] = {}
         self._gone: OrderedDict[str, None] = OrderedDict()
 
     @property
     def instances(self) -> list[Instance]:
-        """All instances that are not gone."""
-        return [beat.instance for beat in self._beats.values()]
+        """All instances that are not gone, as gateways should see them."""
+        return [entry.instance for entry in self._entries.values()]
+
+    @property
+    def reported(self) -> list[Instance]:
+        """All instances that are not gone, as they described themselves."""
+        return [entry.beat.instance for entry in self._entries.values()]
+
+    @property
+    def has_offers(self) -> bool:
+        """Whether a member has ever placed models on an instance that is still here."""
+        return any(entry.offered is not None for entry in self._entries.values())
 
     def find(self, instance_id: str) -> Instance | None:
-        """Return an instance, or None."""
-        beat = self._beats.get(instance_id)
-        return None if beat is None else beat.instance
+        """Return an instance as gateways should see it, or None."""
+        entry = self._entries.get(instance_id)
+        return None if entry is None else entry.instance
+
+    def find_reported(self, instance_id: str) -> Instance | None:
+        """Return an instance as it described itself, or None."""
+        entry = self._entries.get(instance_id)
+        return None if entry is None else entry.beat.instance
 
     def changes(self, beat: Beat) -> bool:
-        """Whether taking in a heartbeat would change what others must know."""
+        """Whether taking in a heartbeat would change what is known."""
         instance = beat.instance
         if instance.instance_id in self._gone:
             return False
-        known = self._beats.get(instance.instance_id)
+        known = self._entries.get(instance.instance_id)
         if known is None:
             return True
-        if beat.sequence <= known.sequence:
+        if beat.sequence <= known.beat.sequence:
             return False
-        return _merged(known.instance, instance) != known.instance
+        reported = known.beat.instance
+        return _sticky_state(reported, instance) != reported
 
     def record(self, beat: Beat) -> DirectoryChange | None:
         """Take in a heartbeat; return what changed, or None."""
@@ -71,41 +108,53 @@
             return None
         instance = beat.instance
         removed = self._displace(instance)
-        known = self._beats.get(instance.instance_id)
+        known = self._entries.get(instance.instance_id)
+        offered: list[HeldModel] | None = None
         if known is not None:
-            instance = _merged(known.instance, instance)
-        self._beats[instance.instance_id] = Beat(instance, beat.sequence)
+            instance = _sticky_state(known.beat.instance, instance)
+            if known.offered is not None:
+                offered = _follow(known.offered, known.beat.instance.models, instance.models)
+        entry = DirectoryEntry(Beat(instance, beat.sequence), offered)
+        self._entries[instance.instance_id] = entry
+        return self._changed([entry.instance], removed)
+
+    def offer(self, instance_id: str, models: list[HeldModel]) -> DirectoryChange | None:
+        """Record what gateways may use at an instance; return what changed, or None."""
+        known = self._entries.get(instance_id)
+        if known is None:
+            return None
+        before = known.instance
+        entry = DirectoryEntry(known.beat, models)
+        self._entries[instance_id] = entry
+        return None if entry.instance == before else self._changed([entry.instance], [])
+
+    def _changed(self, changed: list[Instance], removed: list[str]) -> DirectoryChange:
         self.version += 1
-        self.last_change = DirectoryChange(self.version, [instance], removed)
+        self.last_change = DirectoryChange(self.version, changed, removed)
         return self.last_change
 
     def _displace(self, instance: Instance) -> list[str]:
         """Whoever had this address before is gone."""
         former = [
-            known.instance.instance_id
-            for known in self._beats.values()
-            if known.instance.address == instance.address
-            and known.instance.instance_id != instance.instance_id
+            known.instance_id
+            for known in self.reported
+            if known.address == instance.address and known.instance_id != instance.instance_id
         ]
         for instance_id in former:
             self._forget(instance_id)
         return former
 
     def _forget(self, instance_id: str) -> None:
-        self._beats.pop(instance_id, None)
+        self._entries.pop(instance_id, None)
         self._gone[instance_id] = None
         while len(self._gone) > REMEMBERED_GONE:
             self._gone.popitem(last=False)
 
     def remove(self, instance_id: str) -> DirectoryChange | None:
         """Record that an instance is gone; return what changed, or None."""
-        known = instance_id in self._beats
+        known = instance_id in self._entries
         self._forget(instance_id)
-        if not known:
-            return None
-        self.version += 1
-        self.last_change = DirectoryChange(self.version, [], [instance_id])
-        return self.last_change
+        return self._changed([], [instance_id]) if known else None
 
     def whole(self) -> DirectoryChange:
         """Return everything as one change."""
@@ -113,17 +162,41 @@
 
     def dump(self) -> DirectorySnapshot:
         """Return the state for a snapshot."""
-        return DirectorySnapshot(self.version, list(self._beats.values()), list(self._gone))
+        return DirectorySnapshot(self.version, list(self._entries.values()), list(self._gone))
 
     def load(self, snapshot: DirectorySnapshot) -> None:
         """Replace the state by that of a snapshot."""
         self.version = snapshot.version
-        self._beats = {beat.instance.instance_id: beat for beat in snapshot.instances}
+        self._entries = {entry.beat.instance.instance_id: entry for entry in snapshot.entries}
         self._gone = OrderedDict((instance_id, None) for instance_id in snapshot.gone)
 
 
-def _merged(known: Instance, reported: Instance) -> Instance:
+def _sticky_state(known: Instance, reported: Instance) -> Instance:
     """An instance that is draining never becomes ready again."""
     if known.state is InstanceState.DRAINING and reported.state is InstanceState.READY:
         return msgspec.structs.replace(reported, state=InstanceState.DRAINING)
     return reported
+
+
+def _follow(
+    offered: list[HeldModel], before: list[HeldModel], after: list[HeldModel]
+) -> list[HeldModel]:
+    """Carry over to what is offered what has come and gone between two heartbeats.
+
+    >>> held = HeldModel("a"), HeldModel("b"), HeldModel("c")
+    >>> [item.name for item in _follow([held[0]], [held[0], held[1]], list(held))]
+    ['a', 'c']
+    """
+    old = {held.name: set(held.adapters) for held in before}
+    new = {held.name: set(held.adapters) for held in after}
+    result: list[HeldModel] = []
+    for held in offered:
+        if held.name in old and held.name not in new:
+            continue
+        gone = old.get(held.name, set()) - new.get(held.name, set())
+        come = new.get(held.name, set()) - old.get(held.name, set())
+        adapters = sorted((set(held.adapters) - gone) | come)
+        result.append(HeldModel(held.name, held.version, adapters))
+    names = {held.name for held in offered}
+    result.extend(held for held in after if held.name not in old and held.name not in names)
+    return result
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -15,6 +15,7 @@
     ClaimKey,
     Command,
     CommandResult,
+    OfferModels,
     OpenClaim,
     OrderPlaced,
     PlaceOrder,
@@ -70,7 +71,7 @@
                 return self.configuration.submit(command.change, command.at_s)
             case PlaceOrder():
                 return OrderPlaced(self.orders.place(command))
-            case PublishRoutes() | RecordBeat() | RemoveInstance():
+            case PublishRoutes() | RecordBeat() | RemoveInstance() | OfferModels():
                 return Acknowledged(self._apply_registration(command))
             case _:
                 return Acknowledged(self.orders.settle(command.order_id))
@@ -81,7 +82,9 @@
             return self.claims.settle(command)
         return self.claims.abandon(set(command.holders)) > 0
 
-    def _apply_registration(self, command: PublishRoutes | RecordBeat | RemoveInstance) -> bool:
+    def _apply_registration(
+        self, command: PublishRoutes | RecordBeat | RemoveInstance | OfferModels
+    ) -> bool:
         """Apply a change of routes or of the directory; return whether it changed anything."""
         match command:
             case PublishRoutes():
@@ -90,6 +93,8 @@
                 return self.directory.record(command.beat) is not None
             case RemoveInstance():
                 return self.directory.remove(command.instance_id) is not None
+            case OfferModels():
+                return self.directory.offer(command.instance_id, command.models) is not None
 
     def snapshot(self) -> bytes:
         """Encode the whole state."""
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -83,6 +83,7 @@
         follows_routes: Whether it wants pushes of routes and of the directory of replicas.
         routes_version: Version of the routes that it has.
         directory_version: Version of the directory that it has.
+        urgent: Those requests of `demand` that have a short target.
     """
 
     fleet_epoch: int
@@ -93,6 +94,7 @@
     follows_routes: bool = False
     routes_version: int = 0
     directory_version: int = 0
+    urgent: dict[str, int] = {}
 
 
 class BlankCheck(msgspec.Struct, frozen=True, tag="blank-check"):
