Load models where a copy is near, and leave engines free for what is urgent

Change: wait for an engine with a copy near when that is sooner; few slow loads at once for requests that can wait; demand is blended with a prior by the place in the operator's list while it becomes known; models at hand nowhere are fetched before traffic.

--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -39,6 +39,7 @@
 LOAD_TIMEOUT_FACTOR = 6.0
 LOAD_TIMEOUT_EXTRA_S = 3.0
 REST_AFTER_FAILURE_S = 0.5
+JOB_EXTRA_S = 0.3
 # A replica that sent no heartbeat for so long counts as lost for placement.
 LOST_AFTER_S = 4.0
 
@@ -90,6 +91,8 @@
     job: asyncio.Task[None] | None = None
     adapter_job: asyncio.Task[None] | None = None
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    free_s: float = 0.0
+    is_fetching: bool = False
     loading: str = ""
     leaving: str = ""
     rests_until_s: float = 0.0
@@ -143,6 +146,7 @@
         self._demand = DemandEstimate(DEMAND_HALF_LIFE_S)
         self._urgent = DemandEstimate(DEMAND_HALF_LIFE_S)
         self._asked_s: dict[str, float] = {}
+        self._first_asked_s: dict[str, float] = {}
         self._wanted_s: dict[str, float] = {}
         self._wake = asyncio.Event()
 
@@ -151,9 +155,13 @@
         now_s = monotonic_s()
         for resource in wanted:
             self._wanted_s[resource] = now_s
-            self._asked_s[resource] = now_s
+            self._note_asked(resource, now_s)
         self._wake.set()
 
+    def _note_asked(self, resource: str, now_s: float) -> None:
+        self._asked_s[resource] = now_s
+        self._first_asked_s.setdefault(resource, now_s)
+
     async def run(self) -> None:
         """Place until cancelled."""
         try:
@@ -173,10 +181,8 @@
     def _count_demand(self) -> None:
         now_s = monotonic_s()
         counts = self._ports.collect_demand()
-        for resource in counts:
-            self._asked_s[resource] = now_s
-            if "/" in resource:
-                self._asked_s[resource.partition("/")[0]] = now_s
+        for resource in _by_model(counts):
+            self._note_asked(resource, now_s)
         self._demand.add(_by_model(counts), now_s)
         self._urgent.add(_by_model(self._ports.collect_urgent()), now_s)
         horizon_s = now_s - WANTED_LIFETIME_S
@@ -220,6 +226,7 @@
             urgent=_of_service(self._urgent.rates, name),
             asked_s=_of_service(self._asked_s, name),
             wanted=list(_of_service(self._wanted_s, name)),
+            first_asked_s=_of_service(self._first_asked_s, name),
             store_loads=self._window(name, limits).left(now_s),
             now_s=now_s,
         )
@@ -257,6 +264,8 @@
             engine.adapter_job = task
             return
         engine.loading = job.model
+        engine.is_fetching = job.from_store
+        engine.free_s = monotonic_s() + job.load_s + JOB_EXTRA_S
         engine.job = task
 
     # Jobs.
@@ -346,6 +355,15 @@
             order = EngineOrder(kind, model, adapter, engine.sequence, self._holder, self._term)
             answer = await self._ports.calls.order(instance, order)
             ORDERS.labels(kind, answer).inc()
+            log_event(
+                Event.ORDER_ANSWERED,
+                replica=instance.instance_id,
+                kind=kind,
+                resource=_resource(model, adapter),
+                expected=engine.sequence,
+                fence=self._term,
+                answer=answer,
+            )
             if answer is OrderAnswer.ACCEPTED:
                 engine.sequence += 1
                 return False
@@ -440,6 +458,8 @@
         limits=limits,
         held={name: names for name, names in engine.held.items() if name != engine.leaving},
         is_busy=busy,
+        is_fetching=engine.is_busy and engine.is_fetching,
+        free_s=engine.free_s,
         takes_adapters=engine.takes_adapters,
         pending_mb=pending_mb,
         loaded_s=engine.loaded_s,
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -158,7 +158,9 @@
         definition = None if table is None else table.services.get(self._service)
         most = 100 if definition is None else definition.max_connections
         share = int(most * CONNECTION_SHARE / max(1, context.gateways))
-        limits = SelectionLimits(context.zone, max(FEWEST_CONNECTIONS, share))
+        limits = SelectionLimits(
+            context.zone, max(FEWEST_CONNECTIONS, share), context.pool.has_idle
+        )
         records = context.book.of_service(self._service)
         return choose(records, self._request, self._progress.tried, limits, self._loop.time())
 
--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -38,6 +38,11 @@
         pool = self._pools.get(instance_id)
         return 0 if pool is None else pool.in_use
 
+    def has_idle(self, instance_id: str) -> bool:
+        """Whether a connection is open that carries no request."""
+        pool = self._pools.get(instance_id)
+        return pool is not None and bool(pool.idle)
+
     def _take_idle(self, pool: _InstancePool, now_s: float) -> ReplicaConnection | None:
         while pool.idle:
             connection = pool.idle.pop()
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -13,7 +13,8 @@
 
 from crowsill.gateway.dialect import HeaderNames, Headers, find_header, read_number
 
-DEFAULT_IDLE_S = 4.0
+# A replica that tells no time keeps idle connections open.
+DEFAULT_IDLE_S = 60.0
 IDLE_MARGIN_S = 1.0
 SHORT_IDLE_SHARE = 0.5
 
@@ -123,6 +124,7 @@
         self._request_id = request_id
         self._is_head_request = is_head_request
         self._ends_with_connection = False
+        self._complete = False
         if self._transport is not None:
             self._transport.write(message)
 
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -1,5 +1,6 @@
 """Chooses the replica of a request: a pure decision over what the gateway knows."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -13,6 +14,8 @@
 # A plain service works on `slots` at once; until its times are learnt each takes this long.
 SERVICE_MS = 20.0
 OTHER_ZONE_MS = 1.0
+# A new connection takes two round trips and may hold a slot of the replica for a moment.
+NEW_CONNECTION_MS = 4.0
 ERROR_PENALTY = 4.0
 USUAL_ERROR_SHARE = 0.2
 
@@ -50,10 +53,12 @@
     Attributes:
         zone: Site of this gateway.
         connections: Requests that this gateway may have at one replica.
+        has_idle: Whether a connection to an instance is open and free.
     """
 
     zone: str
     connections: int
+    has_idle: Callable[[str], bool] = lambda _instance_id: True
 
 
 def part_keys(request: CallerRequest) -> list[PartKey]:
@@ -90,6 +95,8 @@
     total_ms *= 1.0 + ERROR_PENALTY * surplus
     if record.instance.zone != limits.zone:
         total_ms += OTHER_ZONE_MS
+    if not limits.has_idle(record.instance.instance_id):
+        total_ms += NEW_CONNECTION_MS
     return total_ms, known
 
 
--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -27,15 +27,20 @@
 # most first, so it falls with the place in the list.
 FIRST_UNKNOWN_WEIGHT = 1.5
 UNKNOWN_WEIGHT_PLACES = 8.0
+# Share of the engines that may fetch from the store for requests that can wait.
+PATIENT_FETCH_SHARE = 0.34
+# Time from its first request in which a model's demand becomes known, in seconds.
+LEARNING_S = 5.0
 # A further copy is worth less than the only one.
 FURTHER_COPY = 0.25
+# So is a copy that the machine keeps on its disk when it makes way.
+NEAR_COPY = 0.5
 # What a waiting request is worth where nothing is known of its model's demand.
 WAITING_WEIGHT = 1.0
-# Gain of fetching a model ahead; enough only against further copies without demand.
-AHEAD_WEIGHT = 0.3
+# A model that makes way for one that is fetched ahead must weigh less.
+AHEAD_WEIGHT = 0.6
 # The gain of a load must pass the loss of what makes way by this factor.
 GAIN_RATIO = 1.5
-MOST_FETCHED_AHEAD = 3
 COPIES_KEPT_FOR_AHEAD = 2
 
 # Reasons of jobs.
@@ -53,6 +58,8 @@
         limits: What it can take.
         held: Models that it holds, each with its adapters.
         is_busy: Whether a model job is under way there, or its state is not known yet.
+        is_fetching: Whether that job is a load from the weight store.
+        free_s: Clock when the job under way there will have ended.
         takes_adapters: Whether an adapter job may begin there.
         pending_mb: Memory of a model whose load is under way.
         loaded_s: Clock of the last load of each resource.
@@ -62,6 +69,8 @@
     limits: EngineLimits
     held: dict[str, set[str]]
     is_busy: bool = False
+    is_fetching: bool = False
+    free_s: float = 0.0
     takes_adapters: bool = True
     pending_mb: float = 0.0
     loaded_s: dict[str, float] = field(default_factory=dict)
@@ -107,6 +116,7 @@
         urgent: Those of them that have a short target, by the same names.
         asked_s: Clock of the last request by the same names.
         wanted: Resources that requests wait for now and that no engine holds.
+        first_asked_s: Clock of the first request by the same names.
         store_loads: Loads that may be fetched from the weight store now.
         now_s: Clock.
     """
@@ -118,6 +128,7 @@
     urgent: dict[str, float]
     asked_s: dict[str, float]
     wanted: list[str]
+    first_asked_s: dict[str, float]
     store_loads: int
     now_s: float
 
@@ -136,6 +147,7 @@
         self._taken: set[str] = set()
         self._jobs: list[Job] = []
         self._store_loads = view.store_loads
+        self._fetching = sum(1 for engine in view.engines if engine.is_fetching)
 
     def plan(self) -> list[Job]:
         """Return the jobs to start now, at most one for each engine."""
@@ -145,8 +157,7 @@
             self._serve_waiting(resource)
         self._add_copies()
         self._fill_adapter_places()
-        quiet = not view.asked_s and sum(view.loading.values()) < MOST_FETCHED_AHEAD
-        if quiet and not self._jobs:
+        if not view.asked_s:
             self._fetch_ahead()
         return self._jobs
 
@@ -235,7 +246,9 @@
     def _add_copies(self) -> None:
         demand = self._view.demand
         for model in sorted(self._models, key=lambda name: -demand.get(name, 0.0)):
-            if self._copies.get(model, 0) < self._copies_wanted(model):
+            copies = self._copies.get(model, 0)
+            # One that is held nowhere is loaded when a request waits for it.
+            if 0 < copies < self._copies_wanted(model):
                 self._load_model(model, MORE_LOAD)
 
     def _copies_wanted(self, model: str) -> int:
@@ -258,8 +271,7 @@
         for name, model in self._models.items():
             if self._copies.get(name, 0) > 0 or self._is_at_hand(model):
                 continue
-            if self._load_model(name, AHEAD):
-                return
+            self._load_model(name, AHEAD)
 
     def _is_at_hand(self, model: ModelWeights) -> bool:
         return any(
@@ -271,28 +283,40 @@
 
     def _load_model(self, name: str, reason: str) -> bool:
         best: tuple[float, Job] | None = None
-        for engine in self._free_engines():
-            if name in engine.held:
+        wait: float = math.inf
+        for engine in self._view.engines:
+            if name in engine.held or engine.instance.instance_id in self._taken:
+                continue
+            if engine.is_busy:
+                wait = min(wait, self._time_after_job(engine, name))
                 continue
             found = self._job_at(engine, name, reason)
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
-        if best is None:
+        if best is None or best[1].load_s > wait:
+            # An engine that has a copy near will be free soon enough.
             return False
         self._add(best[1])
         self._copies[name] = self._copies.get(name, 0) + 1
         return True
 
+    def _time_after_job(self, engine: EngineView, name: str) -> float:
+        """Time until a busy engine could have loaded a model of which it has a copy near."""
+        load_s, from_store = self._load_time(engine, self._models[name])
+        if from_store:
+            return math.inf
+        return max(0.0, engine.free_s - self._view.now_s) + load_s
+
     def _job_at(self, engine: EngineView, name: str, reason: str) -> tuple[float, Job] | None:
         """Return the job of loading a model at one engine with its cost in seconds, or None."""
         model = self._models[name]
         load_s, from_store = self._load_time(engine, model)
-        if from_store and self._store_loads <= 0:
+        if from_store and not self._may_fetch(name, reason):
             return None
         unload = self._room_for(engine, model, reason)
         if unload is None:
             return None
-        loss = sum(self._loss(victim) for victim in unload)
+        loss = sum(self._loss_at(engine, victim) for victim in unload)
         # While it loads, an engine takes no adapters.
         blocked = load_s * self._adapter_demand(engine)
         cost = load_s + 10.0 * loss + 0.5 * self._pressure(engine) + blocked
@@ -300,6 +324,19 @@
         job = Job(instance_id, tuple(unload), name, "", from_store, load_s, reason)
         return cost, job
 
+    def _may_fetch(self, name: str, reason: str) -> bool:
+        """Whether a slow load from the store may begin.
+
+        Loads for requests that can wait leave most engines free: one that loads takes no other
+        order, and a model with a short target may need it.
+        """
+        if self._store_loads <= 0:
+            return False
+        if reason == AHEAD or self._view.urgent.get(name, 0.0) > 0.0:
+            return True
+        most = max(1, int(len(self._view.engines) * PATIENT_FETCH_SHARE))
+        return self._fetching < most
+
     def _load_time(self, engine: EngineView, model: ModelWeights) -> tuple[float, bool]:
         if model.name in engine.instance.in_memory:
             return model.host_load_s, False
@@ -311,7 +348,7 @@
         """Return models that make way for another one; None when none may."""
         used_mb = self._used_mb(engine)
         unload: list[str] = []
-        candidates = sorted(engine.held, key=self._loss)
+        candidates = sorted(engine.held, key=lambda item: self._loss_at(engine, item))
         while used_mb + model.memory_mb > engine.limits.memory_mb:
             victim = next((item for item in candidates if item not in unload), None)
             if victim is None or not self._may_leave(engine, victim, model.name, reason):
@@ -325,18 +362,28 @@
         young = view.now_s - engine.loaded_s.get(victim, float("-inf")) < YOUNG_S
         if young or victim in view.wanted:
             return False
-        if reason == AHEAD and self._copies.get(victim, 0) < COPIES_KEPT_FOR_AHEAD + 1:
-            return False
-        return self._gain(name, reason) > GAIN_RATIO * self._loss(victim)
+        if reason == AHEAD:
+            # Before any traffic: what makes way must be back soon, or stand elsewhere often enough.
+            return (
+                victim in engine.instance.on_disk and self._weight(victim) < AHEAD_WEIGHT
+            ) or self._copies.get(victim, 0) > COPIES_KEPT_FOR_AHEAD
+        return self._gain(name, reason) > GAIN_RATIO * self._loss_at(engine, victim)
 
     def _weight(self, model: str) -> float:
         """Requests a second for a model, those with a short target counted higher."""
         view = self._view
-        if model not in view.asked_s:
-            place = self._places.get(model, len(self._places))
-            return FIRST_UNKNOWN_WEIGHT * math.exp(-place / UNKNOWN_WEIGHT_PLACES)
         urgent = view.urgent.get(model, 0.0)
-        return view.demand.get(model, 0.0) + (URGENT_WEIGHT - 1.0) * urgent
+        told = view.demand.get(model, 0.0) + (URGENT_WEIGHT - 1.0) * urgent
+        known_s = view.now_s - view.first_asked_s.get(model, view.now_s)
+        unknown = max(0.0, 1.0 - known_s / LEARNING_S)
+        place = self._places.get(model, len(self._places))
+        assumed = FIRST_UNKNOWN_WEIGHT * math.exp(-place / UNKNOWN_WEIGHT_PLACES)
+        return told + unknown * assumed
+
+    def _loss_at(self, engine: EngineView, model: str) -> float:
+        """What is lost with the copy at one engine; little where it can be back soon."""
+        loss = self._loss(model)
+        return loss * NEAR_COPY if model in engine.instance.on_disk else loss
 
     def _loss(self, model: str) -> float:
         """What is lost with one copy of a model."""
@@ -347,8 +394,6 @@
 
     def _gain(self, model: str, reason: str) -> float:
         """What is won with one more copy of a model."""
-        if reason == AHEAD:
-            return AHEAD_WEIGHT
         weight = self._weight(model)
         if reason == WAITED_FOR:
             return max(weight, WAITING_WEIGHT)
@@ -395,3 +440,4 @@
         self._taken.add(job.instance_id)
         if job.from_store:
             self._store_loads -= 1
+            self._fetching += 1
