A stopping gateway gives held requests back at once and answers what is left at the end of its grace

Change: holds end 0.3 s after the stop began, with "not run" and when to come back; at the end of the grace time every request that has not begun to be answered gets its final answer. A control member whose disk hangs no longer outlives its grace time.

--- a/src/crowsill/api/server.py
+++ b/src/crowsill/api/server.py
@@ -16,7 +16,7 @@
 from crowsill.settings import HttpListener
 
 KEEP_ALIVE_S = 75
-CLOSE_TIMEOUT_S = 5.0
+CLOSE_TIMEOUT_S = 1.5
 BACKLOG = 2048
 
 
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -60,7 +60,7 @@
 from crowsill.transport.stream import LocalIdentity
 
 GROUP = "main"
-HAND_OVER_TIMEOUT_S = 3.0
+HAND_OVER_TIMEOUT_S = 1.5
 ABANDON_AFTER_S = 30.0
 ABANDON_CHECK_S = 1.0
 MEMBERS_POLL_S = 0.2
--- a/src/crowsill/daemon.py
+++ b/src/crowsill/daemon.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
 from collections.abc import Callable
@@ -33,6 +34,7 @@
 GC_YOUNG_OBJECTS = 20_000
 USAGE = "usage: crowsilld SETTINGS.toml"
 SETTINGS_POLL_S = 1.0
+CONTROL_STOP_LIMIT_S = 6.0
 
 SettingsLoader = Callable[[], Result[Settings, str]]
 
@@ -77,7 +79,23 @@
         if failure is not None:
             log_event(Event.INTERNAL_ERROR, where="control", error=repr(failure))
             return EXIT_FAILED
-        return await self._drain()
+        try:
+            async with asyncio.timeout(self._stop_limit_s()):
+                return await self._drain()
+        except TimeoutError:
+            # A disk that hangs must not keep the process past its grace time.
+            log_event(Event.DRAIN_LIMIT, where="stop")
+            sys.stdout.flush()
+            os._exit(EXIT_DRAIN_LIMIT)
+
+    def _stop_limit_s(self) -> float:
+        settings = self._settings
+        limits = [CONTROL_STOP_LIMIT_S if settings.control is not None else 0.0]
+        if settings.gateway is not None:
+            limits.append(settings.gateway.grace_s)
+        if settings.entry is not None:
+            limits.append(settings.entry.drain_limit_s + settings.entry.readiness_lag_s + 10.0)
+        return max(limits)
 
     async def _start(self) -> Result[None, str]:
         settings = self._settings
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -57,6 +57,9 @@
     def is_stopping(self) -> bool:
         """Whether connections end after their present answer."""
 
+    def hold_limit_s(self) -> float:
+        """Clock after which no request is held: a process that stops passes callers on."""
+
     def budget(self, service: str) -> SharedBudget:
         """Return the retry budget of a service."""
 
@@ -105,6 +108,10 @@
         if self._attempt is not None and self._attempt.connection is not None:
             self._attempt.connection.pause_reading(paused)
 
+    def end_for_stop(self) -> None:
+        """Answer at once what can be answered, because the process ends."""
+        self._time_out()
+
     async def run(self) -> None:
         """Serve the request; ends early when it is cancelled, because the caller left."""
         table = self._context.table
@@ -172,7 +179,8 @@
         arrived_s = self._request.arrived_s
         share_s = (deadline_s - arrived_s) * LONGEST_HOLD_SHARE
         useful_s = route.target_latency_ms / 1000.0 * LONGEST_HOLD_TARGETS
-        return arrived_s + min(share_s, useful_s)
+        until_s = arrived_s + min(share_s, useful_s)
+        return min(until_s, self._context.hold_limit_s())
 
     async def _hold(self, why: NoChoice, until_s: float) -> bool:
         """Wait for something to change; return False when it is time to give up."""
@@ -334,7 +342,7 @@
             self._refuse(ErrorKind.OVERLOADED, detail, FULL_RETRY_S)
 
     def _time_out(self) -> None:
-        if self._caller.is_closed:
+        if self._caller.is_closed or not self._caller.is_busy:
             return
         attempt = self._attempt
         if attempt is not None and attempt.is_relaying:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -34,7 +34,10 @@
 URGENT_TARGET_MS = 2000.0
 STOP_POLL_S = 0.05
 # How long before the end of the grace time the process ends by itself.
-STOP_MARGIN_S = 0.5
+STOP_MARGIN_S = 0.8
+STOP_FLUSH_S = 0.3
+# A process that stops holds requests for replicas no longer than this.
+STOP_HOLD_S = 0.3
 
 
 class GatewayRole:
@@ -67,6 +70,7 @@
         self._codec = codec
         self._is_current = False
         self._stopping = False
+        self._hold_limit_s = float("inf")
         self._budgets: dict[str, SharedBudget] = {}
         self._callers: set[CallerConnection] = set()
         self._exchanges: dict[CallerConnection, tuple[Exchange, asyncio.Task[None]]] = {}
@@ -191,6 +195,10 @@
         """Whether connections end after their present answer."""
         return self._stopping
 
+    def hold_limit_s(self) -> float:
+        """Return the clock after which no request is held."""
+        return self._hold_limit_s
+
     def opened(self, connection: CallerConnection) -> None:
         """A caller connected."""
         self._callers.add(connection)
@@ -240,6 +248,8 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         self._stopping = True
+        self._hold_limit_s = started_s + STOP_HOLD_S
+        self._wake()
         READY.set(0)
         log_event(Event.DRAIN_STARTED, requests=len(self._exchanges), callers=len(self._callers))
         end_s = started_s + max(1.0, self._settings.grace_s - STOP_MARGIN_S)
@@ -253,6 +263,10 @@
                 break
             await asyncio.sleep(STOP_POLL_S)
         finished = not self._exchanges
+        for exchange, task in list(self._exchanges.values()):
+            exchange.end_for_stop()
+            task.cancel()
+        await self._wait_until(lambda: not self._callers, loop.time() + STOP_FLUSH_S)
         event = Event.DRAIN_FINISHED if finished else Event.DRAIN_LIMIT
         log_event(event, requests=len(self._exchanges), seconds=round(loop.time() - started_s, 2))
         return finished
