--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -27,8 +27,11 @@
 
 PLAN_INTERVAL_S = 0.1
 DEMAND_HALF_LIFE_S = 3.0
+PRESSURE_HALF_LIFE_S = 1.5
 # Requests that wait ask again after a third of a second; what is not asked for again is over.
 WANTED_LIFETIME_S = 0.7
+# After a longer gap than this a wait counts as a new one.
+WAITING_GAP_S = 3.0
 WITHHOLD_S = 0.05
 REPORT_LAG_S = 0.15
 ORDER_RETRY_S = 0.1
@@ -40,8 +43,7 @@
 LOAD_TIMEOUT_EXTRA_S = 3.0
 REST_AFTER_FAILURE_S = 0.5
 JOB_EXTRA_S = 0.3
-# A replica that sent no heartbeat for so long counts as lost for placement.
-LOST_AFTER_S = 4.0
+DEFERRED_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +71,8 @@
         routes: Returns the route configuration in force.
         collect_demand: Returns requests by resource since the last call.
         collect_urgent: Returns those of them that have a short target.
-        silent_s: Returns for how long a replica has sent no heartbeat.
+        collect_pressed: Returns those whose model has too few copies.
+        is_lost: Returns whether a replica counts as lost.
     """
 
     machine: StateMachine
@@ -79,7 +82,8 @@
     routes: Callable[[], RouteConfiguration | None]
     collect_demand: Callable[[], dict[str, int]]
     collect_urgent: Callable[[], dict[str, int]]
-    silent_s: Callable[[str], float]
+    collect_pressed: Callable[[], dict[str, int]]
+    is_lost: Callable[[str], bool]
 
 
 @dataclass(slots=True)
@@ -145,9 +149,13 @@
         self._windows: dict[str, LoadWindow] = {}
         self._demand = DemandEstimate(DEMAND_HALF_LIFE_S)
         self._urgent = DemandEstimate(DEMAND_HALF_LIFE_S)
+        self._pressed = DemandEstimate(PRESSURE_HALF_LIFE_S)
         self._asked_s: dict[str, float] = {}
         self._first_asked_s: dict[str, float] = {}
         self._wanted_s: dict[str, float] = {}
+        # Last and first moment of the present wait, by model.
+        self._waiting_s: dict[str, tuple[float, float]] = {}
+        self._deferred_s: dict[str, float] = {}
         self._wake = asyncio.Event()
 
     def want(self, wanted: dict[str, int]) -> None:
@@ -155,6 +163,11 @@
         now_s = monotonic_s()
         for resource in wanted:
             self._wanted_s[resource] = now_s
+            model = resource.partition("/")[0]
+            last_s, since_s = self._waiting_s.get(model, (float("-inf"), now_s))
+            if now_s - last_s > WAITING_GAP_S:
+                since_s = now_s
+            self._waiting_s[model] = (now_s, since_s)
             self._note_asked(resource, now_s)
         self._wake.set()
 
@@ -184,6 +197,7 @@
         for resource in _by_model(counts):
             self._note_asked(resource, now_s)
         self._demand.add(_by_model(counts), now_s)
+        self._pressed.add(self._ports.collect_pressed(), now_s)
         self._urgent.add(_by_model(self._ports.collect_urgent()), now_s)
         horizon_s = now_s - WANTED_LIFETIME_S
         self._wanted_s = {key: at for key, at in self._wanted_s.items() if at > horizon_s}
@@ -195,7 +209,7 @@
         instances = [
             item
             for item in self._ports.machine.directory.reported
-            if item.accepts_work and self._ports.silent_s(item.instance_id) < LOST_AFTER_S
+            if item.accepts_work and not self._ports.is_lost(item.instance_id)
         ]
         known = {instance.instance_id for instance in instances}
         for instance_id in list(self._engines):
@@ -224,15 +238,29 @@
             loading=loading,
             demand=_of_service(self._demand.rates, name),
             urgent=_of_service(self._urgent.rates, name),
+            pressed=_of_service(self._pressed.rates, name),
             asked_s=_of_service(self._asked_s, name),
             wanted=list(_of_service(self._wanted_s, name)),
+            wanted_since_s=_of_service(
+                {model: since_s for model, (_, since_s) in self._waiting_s.items()}, name
+            ),
             first_asked_s=_of_service(self._first_asked_s, name),
             store_loads=self._window(name, limits).left(now_s),
             now_s=now_s,
         )
         by_id = {instance.instance_id: instance for instance in members}
-        for job in CopyPlanner(view).plan():
+        planner = CopyPlanner(view)
+        for job in planner.plan():
             self._start(job, by_id[job.instance_id], name, limits)
+        self._log_deferred(name, planner.deferred, now_s)
+
+    def _log_deferred(self, service: str, deferred: dict[str, str], now_s: float) -> None:
+        """Say why requests go on waiting, once in a while for each resource."""
+        for resource, why in deferred.items():
+            if now_s - self._deferred_s.get(resource, float("-inf")) < DEFERRED_INTERVAL_S:
+                continue
+            self._deferred_s[resource] = now_s
+            log_event(Event.PLACEMENT_DEFERRED, service=service, resource=resource, why=why)
 
     def _window(self, service: str, limits: EngineLimits) -> LoadWindow:
         window = self._windows.get(service)
@@ -352,6 +380,8 @@
         for _ in range(ORDER_TRIES):
             if engine.sequence is None or not self._ports.has_lease():
                 raise JobFailedError("no lease")
+            if self._ports.is_lost(instance.instance_id):
+                raise JobFailedError("the engine is gone")
             order = EngineOrder(kind, model, adapter, engine.sequence, self._holder, self._term)
             answer = await self._ports.calls.order(instance, order)
             ORDERS.labels(kind, answer).inc()
@@ -405,7 +435,7 @@
         while monotonic_s() < deadline_s:
             await asyncio.sleep(SHORTEST_POLL_S)
             told = self._ports.machine.directory.find_reported(instance.instance_id)
-            if told is None:
+            if told is None or self._ports.is_lost(instance.instance_id):
                 raise JobFailedError("the engine is gone")
             if told.holds(model) is present:
                 return
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -137,7 +137,8 @@
             recovered.is_blank,
             self._subscribers,
             self._links,
-            self._control.target_voters,
+            target_voters=self._control.target_voters,
+            heartbeat_s=self._control.replica_heartbeat_s,
         )
         self._service = service
         self._server = ConnectionServer(
@@ -334,7 +335,8 @@
             routes=self._current_routes,
             collect_demand=service.demand.collect,
             collect_urgent=service.urgent.collect,
-            silent_s=lambda instance_id: service.silent_s(instance_id, started_s),
+            collect_pressed=service.pressed.collect,
+            is_lost=lambda instance_id: service.is_lost(instance_id, started_s),
         )
         control = self._control
         limits = StoreLimits(control.store_window_s, control.store_burst)
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -28,6 +28,7 @@
     NotLeader,
     SeenInstances,
     SubmitCommand,
+    SuspectInstances,
 )
 from crowsill.transport.stream import LocalIdentity
 
@@ -35,6 +36,9 @@
 FORWARD_TIMEOUT_S = 3.0
 FULL_GROUP_WAIT_S = 2.5
 FULL_GROUP_POLL_S = 0.02
+# Heartbeats that a replica out of reach may miss before it counts as lost.
+SUSPECT_BEATS = 1.25
+SUSPICION_S = 2.0
 
 
 class MemberService:
@@ -45,6 +49,8 @@
         live_entries: Entries heard of lately, here or through followers.
         demand: Requests by resource, to be collected by the leader or passed on to it.
         urgent: Those of them that have a short target.
+        pressed: Those whose first event took most of their target, or that found no place.
+        suspected_s: Clock when a gateway last could not reach a replica.
         seen_s: Clock of the last heartbeat of each replica that this member knows of.
         leader_stream: Stream to the leader while this member follows.
         on_wanted: Called with what gateways wait for, on the leader.
@@ -56,7 +62,9 @@
         is_blank: bool,
         subscribers: Subscribers,
         links: MemberLinks,
+        *,
         target_voters: int | None = None,
+        heartbeat_s: float = 1.0,
     ) -> None:
         """Make the service.
 
@@ -66,7 +74,9 @@
             subscribers: Streams that follow this member.
             links: Streams to the other members.
             target_voters: Voters that a group formed from seeds grows to.
+            heartbeat_s: Time between two heartbeats of a replica that registers itself.
         """
+        self._heartbeat_s = heartbeat_s
         self._target_voters = target_voters
         self._has_been_full = False
         self.on_wanted: Callable[[dict[str, int]], None] = self.pass_on_wanted
@@ -78,7 +88,9 @@
         self.live_entries = LiveEntries()
         self.demand = DemandCounter()
         self.urgent = DemandCounter()
+        self.pressed = DemandCounter()
         self.seen_s: dict[str, float] = {}
+        self.suspected_s: dict[str, float] = {}
         self.leader_stream: Connection | None = None
         self._relay = CurrencyRelay(self._ask_leader)
 
@@ -166,6 +178,8 @@
             self.on_wanted(body.wanted)
         elif isinstance(body, SeenInstances):
             self.note_seen(body.instance_ids)
+        elif isinstance(body, SuspectInstances):
+            self.note_suspects(body.instance_ids)
 
     def note_seen(self, instance_ids: list[str]) -> None:
         """Note that replicas sent a heartbeat; a follower tells the leader."""
@@ -176,6 +190,24 @@
         if stream is not None and not stream.is_closed:
             stream.push(SeenInstances(instance_ids))
 
+    def note_suspects(self, instance_ids: list[str]) -> None:
+        """Note that gateways cannot reach replicas; a follower tells the leader."""
+        now_s = monotonic_s()
+        for instance_id in instance_ids:
+            self.suspected_s[instance_id] = now_s
+        stream = self.leader_stream
+        if stream is not None and not stream.is_closed:
+            stream.push(SuspectInstances(instance_ids))
+
+    def is_lost(self, instance_id: str, since_s: float) -> bool:
+        """Whether a replica counts as lost: silent here, and out of reach for gateways.
+
+        Silence alone proves nothing: its heartbeats may go to a member that is cut off.
+        """
+        suspected_s = monotonic_s() - self.suspected_s.get(instance_id, float("-inf"))
+        beats = self.silent_s(instance_id, since_s) / self._heartbeat_s
+        return suspected_s < SUSPICION_S and beats > SUSPECT_BEATS
+
     def silent_s(self, instance_id: str, since_s: float) -> float:
         """Return for how long, since a moment, a replica has sent no heartbeat."""
         return monotonic_s() - max(since_s, self.seen_s.get(instance_id, since_s))
@@ -191,6 +223,7 @@
         self.live_entries.note(heartbeat.entries, monotonic_s())
         self.demand.add(heartbeat.demand)
         self.urgent.add(heartbeat.urgent)
+        self.pressed.add(heartbeat.pressed)
         self._subscribers.subscribe(connection, heartbeat)
         currency = await self.confirmed_currency()
         return currency or NotLeader(driver.leader_address())
@@ -216,14 +249,15 @@
         entries = self.live_entries.live(monotonic_s())
         demand = self.demand.collect()
         urgent = self.urgent.collect()
-        heartbeat = Heartbeat(
-            *self._subscribers.fleet_position(), entries, demand, False, urgent=urgent
-        )
+        pressed = self.pressed.collect()
+        position = self._subscribers.fleet_position()
+        heartbeat = Heartbeat(*position, entries, demand, False, urgent=urgent, pressed=pressed)
         try:
             reply = await stream.request(heartbeat, LEADER_REPLY_TIMEOUT_S)
         except ConnectionLostError:
             self.demand.add(demand)
             self.urgent.add(urgent)
+            self.pressed.add(pressed)
             return None
         return reply if isinstance(reply, Currency) else None
 
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -78,5 +78,8 @@
     INSTANCE_RECORDED = EventDefinition(504, "INFO", "A registered replica changed or is new.")
     INSTANCE_REMOVED = EventDefinition(505, "INFO", "A registered replica is gone for good.")
     ORDER_ANSWERED = EventDefinition(506, "INFO", "An engine answered an order, or did not.")
+    PLACEMENT_DEFERRED = EventDefinition(
+        507, "INFO", "What requests wait for is not loaded, and why."
+    )
 
     CLAIM_ABANDONED = EventDefinition(600, "WARNING", "The outcome of a claimed request is lost.")
--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -58,6 +58,8 @@
     """Receives the answer of one replica; streams are passed on event by event.
 
     Attributes:
+        made_s: Clock when the attempt began.
+        connection: The connection in use, or None.
         first_data_s: Clock when the first byte of the body came, or None.
         load: The load that the replica told, or None.
     """
@@ -74,6 +76,7 @@
             close_after: Whether the caller's connection ends with this answer.
         """
         self._loop = asyncio.get_running_loop()
+        self.made_s = self._loop.time()
         self._caller = caller
         self._names = names
         self._is_stream = is_stream
@@ -96,6 +99,11 @@
         """Whether part of the answer has gone to the caller."""
         return self._relaying
 
+    @property
+    def has_answer(self) -> bool:
+        """Whether an answer, or its end, has come."""
+        return self._status != 0 or self.ended.done()
+
     # AnswerSink.
 
     def on_head(self, status: int, reason: bytes, headers: Headers) -> None:
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -29,6 +29,15 @@
 ANSWER_MARGIN_S = 0.02
 LONGEST_HOLD_SHARE = 0.4
 LONGEST_HOLD_TARGETS = 2.0
+# A request for a model is not sent where its first event would come later than this many targets:
+# an engine that is given more than it can serve in time serves nobody in time.
+PATIENCE_TARGETS = 2.0
+SHORTEST_PATIENCE_MS = 1000.0
+HOLD_POLL_S = 0.1
+ASK_AGAIN_S = 0.3
+PRESSED_SHARE = 0.6
+# A replica that did not begin to answer for so long is tried by a new connection first.
+SILENCE_S = 1.5
 MOST_SENDINGS = 4
 CONNECTION_SHARE = 0.9
 FEWEST_CONNECTIONS = 2
@@ -69,6 +78,12 @@
     def note_demand(self, service: str, model: str, adapter: str, target_ms: float) -> None:
         """Count a request for a model or adapter."""
 
+    def note_pressed(self, service: str, model: str) -> None:
+        """Count a request whose model has too few copies."""
+
+    def unreachable(self, record: ReplicaRecord) -> None:
+        """No connection could be made: use the replica again only when one can be."""
+
     async def changed(self, timeout_s: float) -> bool:
         """Wait for a change of the directory or the routes; return whether one came."""
 
@@ -143,7 +158,7 @@
 
     async def _serve(self, route: Route, deadline_s: float) -> None:
         while True:
-            choice = self._choose()
+            choice = self._choose(route)
             if isinstance(choice, NoChoice):
                 if not await self._hold(choice, self._hold_until_s(route, deadline_s)):
                     self._give_up(choice)
@@ -159,14 +174,17 @@
                 self._conclude(end)
                 return
 
-    def _choose(self) -> Choice | NoChoice:
+    def _choose(self, route: Route) -> Choice | NoChoice:
         context = self._context
         table = context.table
         definition = None if table is None else table.services.get(self._service)
         most = 100 if definition is None else definition.max_connections
         share = int(most * CONNECTION_SHARE / max(1, context.gateways))
+        longest_ms = float("inf")
+        if self._request.model:
+            longest_ms = max(SHORTEST_PATIENCE_MS, route.target_latency_ms * PATIENCE_TARGETS)
         limits = SelectionLimits(
-            context.zone, max(FEWEST_CONNECTIONS, share), context.pool.has_idle
+            context.zone, max(FEWEST_CONNECTIONS, share), longest_ms, context.pool.has_idle
         )
         records = context.book.of_service(self._service)
         return choose(records, self._request, self._progress.tried, limits, self._loop.time())
@@ -187,6 +205,8 @@
         if why is NoChoice.ALL_TRIED:
             return False
         request = self._request
+        if why is NoChoice.ALL_FULL and self._progress.held_for is not why and request.model:
+            self._context.note_pressed(self._service, request.model)
         if why is NoChoice.NO_MODEL:
             self._context.ask_for(self._service, request.model, request.adapter)
         if self._progress.held_for is not why:
@@ -195,7 +215,9 @@
         left_s = until_s - self._loop.time()
         if left_s <= 0:
             return False
-        await self._context.changed(left_s)
+        # The control group forgets what is not asked for again.
+        poll_s = HOLD_POLL_S if why is NoChoice.ALL_FULL else ASK_AGAIN_S
+        await self._context.changed(min(left_s, poll_s))
         return True
 
     def _may_send_again(self) -> bool:
@@ -232,9 +254,11 @@
             end = await attempt.ended
             reusable = end.result in (Result.WHOLE, Result.NOT_RUN)
             self._learn(choice, attempt, end, sent_s)
+            self._note_pressure(route, attempt, sent_s)
             return end
         except ConnectError as error:
             record.note_break(self._loop.time())
+            context.unreachable(record)
             self._progress.last = f"connect: {error}"
             self._log_failed(record, "unreachable", str(error))
             return None
@@ -242,10 +266,21 @@
             record.in_flight -= 1
             record.pending_prompt_tokens -= unread
             if self._attempt is not None:
+                self._notice_silence(record, self._attempt)
                 self._attempt.connection = None
             if connection is not None:
                 context.pool.release(instance_id, connection, reusable)
 
+    def _notice_silence(self, record: ReplicaRecord, attempt: Attempt) -> None:
+        """A replica that said nothing for long may be gone without a word."""
+        if attempt.has_answer or attempt.connection is None:
+            return
+        if self._loop.time() - attempt.made_s < SILENCE_S:
+            return
+        record.note_break(self._loop.time())
+        self._context.unreachable(record)
+        self._log_failed(record, "silent", "no answer")
+
     def _encode(self, record: ReplicaRecord, route: Route, left_s: float) -> bytes:
         names, request = self._context.names, self._request
         own = frozenset((names.deadline, names.expect_instance, names.priority))
@@ -262,6 +297,14 @@
         lines.append(request.body)
         return b"".join(lines)
 
+    def _note_pressure(self, route: Route, attempt: Attempt, sent_s: float) -> None:
+        """Tell placement of a first event that took most of its target."""
+        if not self._request.model or attempt.first_data_s is None:
+            return
+        taken_ms = (attempt.first_data_s - sent_s) * 1000.0
+        if taken_ms > route.target_latency_ms * PRESSED_SHARE:
+            self._context.note_pressed(self._service, self._request.model)
+
     def _learn(self, choice: Choice, attempt: Attempt, end: AttemptEnd, sent_s: float) -> None:
         """Take in what an attempt says about its replica."""
         record, request = choice.record, self._request
@@ -301,7 +344,7 @@
             return False
         budget = self._context.budget(self._service)
         left = budget.left(self._loop.time(), self._context.gateways)
-        return left >= 1.0 and not isinstance(self._choose(), NoChoice)
+        return left >= 1.0 and not isinstance(self._choose(route), NoChoice)
 
     # Answering.
 
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -26,6 +26,7 @@
     EntryStatus,
     Heartbeat,
     RoutesUpdate,
+    SuspectInstances,
 )
 from crowsill.transport.stream import LocalIdentity, ProtocolError
 
@@ -58,6 +59,7 @@
         routes_version: Version of the newest routes taken in; it never falls.
         demand: Requests by resource since the last heartbeat.
         urgent: Those of them that have a short target.
+        pressed: Those whose first event took most of their target, or that found no place.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.routes_version = 0
         self.demand = DemandCounter()
         self.urgent = DemandCounter()
+        self.pressed = DemandCounter()
         self._local = local
         self._seeds = seeds
         self._members: list[Address] = []
@@ -134,6 +137,7 @@
         status = EntryStatus(self._local.identity, self._local.node, self._local.zone, 0)
         demand = self.demand.collect()
         urgent = self.urgent.collect()
+        pressed = self.pressed.collect()
         heartbeat = Heartbeat(
             fleet_epoch=0,
             fleet_sequence=0,
@@ -144,6 +148,7 @@
             routes_version=self.routes_version,
             directory_version=self.book.version,
             urgent=urgent,
+            pressed=pressed,
         )
         try:
             reply = await connection.request(heartbeat, HEARTBEAT_TIMEOUT_S)
@@ -152,6 +157,7 @@
         if not isinstance(reply, Currency):
             self.demand.add(demand)
             self.urgent.add(urgent)
+            self.pressed.add(pressed)
             return False
         if reply.members:
             self._members = [parse_address(member) for member in reply.members]
@@ -161,8 +167,8 @@
             self._hooks.on_current(max(1, reply.entries))
         return True
 
-    def send_notice(self, notice: DemandNotice) -> bool:
-        """Tell the group at once what is asked for; return whether it could be sent."""
+    def send_notice(self, notice: DemandNotice | SuspectInstances) -> bool:
+        """Tell the group at once what was seen; return whether it could be sent."""
         connection = self._connection
         return connection is not None and connection.push(notice)
 
--- a/src/crowsill/gateway/replica_book.py
+++ b/src/crowsill/gateway/replica_book.py
@@ -31,6 +31,7 @@
         load_told_s: Clock of that.
         failures: Failures in a row.
         paused_until_s: Clock until which it is tried only if nothing else is left.
+        is_unreachable: Whether no connection could be made to it at the last try.
         error_share: Moving share of its answers that failed.
         slowness: Moving ratio of its time to answer to what was expected.
         slowness_s: Clock of the last change of that.
@@ -45,6 +46,7 @@
     load_told_s: float = float("-inf")
     failures: int = 0
     paused_until_s: float = float("-inf")
+    is_unreachable: bool = False
     error_share: float = 0.0
     slowness: float = 1.0
     slowness_s: float = 0.0
@@ -78,6 +80,7 @@
     def note_success(self) -> None:
         """An answer came whole."""
         self.failures = 0
+        self.is_unreachable = False
         self.paused_until_s = float("-inf")
         self.error_share *= 1.0 - ERROR_WEIGHT
 
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -12,9 +12,9 @@
 from crowsill.gateway.dialect import HeaderNames
 from crowsill.gateway.exchange import Exchange
 from crowsill.gateway.follower import GatewayFollower, GatewayHooks
-from crowsill.gateway.pool import ConnectionPool
+from crowsill.gateway.pool import ConnectError, ConnectionPool
 from crowsill.gateway.ready_server import ReadyServer
-from crowsill.gateway.replica_book import ReplicaBook
+from crowsill.gateway.replica_book import ReplicaBook, ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayTable
 from crowsill.logs import log_event
@@ -24,13 +24,15 @@
 from crowsill.routing.shared_budget import BudgetLimits, SharedBudget
 from crowsill.settings import GatewaySettings, Settings
 from crowsill.state.route_store import RouteDocument
-from crowsill.transport.messages import DemandNotice
+from crowsill.transport.messages import DemandNotice, SuspectInstances
 from crowsill.transport.sockets import bound_silence
 from crowsill.transport.stream import LocalIdentity
 
 BACKLOG = 1024
 CALLER_SILENCE_S = 4.0
 NOTICE_INTERVAL_S = 0.3
+RECONNECT_S = 0.5
+RECONNECT_TIMEOUT_S = 1.0
 URGENT_TARGET_MS = 2000.0
 STOP_POLL_S = 0.05
 # How long before the end of the grace time the process ends by itself.
@@ -76,6 +78,7 @@
         self._exchanges: dict[CallerConnection, tuple[Exchange, asyncio.Task[None]]] = {}
         self._change = asyncio.Event()
         self._asked: dict[str, float] = {}
+        self._retrying: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._ready_server: ReadyServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -177,6 +180,35 @@
         if target_ms <= URGENT_TARGET_MS:
             self._follower.urgent.add(count)
 
+    def note_pressed(self, service: str, model: str) -> None:
+        """Count a request whose model has too few copies."""
+        self._follower.pressed.add({resource_name(service, model, ""): 1})
+
+    def unreachable(self, record: ReplicaRecord) -> None:
+        """Leave a replica out until a connection to it can be made, and say so to the group."""
+        if record.is_unreachable:
+            return
+        record.is_unreachable = True
+        self._follower.send_notice(SuspectInstances([record.instance.instance_id]))
+        task = asyncio.create_task(self._try_again(record))
+        self._retrying.add(task)
+        task.add_done_callback(self._retrying.discard)
+
+    async def _try_again(self, record: ReplicaRecord) -> None:
+        """Try to connect until it works or the replica is gone for good."""
+        instance_id = record.instance.instance_id
+        while self.book.find(instance_id) is record and record.instance.accepts_work:
+            await asyncio.sleep(RECONNECT_S)
+            try:
+                connection = await self.pool.acquire(record.instance, RECONNECT_TIMEOUT_S)
+            except ConnectError:
+                self._follower.send_notice(SuspectInstances([instance_id]))
+                continue
+            self.pool.release(instance_id, connection, True)
+            record.is_unreachable = False
+            self._wake()
+            return
+
     async def changed(self, timeout_s: float) -> bool:
         """Wait for a change of the directory or the routes."""
         try:
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -53,11 +53,13 @@
     Attributes:
         zone: Site of this gateway.
         connections: Requests that this gateway may have at one replica.
+        longest_ms: A request that is expected to take longer is not sent.
         has_idle: Whether a connection to an instance is open and free.
     """
 
     zone: str
     connections: int
+    longest_ms: float = float("inf")
     has_idle: Callable[[str], bool] = lambda _instance_id: True
 
 
@@ -100,6 +102,11 @@
     return total_ms, known
 
 
+def accepts(record: ReplicaRecord) -> bool:
+    """Whether new requests may be sent to a replica."""
+    return record.instance.accepts_work and not record.is_unreachable
+
+
 def choose(
     records: list[ReplicaRecord],
     request: CallerRequest,
@@ -116,7 +123,7 @@
         limits: What bounds the choice.
         now_s: Clock.
     """
-    accepting = [record for record in records if record.instance.accepts_work]
+    accepting = [record for record in records if accepts(record)]
     if not accepting:
         return NoChoice.NO_REPLICA
     holding = [record for record in accepting if _holds(record, request)]
@@ -138,6 +145,8 @@
         if best is None or total_ms < best.expected_ms:
             best = Choice(record, total_ms, known, len(sound))
     assert best is not None
+    if best.expected_ms > limits.longest_ms:
+        return NoChoice.ALL_FULL
     return best
 
 
--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -16,7 +16,11 @@
 # Engine time that one request of a model takes, on average, in seconds.
 REQUEST_S = 0.12
 # Share of an engine's time that one model's requests may take before it gets another copy.
-COPY_LOAD = 0.3
+COPY_LOAD = 0.5
+COPY_ROUNDING = 0.3
+# A model with so many late requests a second, and such a share of them, gets another copy.
+LEAST_PRESSURE = 0.4
+PRESSED_SHARE = 0.15
 # A model without a request for so long counts as idle, in seconds.
 IDLE_S = 8.0
 # A copy is not taken away again so soon after its load, in seconds.
@@ -25,20 +29,27 @@
 URGENT_WEIGHT = 10.0
 # Weight that is assumed for a model not asked for yet: operators list the models that matter
 # most first, so it falls with the place in the list.
-FIRST_UNKNOWN_WEIGHT = 1.5
+FIRST_UNKNOWN_WEIGHT = 3.0
 UNKNOWN_WEIGHT_PLACES = 8.0
 # Share of the engines that may fetch from the store for requests that can wait.
 PATIENT_FETCH_SHARE = 0.34
 # Time from its first request in which a model's demand becomes known, in seconds.
 LEARNING_S = 5.0
+# Time from the first request for any model in which one not asked for keeps its assumed weight.
+UNASKED_S = 60.0
 # A further copy is worth less than the only one.
 FURTHER_COPY = 0.25
 # So is a copy that the machine keeps on its disk when it makes way.
 NEAR_COPY = 0.5
 # What a waiting request is worth where nothing is known of its model's demand.
 WAITING_WEIGHT = 1.0
+# It grows by this share for each second of waiting, so that nothing waits for ever.
+WAITING_GROWTH = 1.0
 # A model that makes way for one that is fetched ahead must weigh less.
-AHEAD_WEIGHT = 0.6
+AHEAD_WEIGHT = 1.0
+# Seconds of a load that one unit of loss, and of demand at an engine, weigh.
+LOSS_S = 10.0
+PRESSURE_S = 0.5
 # The gain of a load must pass the loss of what makes way by this factor.
 GAIN_RATIO = 1.5
 COPIES_KEPT_FOR_AHEAD = 2
@@ -114,8 +125,10 @@
         loading: Models with a load under way, each with the number of engines.
         demand: Requests a second by model, and by `model/adapter`.
         urgent: Those of them that have a short target, by the same names.
+        pressed: Those whose first event took most of their target, or that found no place.
         asked_s: Clock of the last request by the same names.
         wanted: Resources that requests wait for now and that no engine holds.
+        wanted_since_s: Clock since when requests wait, by model.
         first_asked_s: Clock of the first request by the same names.
         store_loads: Loads that may be fetched from the weight store now.
         now_s: Clock.
@@ -126,15 +139,21 @@
     loading: dict[str, int]
     demand: dict[str, float]
     urgent: dict[str, float]
+    pressed: dict[str, float]
     asked_s: dict[str, float]
     wanted: list[str]
+    wanted_since_s: dict[str, float]
     first_asked_s: dict[str, float]
     store_loads: int
     now_s: float
 
 
 class CopyPlanner:
-    """Plans one step for one service."""
+    """Plans one step for one service.
+
+    Attributes:
+        deferred: Why what requests wait for is not loaded now, by resource.
+    """
 
     def __init__(self, view: ServiceView) -> None:
         self._view = view
@@ -144,6 +163,7 @@
         for engine in view.engines:
             for model in engine.held:
                 self._copies[model] = self._copies.get(model, 0) + 1
+        self.deferred: dict[str, str] = {}
         self._taken: set[str] = set()
         self._jobs: list[Job] = []
         self._store_loads = view.store_loads
@@ -166,11 +186,39 @@
     def _serve_waiting(self, resource: str) -> None:
         model, _, adapter = resource.partition("/")
         if model not in self._models:
-            return
-        if self._copies.get(model, 0) == 0:
-            self._load_model(model, WAITED_FOR)
+            self.deferred[resource] = "unknown model"
+        elif self._copies.get(model, 0) == 0:
+            if not self._load_model(model, WAITED_FOR):
+                self.deferred[resource] = self._refusals(model)
+        elif self._view.loading.get(model, 0):
+            self.deferred[resource] = "on its way"
         elif adapter:
             self._load_adapter(model, adapter)
+        else:
+            holders = [
+                item.instance.instance_id for item in self._view.engines if model in item.held
+            ]
+            self.deferred[resource] = "held by " + ",".join(holders)
+
+    @property
+    def _is_short(self) -> bool:
+        """Whether requests with a short target wait for a model that no engine can take now."""
+        urgent = self._view.urgent
+        return any(urgent.get(resource, 0.0) > 0.0 for resource in self.deferred)
+
+    def _refusals(self, model: str) -> str:
+        """Say why no engine can load a model now."""
+        reasons: list[str] = []
+        for engine in self._view.engines:
+            if engine.is_busy:
+                reasons.append(f"busy for {engine.free_s - self._view.now_s:.1f} s")
+            elif engine.instance.instance_id in self._taken:
+                reasons.append("taken")
+            elif self._room_for(engine, self._models[model], WAITED_FOR) is None:
+                reasons.append("no room")
+            else:
+                reasons.append("store or copy near")
+        return "; ".join(reasons)
 
     def _load_adapter(self, model: str, adapter: str) -> None:
         holders = [engine for engine in self._view.engines if model in engine.held]
@@ -256,7 +304,17 @@
             return 0
         load = self._view.demand.get(model, 0.0) * REQUEST_S
         most = max(1, len(self._view.engines) - 1)
-        return max(1, min(most, round(load / COPY_LOAD + 0.4)))
+        if self._is_pressed(model):
+            return min(most, self._copies.get(model, 0) + 1)
+        return max(1, min(most, round(load / COPY_LOAD + COPY_ROUNDING)))
+
+    def _is_pressed(self, model: str) -> bool:
+        """Whether a model's copies serve too late, and none is on its way."""
+        view = self._view
+        if view.loading.get(model, 0):
+            return False
+        pressed = view.pressed.get(model, 0.0)
+        return pressed > max(LEAST_PRESSURE, view.demand.get(model, 0.0) * PRESSED_SHARE)
 
     def _is_idle(self, model: str) -> bool:
         return self._view.now_s - self._last_asked_s(model) > IDLE_S
@@ -319,7 +377,7 @@
         loss = sum(self._loss_at(engine, victim) for victim in unload)
         # While it loads, an engine takes no adapters.
         blocked = load_s * self._adapter_demand(engine)
-        cost = load_s + 10.0 * loss + 0.5 * self._pressure(engine) + blocked
+        cost = load_s + LOSS_S * loss + PRESSURE_S * self._pressure(engine) + blocked
         instance_id = engine.instance.instance_id
         job = Job(instance_id, tuple(unload), name, "", from_store, load_s, reason)
         return cost, job
@@ -332,6 +390,8 @@
         """
         if self._store_loads <= 0:
             return False
+        if reason == MORE_LOAD and self._is_short:
+            return False
         if reason == AHEAD or self._view.urgent.get(name, 0.0) > 0.0:
             return True
         most = max(1, int(len(self._view.engines) * PATIENT_FETCH_SHARE))
@@ -374,8 +434,12 @@
         view = self._view
         urgent = view.urgent.get(model, 0.0)
         told = view.demand.get(model, 0.0) + (URGENT_WEIGHT - 1.0) * urgent
-        known_s = view.now_s - view.first_asked_s.get(model, view.now_s)
-        unknown = max(0.0, 1.0 - known_s / LEARNING_S)
+        if model in view.first_asked_s:
+            unknown = 1.0 - (view.now_s - view.first_asked_s[model]) / LEARNING_S
+        else:
+            began_s = min(view.first_asked_s.values(), default=view.now_s)
+            unknown = 1.0 - (view.now_s - began_s) / UNASKED_S
+        unknown = max(0.0, unknown)
         place = self._places.get(model, len(self._places))
         assumed = FIRST_UNKNOWN_WEIGHT * math.exp(-place / UNKNOWN_WEIGHT_PLACES)
         return told + unknown * assumed
@@ -396,7 +460,8 @@
         """What is won with one more copy of a model."""
         weight = self._weight(model)
         if reason == WAITED_FOR:
-            return max(weight, WAITING_WEIGHT)
+            waited_s = self._view.now_s - self._view.wanted_since_s.get(model, self._view.now_s)
+            return max(weight, WAITING_WEIGHT) * (1.0 + WAITING_GROWTH * waited_s)
         return weight / max(1, self._copies.get(model, 0))
 
     def _worth(self, model: str) -> float:
--- a/src/crowsill/settings.py
+++ b/src/crowsill/settings.py
@@ -69,6 +69,7 @@
             `2 x tolerated_losses + 1` voters.
         registrations: HTTP listener for replicas that register themselves and for operators of
             routes.
+        replica_heartbeat_s: Time between two heartbeats of a replica that registers itself.
         store_window_s: Window in which loads from the weight store are counted.
         store_burst: Loads beyond the store's rate in one window.
         order_lease_s: A new leader gives no order to a replica for so long.
@@ -90,6 +91,7 @@
     bootstrap: bool = False
     tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=4)] = 1
     registrations: HttpListener | None = None
+    replica_heartbeat_s: PositiveSeconds = 1.0
     store_window_s: PositiveSeconds = 5.0
     store_burst: Annotated[int, msgspec.Meta(ge=0)] = 3
     order_lease_s: NonNegativeSeconds = 3.0
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -84,6 +84,7 @@
         routes_version: Version of the routes that it has.
         directory_version: Version of the directory that it has.
         urgent: Those requests of `demand` that have a short target.
+        pressed: Those whose first event took most of their target, or that found no place.
     """
 
     fleet_epoch: int
@@ -95,6 +96,7 @@
     routes_version: int = 0
     directory_version: int = 0
     urgent: dict[str, int] = {}
+    pressed: dict[str, int] = {}
 
 
 class BlankCheck(msgspec.Struct, frozen=True, tag="blank-check"):
@@ -268,6 +270,12 @@
     instance_ids: list[str]
 
 
+class SuspectInstances(msgspec.Struct, frozen=True, tag="suspect-instances"):
+    """Replicas to which a gateway could make no connection just now."""
+
+    instance_ids: list[str]
+
+
 class ConsensusTraffic(msgspec.Struct, frozen=True, tag="consensus"):
     """Messages of consensus groups."""
 
@@ -297,6 +305,7 @@
     | JoinRequest
     | JoinReply
     | SeenInstances
+    | SuspectInstances
 )
 
 
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,363 @@
+"""The users' platform in small: machines as processes on loopback addresses, replicas, operator.
+
+The programs are the real ones, started with the words of `deploy/system.toml` and settings in the
+platform's form. The replicas here speak the platform's dialect and are otherwise obedient; what
+real ones do wrong is played in `test_gateway_http.py`.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+import tomllib
+from pathlib import Path
+
+import aiohttp
+
+ROOT = Path(__file__).resolve().parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+HEARTBEAT_S = 0.3
+STAMP = "X-Crowsill-Server-Stamp"
+ID = "X-Crowsill-Request-Id"
+
+
+def free_ports(count):
+    """Return ports that are free on loopback."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+class Machine:
+    """One machine with one process."""
+
+    def __init__(self, site, name, ip, role):
+        self.site = site
+        self.name = name
+        self.ip = ip
+        self.role = role
+        self.process = None
+        self.folder = site.folder / name
+        self.folder.mkdir()
+        self.data = self.folder / "data"
+        self.settings = self.folder / "boot.toml"
+        self.log = self.folder / "log.txt"
+
+    @property
+    def control(self):
+        return f"{self.ip}:{self.site.control_port}"
+
+    @property
+    def front(self):
+        return f"{self.ip}:{self.site.front_port}"
+
+    def write_settings(self, bootstrap, seeds=None):
+        """Write the settings file as the platform would."""
+        role = DEPLOY["roles"][self.role]
+        seeds = [machine.control for machine in seeds or self.site.core[:3]]
+        listen = [f'control = "{self.control}"']
+        if "front" in role["serves"]:
+            ready = f"{self.ip}:{self.site.ready_port}"
+            listen = [f'front = "{self.front}"', f'ready = "{ready}"']
+        lines = [
+            f'node = "{self.name}"',
+            f'role = "{self.role}"',
+            f'machineClass = "{role["on"]}"',
+            f"serves = {json.dumps(role['serves'])}",
+            f'ip = "{self.ip}"',
+            'zone = "Hall-A"',
+            'region = "r"',
+            f"innerPorts = [{self.site.inner_port}, {self.site.inner_port + 1}]",
+            f"seeds = {json.dumps(seeds)}",
+            f"bootstrap = {json.dumps(bootstrap)}",
+            "countsTowardFaults = true",
+            f'dataDir = "{self.data}"',
+            f"heartbeatMs = {int(HEARTBEAT_S * 1000)}",
+            "unheardOf = { field = 1 }",
+            "[listen]",
+            *listen,
+            "[tolerate]",
+            "machines = 2",
+            "[bounds]",
+            "graceS = 4",
+            "leaseMs = 1000",
+        ]
+        self.settings.write_text("\n".join(lines) + "\n")
+
+    def start(self, bootstrap=False):
+        """Start the process with the words of the deploy file."""
+        self.write_settings(bootstrap)
+        words = DEPLOY["roles"][self.role]["run"].split()
+        assert words[0] == "python3"
+        environment = {**os.environ, "CROWSILL_CONFIG": str(self.settings)}
+        with self.log.open("ab") as log:
+            command = [sys.executable, *words[1:]]
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    def kill(self):
+        """Kill the process."""
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+
+    def wipe(self):
+        """Lose the disk."""
+        shutil.rmtree(self.data)
+
+    def stop(self, within_s):
+        """Stop by plan; return the exit code."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(within_s)
+
+
+class StandInReplica:
+    """A replica in the platform's dialect: an engine, or a plain service."""
+
+    def __init__(self, site, number, service, models=None):
+        self.site = site
+        self.instance_id = f"i-{number}"
+        self.service = service
+        self.models = models
+        self.adapters = {}
+        self.state = "ready"
+        self.served = 0
+        self.orders = []
+        self.sequence = 0
+        self._beat_sequence = 0
+        self._tasks = []
+        self.delay_s = 0.0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        self._tasks.append(asyncio.create_task(self._beat_on()))
+        return self
+
+    def description(self):
+        self._beat_sequence += 1
+        document = {
+            "service": self.service,
+            "addr": f"127.0.0.1:{self.port}",
+            "zone": "Hall-A",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "seq": self._beat_sequence,
+        }
+        if self.models is not None:
+            document["models"] = self._held()
+        return document
+
+    def _held(self):
+        return [
+            {"name": name, "version": 1, "adapters": sorted(self.adapters.get(name, ()))}
+            for name in self.models
+        ]
+
+    async def beat(self):
+        """Send one heartbeat; return whether it was acknowledged."""
+        path = f"/instances/{self.instance_id}"
+        return await self.site.call("PUT", path, self.description()) == 200
+
+    async def _beat_on(self):
+        while True:
+            await self.beat()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                first, *lines = head.split("\r\n")
+                pairs = (line.split(": ", 1) for line in lines if ": " in line)
+                headers = {name.lower(): value for name, value in pairs}
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                status, extra, answer = await self._answer(first, headers, body)
+                text = [f"HTTP/1.1 {status} X", f"Content-Length: {len(answer)}", *extra]
+                writer.write(("\r\n".join(text) + "\r\n\r\n").encode() + answer)
+        writer.close()
+
+    async def _answer(self, first, headers, body):
+        expected = headers.get("x-crowsill-expect-instance")
+        if expected not in (None, self.instance_id):
+            return 421, [], b""
+        method, path, _ = first.split(" ")
+        if (method, path) == ("GET", "/report"):
+            report = {"models": self._held(), "busy": False, "seq": self.sequence, "coming": []}
+            return 200, [], json.dumps(report).encode()
+        if (method, path) == ("POST", "/order"):
+            return self._order(json.loads(body)), [], b""
+        echoed = [f"{ID}: {headers[ID.lower()]}"]
+        model = headers.get("x-crowsill-model", "").partition("/")[0]
+        if self.models is not None and model not in self.models:
+            return 421, [*echoed, "X-Crowsill-Not-Run: 1"], b""
+        await asyncio.sleep(self.delay_s)
+        self.served += 1
+        return 200, [*echoed, f"{STAMP}: {self.instance_id}"], body + b"!"
+
+    def _order(self, order):
+        self.orders.append(order)
+        if order.get("expect", self.sequence) != self.sequence:
+            return 409
+        adapter = order.get("adapter")
+        held = self.adapters.setdefault(order["model"], set())
+        loads = order["op"] == "load"
+        if (adapter in held if adapter else order["model"] in self.models) is loads:
+            return 200
+        self.sequence += 1
+        if adapter:
+            (held.add if loads else held.discard)(adapter)
+        elif loads:
+            self.models.append(order["model"])
+        else:
+            self.models.remove(order["model"])
+            held.clear()
+        return 202
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        self._server.close()
+
+
+class PlatformSite:
+    """All machines of a small site."""
+
+    def __init__(self, folder, core=5, fronts=2):
+        self.folder = folder
+        ports = free_ports(4)
+        self.control_port, self.front_port, self.ready_port, self.inner_port = ports
+        self.core = []
+        for number in range(core):
+            self.core.append(Machine(self, f"core-{number}", f"127.0.1.{number + 1}", "control"))
+        self.fronts = []
+        for number in range(fronts):
+            self.fronts.append(Machine(self, f"front-{number}", f"127.0.2.{number + 1}", "gateway"))
+
+    @property
+    def machines(self):
+        return self.core + self.fronts
+
+    def start(self):
+        for machine in self.machines:
+            machine.start(bootstrap=True)
+
+    def stop(self):
+        for machine in self.machines:
+            if machine.process is not None and machine.process.poll() is None:
+                machine.process.kill()
+                machine.process.wait()
+
+    async def call(self, method, path, document=None, machine=None, timeout_s=1.0):
+        """Call control members in turn until one answers; return the status, or 0."""
+        status, _ = await self.call_whole(method, path, document, machine, timeout_s)
+        return status
+
+    async def call_whole(self, method, path, document=None, machine=None, timeout_s=1.0):
+        """As `call`, with the body."""
+        targets = [machine] if machine is not None else self.core
+        content = document if isinstance(document, bytes) else json.dumps(document).encode()
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for target in targets:
+                try:
+                    url = f"http://{target.control}{path}"
+                    async with session.request(method, url, data=content) as response:
+                        if response.status < 500:
+                            return response.status, await response.read()
+                except (aiohttp.ClientError, TimeoutError):
+                    continue
+        return 0, b""
+
+    async def publish(self, document, within_s=8.0):
+        """Publish until acknowledged or refused; return the status."""
+        deadline_s = time.monotonic() + within_s
+        while time.monotonic() < deadline_s:
+            status = await self.call("PUT", "/config", document, timeout_s=4.0)
+            if status:
+                return status
+            await asyncio.sleep(0.1)
+        return 0
+
+    async def ask(self, front, path, headers=None, body=b"x", timeout_s=5.0):
+        """Send a request through a gateway; return status and body."""
+        named = {"Host": "shop.example", ID: os.urandom(8).hex(), **(headers or {})}
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            url = f"http://{front.front}{path}"
+            async with session.post(url, data=body, headers=named) as response:
+                return response.status, await response.read()
+
+    async def until(self, wanted, within_s=10.0):
+        """Wait until an awaitable condition holds."""
+        deadline_s = time.monotonic() + within_s
+        while not await wanted():
+            assert time.monotonic() < deadline_s, "the condition did not come to hold"
+            await asyncio.sleep(0.05)
+
+
+def configuration(version, **changes):
+    """A configuration document of the platform."""
+    document = {
+        "version": version,
+        "routes": [
+            {
+                "name": "pay",
+                "host": "shop.example",
+                "pathPrefix": "/pay/",
+                "kind": "non_idempotent",
+                "timeoutMs": 3000,
+                "service": "till",
+                "maxAttempts": 1,
+            },
+            {
+                "name": "draft",
+                "host": "shop.example",
+                "pathPrefix": "/draft/",
+                "kind": "stream",
+                "timeoutMs": 8000,
+                "targetLatencyMs": 4000,
+                "service": "models",
+                "sticky": True,
+            },
+        ],
+        "services": [
+            {"name": "till", "healthPath": "/health", "maxConns": 50, "protocol": "h1"},
+            {
+                "name": "models",
+                "maxConns": 50,
+                "engine": {
+                    "slots": 8,
+                    "kvCapacityTokens": 1000,
+                    "weightsMb": 220.0,
+                    "adapterSlots": 2,
+                    "loadsPerS": 5.0,
+                    "models": [
+                        {"name": name, "weightsMb": 100.0, "loadS": 0.2, "adapters": 3}
+                        for name in ("m0", "m1", "m2", "m3")
+                    ],
+                },
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+    document.update(changes)
+    return document
