--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -245,6 +245,7 @@
                 {model: since_s for model, (_, since_s) in self._waiting_s.items()}, name
             ),
             first_asked_s=_of_service(self._first_asked_s, name),
+            began_s=self._starts_s,
             store_loads=self._window(name, limits).left(now_s),
             now_s=now_s,
         )
--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -24,7 +24,7 @@
 # A model without a request for so long counts as idle, in seconds.
 IDLE_S = 8.0
 # A copy is not taken away again so soon after its load, in seconds.
-YOUNG_S = 3.0
+YOUNG_S = 1.0
 # What a request with a short target weighs against one that can wait.
 URGENT_WEIGHT = 10.0
 # Weight that is assumed for a model not asked for yet: operators list the models that matter
@@ -45,10 +45,13 @@
 WAITING_WEIGHT = 1.0
 # It grows by this share for each second of waiting, so that nothing waits for ever.
 WAITING_GROWTH = 1.0
+# Models are fetched ahead only so soon after placement began, in seconds: a load that begins late
+# would keep its engine from what the first requests want.
+AHEAD_S = 4.0
 # A model that makes way for one that is fetched ahead must weigh less.
 AHEAD_WEIGHT = 1.0
 # Seconds of a load that one unit of loss, and of demand at an engine, weigh.
-LOSS_S = 10.0
+LOSS_S = 5.0
 PRESSURE_S = 0.5
 # The gain of a load must pass the loss of what makes way by this factor.
 GAIN_RATIO = 1.5
@@ -130,6 +133,7 @@
         wanted: Resources that requests wait for now and that no engine holds.
         wanted_since_s: Clock since when requests wait, by model.
         first_asked_s: Clock of the first request by the same names.
+        began_s: Clock when this leadership began to place.
         store_loads: Loads that may be fetched from the weight store now.
         now_s: Clock.
     """
@@ -144,6 +148,7 @@
     wanted: list[str]
     wanted_since_s: dict[str, float]
     first_asked_s: dict[str, float]
+    began_s: float
     store_loads: int
     now_s: float
 
@@ -177,7 +182,7 @@
             self._serve_waiting(resource)
         self._add_copies()
         self._fill_adapter_places()
-        if not view.asked_s:
+        if not view.asked_s and view.now_s - view.began_s < AHEAD_S:
             self._fetch_ahead()
         return self._jobs
 
--- a/tests/test_registered_fleet.py
+++ b/tests/test_registered_fleet.py
@@ -251,6 +251,7 @@
         "wanted": [],
         "wanted_since_s": {},
         "first_asked_s": {"m0": 0.0},
+        "began_s": 0.0,
         "store_loads": 5,
         "now_s": 100.0,
     }
