Recover faster when every process was killed or lost power

Change: requests wait up to 1.2 s for the first routes; a member's start is the start of its process; shorter pauses; the number of gateways is the largest of the last 10 s, 8 at first.

--- a/src/crowsill/clock.py
+++ b/src/crowsill/clock.py
@@ -15,3 +15,7 @@
 def wall_s() -> float:
     """Seconds since the epoch; used for histories and retention, never for leases."""
     return time.time()
+
+
+# When this process began, as nearly as it can know: what a former life of it did was done before.
+PROCESS_STARTED_S = monotonic_s()
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -11,7 +11,7 @@
 from crowsill.api.server import HttpServer
 from crowsill.backends.engine_calls import EngineCalls
 from crowsill.backends.http_control import HttpControl
-from crowsill.clock import monotonic_s
+from crowsill.clock import PROCESS_STARTED_S, monotonic_s
 from crowsill.consensus.membership import Membership
 from crowsill.consensus.messages import Envelope
 from crowsill.consensus.node import RaftNode
@@ -220,7 +220,7 @@
             membership=membership,
             config=config,
             random=self._random,
-            now_s=monotonic_s(),
+            now_s=PROCESS_STARTED_S,
         )
         return ConsensusDriver(
             node=RaftNode(setup, self._snapshot),
--- a/src/crowsill/daemon.py
+++ b/src/crowsill/daemon.py
@@ -15,6 +15,8 @@
 
 from returns.result import Failure, Result, Success
 
+# Imported early, because it notes when the process began.
+import crowsill.clock  # noqa: F401
 from crowsill.events import Event
 from crowsill.logs import configure_logs, log_event
 from crowsill.platform_ports import PlatformPorts
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -34,6 +34,7 @@
 PATIENCE_TARGETS = 2.0
 SHORTEST_PATIENCE_MS = 1000.0
 HOLD_POLL_S = 0.1
+LONGEST_WAIT_FOR_ROUTES_S = 1.2
 ASK_AGAIN_S = 0.3
 PRESSED_SHARE = 0.6
 # A replica that did not begin to answer for so long is tried by a new connection first.
@@ -129,7 +130,7 @@
 
     async def run(self) -> None:
         """Serve the request; ends early when it is cancelled, because the caller left."""
-        table = self._context.table
+        table = await self._wait_for_routes()
         if table is None:
             self._refuse(ErrorKind.NOT_READY, "no configuration is known yet", 0.5)
             return
@@ -150,6 +151,17 @@
         except TimeoutError:
             self._time_out()
 
+    async def _wait_for_routes(self) -> GatewayTable | None:
+        """A process that has just started knows the routes within a moment."""
+        context, request = self._context, self._request
+        wait_s = LONGEST_WAIT_FOR_ROUTES_S
+        if request.wait_ms is not None:
+            wait_s = min(wait_s, request.wait_ms / 1000.0 * LONGEST_HOLD_SHARE)
+        until_s = min(request.arrived_s + wait_s, context.hold_limit_s())
+        while context.table is None and self._loop.time() < until_s:
+            await context.changed(until_s - self._loop.time())
+        return context.table
+
     def _deadline_s(self, route: Route) -> float:
         wait_ms = route.timeout_ms
         if self._request.wait_ms is not None:
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -32,8 +32,8 @@
 
 HEARTBEAT_S = 0.5
 HEARTBEAT_TIMEOUT_S = 0.8
-RETRY_S = 0.1
-LONGEST_RETRY_S = 0.4
+RETRY_S = 0.05
+LONGEST_RETRY_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from collections import deque
 from collections.abc import Callable
 from random import Random
 
@@ -31,6 +32,9 @@
 BACKLOG = 1024
 CALLER_SILENCE_S = 4.0
 NOTICE_INTERVAL_S = 0.3
+# Gateways that are assumed until the group has told their number for a while.
+FIRST_GATEWAYS = 8
+GATEWAYS_MEMORY_S = 10.0
 RECONNECT_S = 0.5
 RECONNECT_TIMEOUT_S = 1.0
 URGENT_TARGET_MS = 2000.0
@@ -67,7 +71,8 @@
         self.random = Random(secrets.randbits(64))
         self.book = ReplicaBook()
         self.table: GatewayTable | None = None
-        self.gateways = 1
+        self.gateways = FIRST_GATEWAYS
+        self._counts: deque[tuple[float, int]] = deque()
         self._settings = gateway
         self._codec = codec
         self._is_current = False
@@ -92,6 +97,7 @@
     async def start(self) -> None:
         """Open the listeners and begin to follow the control group."""
         loop = asyncio.get_running_loop()
+        self._started_s = loop.time()
         self.pool = ConnectionPool(self.names)
         listen = self._settings.callers
         self._server = await loop.create_server(
@@ -139,12 +145,27 @@
         self._wake()
 
     def _on_current(self, gateways: int) -> None:
-        self.gateways = gateways
+        self._count_gateways(gateways)
         if not self._is_current:
             self._is_current = True
             READY.set(1)
             log_event(Event.READINESS_CHANGED, ready=True, gateways=gateways)
 
+    def _count_gateways(self, gateways: int) -> None:
+        """Share the retry budget with as many gateways as were live at any time lately.
+
+        A new leader hears of them one after the other, and too small a number is too large a
+        share.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self._counts.append((now_s, gateways))
+        while self._counts[0][0] < now_s - GATEWAYS_MEMORY_S:
+            self._counts.popleft()
+        if now_s - self._started_s > GATEWAYS_MEMORY_S:
+            self.gateways = max(count for _, count in self._counts)
+        else:
+            self.gateways = max(self.gateways, gateways)
+
     def _wake(self) -> None:
         self._change.set()
         self._change = asyncio.Event()
