--- a/src/crowsill/control/leader_link.py
+++ b/src/crowsill/control/leader_link.py
@@ -11,7 +11,7 @@
 from crowsill.transport.stream import LocalIdentity, ProtocolError
 
 REFRESH_S = 0.5
-RETRY_S = 0.2
+RETRY_S = 0.05
 
 
 class LeaderLink:
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -4,13 +4,13 @@
 import secrets
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 from returns.result import Failure, Result, Success
 
 from crowsill.api.operators import operator_application
 from crowsill.api.server import HttpServer
 from crowsill.backends.engine_calls import EngineCalls
-from crowsill.backends.http_control import HttpControl
 from crowsill.clock import PROCESS_STARTED_S, monotonic_s
 from crowsill.consensus.membership import Membership
 from crowsill.consensus.messages import Envelope
@@ -59,6 +59,9 @@
 from crowsill.transport.member_links import MemberLinks
 from crowsill.transport.stream import LocalIdentity
 
+if TYPE_CHECKING:
+    from crowsill.backends.http_control import HttpControl
+
 GROUP = "main"
 HAND_OVER_TIMEOUT_S = 1.5
 ABANDON_AFTER_S = 30.0
@@ -131,6 +134,10 @@
             return Failure(recovery.failure())
         recovered = recovery.unwrap()
         if self._control.platform_list:
+            # Imported where it is used: its client library costs a member that polls no back ends
+            # 10 MB and a fifth of its start time.
+            from crowsill.backends.http_control import HttpControl
+
             self._backends = HttpControl(self._control.platform_list)
         service = MemberService(
             self._local,
@@ -355,7 +362,7 @@
         return self._routes
 
     def _lead_fleet(
-        self, service: MemberService, backends: HttpControl, driver: ConsensusDriver
+        self, service: MemberService, backends: "HttpControl", driver: ConsensusDriver
     ) -> None:
         """Observe the polled back ends and place models on them."""
         term = driver.node.term
--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -48,6 +48,7 @@
 # Models are fetched ahead only so soon after placement began, in seconds: a load that begins late
 # would keep its engine from what the first requests want.
 AHEAD_S = 4.0
+COPIES_KEPT_FOR_AHEAD = 2
 # A model that makes way for one that is fetched ahead must weigh less.
 AHEAD_WEIGHT = 1.0
 # Seconds of a load that one unit of loss, and of demand at an engine, weigh.
@@ -431,9 +432,12 @@
         if young or victim in view.wanted:
             return False
         if reason == AHEAD:
-            # Before any traffic: what makes way must be back soon and matter little. The copies of
-            # a model that was placed more than once are there because it is in demand.
-            return victim in engine.instance.on_disk and self._weight(victim) < AHEAD_WEIGHT
+            # Before any traffic: what makes way must be back soon and matter little, or stand
+            # elsewhere often enough.
+            near = victim in engine.instance.on_disk
+            if near and self._weight(victim) < AHEAD_WEIGHT:
+                return True
+            return self._copies.get(victim, 0) > COPIES_KEPT_FOR_AHEAD
         return self._gain(name, reason) > GAIN_RATIO * self._loss_at(engine, victim)
 
     def _weight(self, model: str) -> float:
