--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -30,7 +30,7 @@
 from crowsill.control.subscribers import Subscribers
 from crowsill.events import Event
 from crowsill.logs import log_event
-from crowsill.metrics import REVISION
+from crowsill.metrics import DIRECTORY_VERSION, REVISION, ROUTES_VERSION
 from crowsill.model.configuration import ConfigurationDelta
 from crowsill.model.fleet import FleetDelta, FleetView
 from crowsill.model.route_codec import unpack
@@ -287,6 +287,7 @@
                 version = command.document.version
                 size = len(command.document.content)
                 log_event(Event.ROUTES_PUBLISHED, version=version, bytes=size)
+                ROUTES_VERSION.set(version)
                 self._subscribers.push_routes()
             case RecordBeat():
                 instance = command.beat.instance
@@ -310,6 +311,7 @@
                 )
         if isinstance(command, PublishRoutes) or directory.last_change is None:
             return
+        DIRECTORY_VERSION.set(directory.version)
         if isinstance(command, RecordBeat | RemoveInstance | OfferModels):
             self._subscribers.push_directory(directory.last_change)
 
--- a/src/crowsill/daemon.py
+++ b/src/crowsill/daemon.py
@@ -18,7 +18,7 @@
 # Imported early, because it notes when the process began.
 import crowsill.clock  # noqa: F401
 from crowsill.events import Event
-from crowsill.logs import configure_logs, log_event
+from crowsill.logs import configure_logs, flush_logs, log_event
 from crowsill.platform_ports import PlatformPorts
 from crowsill.settings import Settings, load_settings
 from crowsill.transport.stream import load_cluster_key
@@ -87,7 +87,7 @@
         except TimeoutError:
             # A disk that hangs must not keep the process past its grace time.
             log_event(Event.DRAIN_LIMIT, where="stop")
-            sys.stdout.flush()
+            flush_logs()
             os._exit(EXIT_DRAIN_LIMIT)
 
     def _stop_limit_s(self) -> float:
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -23,6 +23,7 @@
 from crowsill.gateway.routing_table import GatewayTable, pick_service
 from crowsill.gateway.selection import Choice, NoChoice, SelectionLimits, choose, part_keys
 from crowsill.logs import log_event
+from crowsill.metrics import GATEWAY_ATTEMPTS, GATEWAY_FIRST_BYTE_S, GATEWAY_REQUESTS
 from crowsill.model.routes import Route, RouteKind
 from crowsill.routing.shared_budget import SharedBudget
 
@@ -114,6 +115,7 @@
         self._progress = _Progress()
         self._attempt: Attempt | None = None
         self._service = ""
+        self._kind = "unknown"
 
     def request_id(self) -> str:
         """Return the caller's id of the request."""
@@ -138,6 +140,7 @@
         if route is None:
             self._refuse(ErrorKind.UNKNOWN_ROUTE, "no route matches host and path")
             return
+        self._kind = route.kind.value
         self._service = pick_service(route, self._context.random)
         deadline_s = self._deadline_s(route)
         self._context.budget(self._service).earn(self._loop.time())
@@ -275,6 +278,7 @@
         except ConnectError as error:
             record.note_break(self._loop.time())
             context.unreachable(record)
+            GATEWAY_ATTEMPTS.labels("unreachable").inc()
             self._progress.last = f"connect: {error}"
             self._log_failed(record, "unreachable", str(error))
             return None
@@ -325,6 +329,7 @@
         """Take in what an attempt says about its replica."""
         record, request = choice.record, self._request
         now_s = self._loop.time()
+        GATEWAY_ATTEMPTS.labels(end.result).inc()
         record.note_load(attempt.load, now_s)
         if end.result is Result.NOT_RUN:
             if end.status == 421 and request.model:
@@ -376,6 +381,7 @@
             self._refuse(ErrorKind.BACKEND_FAILED, f"the replica failed: {end.detail}")
             return
         close = self._closes()
+        self._count("answered")
         if not end.relayed:
             is_head = self._request.method == b"HEAD"
             self._caller.write(encode_whole_answer(end, close, is_head))
@@ -477,7 +483,15 @@
             ms=self._age_ms(),
         )
 
+    def _count(self, result: str) -> None:
+        """Count the end of the request."""
+        GATEWAY_REQUESTS.labels(self._kind, result).inc()
+        first_s = None if self._attempt is None else self._attempt.first_data_s
+        if first_s is not None:
+            GATEWAY_FIRST_BYTE_S.labels(self._kind).observe(first_s - self._request.arrived_s)
+
     def _log_refused(self, kind: str, detail: str) -> None:
+        self._count(kind)
         log_event(
             Event.REQUEST_REFUSED,
             request=self._id(),
--- a/src/crowsill/logs.py
+++ b/src/crowsill/logs.py
@@ -7,11 +7,13 @@
 from loguru import logger
 
 from crowsill.events import Event
+from crowsill.log_writer import LogWriter
 
 _LEVEL_NUMBERS = {"DEBUG": 10, "INFO": 20, "WARNING": 30, "ERROR": 40, "CRITICAL": 50}
 _minimum_level = _LEVEL_NUMBERS["INFO"]
 # The time stamp is made here: loguru's own formatting of it took a fifth of the cost of a line.
 _FORMAT = "{message}"
+_writers: list[LogWriter] = []
 
 
 def configure_logs(node: str, level: str, sink: Callable[[str], None] | None = None) -> None:
@@ -25,11 +27,21 @@
     global _minimum_level  # noqa: PLW0603
     _minimum_level = _LEVEL_NUMBERS[level]
     logger.remove()
-    target = sys.stdout if sink is None else sink
+    target = sink
+    if target is None:
+        writer = LogWriter(sys.stdout.fileno())
+        _writers.append(writer)
+        target = writer.write
     # No queue: loguru's queue needs shared memory, which the platform does not give.
     logger.add(target, format=_FORMAT + f" node={node}", level=level, colorize=False)
 
 
+def flush_logs() -> None:
+    """Write what waits, for a short time at most, before the process ends by force."""
+    for writer in _writers:
+        writer.close()
+
+
 class _Timestamp:
     """The time of day in UTC, formatted once a second."""
 
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -42,6 +42,28 @@
     ["result"],
     registry=REGISTRY,
 )
+GATEWAY_REQUESTS = Counter(
+    "crowsill_gateway_requests",
+    "Requests that a gateway ended, by kind of route and result (answered or an error kind).",
+    ["kind", "result"],
+    registry=REGISTRY,
+)
+GATEWAY_FIRST_BYTE_S = Histogram(
+    "crowsill_gateway_first_byte_seconds",
+    "Time from a request's last byte to the first byte of its answer's body, by kind of route.",
+    ["kind"],
+    buckets=_LATENCY_BUCKETS_S,
+    registry=REGISTRY,
+)
+GATEWAY_ATTEMPTS = Counter(
+    "crowsill_gateway_attempts",
+    "Sendings to replicas, by result (whole, not_run, failed, cut, unreachable).",
+    ["result"],
+    registry=REGISTRY,
+)
+DIRECTORY_VERSION = Gauge(
+    "crowsill_directory_version", "Version of the directory of replicas here.", registry=REGISTRY
+)
 QUEUED = Gauge(
     "crowsill_queued_requests", "Requests that wait for a replica.", ["urgency"], registry=REGISTRY
 )
@@ -68,6 +90,13 @@
     registry=REGISTRY,
 )
 
+# Labels of each family by its name, for the reference page.
+LABELS: dict[str, tuple[str, ...]] = {
+    family._name: family._labelnames
+    for family in list(globals().values())
+    if isinstance(family, Counter | Gauge | Histogram)
+}
+
 
 @functools.cache
 def request_counter(tenant: str, urgency: str, result: str) -> Counter:
--- a/src/crowsill_lab/reference.py
+++ b/src/crowsill_lab/reference.py
@@ -4,6 +4,7 @@
 
 from crowsill.errors import ERROR_ANSWERS
 from crowsill.events import Event
+from crowsill.metrics import LABELS, REGISTRY
 
 _ERRORS_HEAD = """# Errors
 
@@ -30,6 +31,17 @@
 | --- | --- | --- | --- |
 """
 
+_METRICS_HEAD = """# Metrics
+
+Served as text at `/metrics` of a gateway's readiness address and of every HTTP listener of an entry
+or a control member. Counters end in `_total` there, histograms in `_bucket`, `_sum` and `_count`.
+
+This page is written by `crowsill-lab reference`; a test keeps it equal to the code.
+
+| name | type | labels | meaning |
+| --- | --- | --- | --- |
+"""
+
 
 def errors_page() -> str:
     """Return docs/ERRORS.md."""
@@ -51,7 +63,17 @@
     return _EVENTS_HEAD + "\n".join(rows) + "\n"
 
 
+def metrics_page() -> str:
+    """Return docs/METRICS.md."""
+    rows = []
+    for family in REGISTRY.collect():
+        shown = ", ".join(LABELS.get(family.name, ()))
+        rows.append(f"| `{family.name}` | {family.type} | {shown} | {family.documentation} |")
+    return _METRICS_HEAD + "\n".join(rows) + "\n"
+
+
 def write_pages(folder: Path) -> None:
-    """Write both pages."""
+    """Write all pages."""
     (folder / "ERRORS.md").write_text(errors_page(), encoding="utf-8")
+    (folder / "METRICS.md").write_text(metrics_page(), encoding="utf-8")
     (folder / "EVENTS.md").write_text(events_page(), encoding="utf-8")
--- /dev/null
+++ b/tests/test_log_writer.py
@@ -0,0 +1,58 @@
+"""Logs are bounded and never hold the process up."""
+
+import os
+import threading
+import time
+
+from crowsill.log_writer import LogWriter
+
+
+def read_until(descriptor, wanted):
+    """Read until a text has come."""
+    found = b""
+    while wanted not in found:
+        found += os.read(descriptor, 65536)
+    return found
+
+
+def test_lines_come_out_whole_and_in_order():
+    reading, writing = os.pipe()
+    writer = LogWriter(writing)
+    for number in range(100):
+        writer.write(f"line {number}\n")
+    writer.write("end\n")
+    found = read_until(reading, b"end\n")
+    assert found.decode().split("\n")[:-1] == [f"line {number}" for number in range(100)] + ["end"]
+    writer.close()
+
+
+def test_a_reader_that_stops_holds_nobody_up_and_learns_what_was_left_out():
+    reading, writing = os.pipe()
+    writer = LogWriter(writing, buffer_bytes=200_000)
+    line = "x" * 999 + "\n"
+    started_s = time.monotonic()
+    for _ in range(2000):
+        writer.write(line)
+    assert time.monotonic() - started_s < 1.0
+    assert writer.left_out >= 1500
+    # It reads again: what was kept comes out, and how much was not.
+    reader = threading.Thread(target=lambda: found.append(read_until(reading, b"left out")))
+    found: list[bytes] = []
+    reader.start()
+    reader.join(5.0)
+    assert found and b"left out" in found[0]
+    before = writer.left_out
+    writer.write("after\n")
+    assert b"after" in read_until(reading, b"after\n") and writer.left_out == before
+    writer.close()
+
+
+def test_a_process_ends_though_nobody_reads():
+    _reading, writing = os.pipe()
+    writer = LogWriter(writing)
+    for _ in range(300):
+        writer.write("x" * 999 + "\n")
+    time.sleep(0.1)
+    started_s = time.monotonic()
+    writer.close()
+    assert time.monotonic() - started_s < 1.0
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -4,7 +4,7 @@
 
 from crowsill.errors import ERROR_ANSWERS, ErrorKind, Outcome, Problem
 from crowsill.events import Event
-from crowsill_lab.reference import errors_page, events_page
+from crowsill_lab.reference import errors_page, events_page, metrics_page
 
 DOCS = Path(__file__).parent.parent / "docs"
 
@@ -12,6 +12,7 @@
 def test_pages_equal_the_code():
     assert (DOCS / "ERRORS.md").read_text() == errors_page()
     assert (DOCS / "EVENTS.md").read_text() == events_page()
+    assert (DOCS / "METRICS.md").read_text() == metrics_page()
 
 
 def test_the_lists_are_closed():
