A test of the log writer waits until the writer takes lines again

The reader had seen the last bytes before the writer's thread had noted that its buffer was empty, so the one line that the test then wrote was left out, as the writer may do, and the test waited for it for ever.

Change: the test writes until a line is taken, within five seconds, and reads with a limit; what it asserts is the same. Nothing in the product changed.

--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -1,6 +1,7 @@
 """Logs are bounded and never hold the process up."""
 
 import os
+import select
 import threading
 import time
 
@@ -11,6 +12,7 @@
     """Read until a text has come."""
     found = b""
     while wanted not in found:
+        assert select.select([descriptor], [], [], 5.0)[0], f"{wanted!r} did not come"
         found += os.read(descriptor, 65536)
     return found
 
@@ -41,9 +43,17 @@
     reader.start()
     reader.join(5.0)
     assert found and b"left out" in found[0]
+    # Once the writer has noticed that all is out, it takes lines again. (A line written in the moment
+    # before that may still be left out: this test once waited for such a line for ever.)
+    deadline_s = time.monotonic() + 5.0
     before = writer.left_out
     writer.write("after\n")
-    assert b"after" in read_until(reading, b"after\n") and writer.left_out == before
+    while writer.left_out != before:
+        assert time.monotonic() < deadline_s
+        time.sleep(0.01)
+        before = writer.left_out
+        writer.write("after\n")
+    assert b"after" in read_until(reading, b"after\n")
     writer.close()
 
 
