--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -43,8 +43,8 @@
     reader.start()
     reader.join(5.0)
     assert found and b"left out" in found[0]
-    # Once the writer has noticed that all is out, it takes lines again. (A line written in the moment
-    # before that may still be left out: this test once waited for such a line for ever.)
+    # Once the writer has noticed that all is out, it takes lines again. A line written in the
+    # moment before that may still be left out: this test once waited for such a line for ever.
     deadline_s = time.monotonic() + 5.0
     before = writer.left_out
     writer.write("after\n")
