--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -1,6 +1,6 @@
 """How a gateway follows the control group: routes, replicas, and what is current.
 
-It holds one stream to any control member, one of its own site first. A heartbeat every
+It holds one stream to any control member, chosen at random. A heartbeat every
 `HEARTBEAT_S` carries what it has and the demand it saw; a member that cannot have the leader
 confirm what is current is left for another one at once.
 """
