Fetch ahead only once all engines are known; drop an engine whose address another instance has

And an engine that had crashed and restarted at its address stayed in the directory until its new instance registered; orders to it were refused (421) eight times in 4 s, and its disk counted as a near copy. Change: the planner is told whether the fleet is settled; a model order answered by another instance removes the one it was for. Both tests fail on the earlier code.

--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -21,7 +21,7 @@
 from crowsill.placement.copies import CopyPlanner, EngineView, Job, ServiceView
 from crowsill.placement.demand import DemandEstimate
 from crowsill.placement.load_window import LoadWindow
-from crowsill.state.commands import Command, OfferModels, OrderKind
+from crowsill.state.commands import Command, OfferModels, OrderKind, RemoveInstance
 from crowsill.state.machine import StateMachine
 from crowsill.transport.messages import Submitted
 
@@ -44,6 +44,9 @@
 REST_AFTER_FAILURE_S = 0.5
 JOB_EXTRA_S = 0.3
 DEFERRED_INTERVAL_S = 1.0
+# Engines that register one after the other are all known when none has come for so many of their
+# heartbeat intervals.
+SETTLED_BEATS = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +76,7 @@
         collect_urgent: Returns those of them that have a short target.
         collect_pressed: Returns those whose model has too few copies.
         is_lost: Returns whether a replica counts as lost.
+        heartbeat_s: Time between two heartbeats of a replica.
     """
 
     machine: StateMachine
@@ -84,6 +88,7 @@
     collect_urgent: Callable[[], dict[str, int]]
     collect_pressed: Callable[[], dict[str, int]]
     is_lost: Callable[[str], bool]
+    heartbeat_s: float = 1.0
 
 
 @dataclass(slots=True)
@@ -146,6 +151,8 @@
         self._starts_s = now_s + lease_s if self._follows_another else now_s
         self._started_s = now_s
         self._engines: dict[str, _Engine] = {}
+        # Clock of the last new engine, by service.
+        self._joined_s: dict[str, float] = {}
         self._windows: dict[str, LoadWindow] = {}
         self._demand = DemandEstimate(DEMAND_HALF_LIFE_S)
         self._urgent = DemandEstimate(DEMAND_HALF_LIFE_S)
@@ -225,7 +232,7 @@
         views: list[EngineView] = []
         loading: dict[str, int] = {}
         for instance in members:
-            engine = self._engines.setdefault(instance.instance_id, _Engine())
+            engine = self._engine_of(instance, name, now_s)
             if not engine.is_busy and engine.sequence is None and now_s >= engine.rests_until_s:
                 engine.job = asyncio.create_task(self._learn(instance, engine))
             if engine.is_busy and engine.loading:
@@ -248,6 +255,7 @@
             began_s=self._starts_s,
             store_loads=self._window(name, limits).left(now_s),
             now_s=now_s,
+            is_settled=self._is_settled(name, now_s),
         )
         by_id = {instance.instance_id: instance for instance in members}
         planner = CopyPlanner(view)
@@ -255,6 +263,18 @@
             self._start(job, by_id[job.instance_id], name, limits)
         self._log_deferred(name, planner.deferred, now_s)
 
+    def _engine_of(self, instance: Instance, service: str, now_s: float) -> _Engine:
+        """Return what is known of an engine, and note one that is new."""
+        known = self._engines.get(instance.instance_id)
+        if known is None:
+            known = self._engines[instance.instance_id] = _Engine()
+            self._joined_s[service] = now_s
+        return known
+
+    def _is_settled(self, service: str, now_s: float) -> bool:
+        quiet_s = now_s - self._joined_s.get(service, now_s)
+        return quiet_s > SETTLED_BEATS * self._ports.heartbeat_s
+
     def _log_deferred(self, service: str, deferred: dict[str, str], now_s: float) -> None:
         """Say why requests go on waiting, once in a while for each resource."""
         for resource, why in deferred.items():
@@ -403,6 +423,10 @@
                 if kind is OrderKind.UNLOAD and adapter:
                     engine.sequence += 1
                 return True
+            if answer is OrderAnswer.OTHER_INSTANCE and not adapter:
+                # Whoever has the address now is not this instance, so it has ended.
+                await self._ports.submit(RemoveInstance(instance.instance_id))
+                raise JobFailedError("the engine has ended: another instance has its address")
             if answer is not OrderAnswer.UNKNOWN and answer is not OrderAnswer.NOT_NOW:
                 raise JobFailedError(f"{kind} {model} {adapter}: {answer}")
             await asyncio.sleep(ORDER_RETRY_S)
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -346,6 +346,7 @@
             collect_urgent=service.urgent.collect,
             collect_pressed=service.pressed.collect,
             is_lost=lambda instance_id: service.is_lost(instance_id, started_s),
+            heartbeat_s=self._control.replica_heartbeat_s,
         )
         control = self._control
         limits = StoreLimits(control.store_window_s, control.store_burst)
--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -47,7 +47,7 @@
 WAITING_GROWTH = 1.0
 # Models are fetched ahead only so soon after placement began, in seconds: a load that begins late
 # would keep its engine from what the first requests want.
-AHEAD_S = 4.0
+AHEAD_S = 5.0
 COPIES_KEPT_FOR_AHEAD = 2
 # A model that makes way for one that is fetched ahead must weigh less.
 AHEAD_WEIGHT = 1.0
@@ -135,6 +135,7 @@
         first_asked_s: Clock of the first request by the same names.
         began_s: Clock when this leadership began to place.
         store_loads: Loads that may be fetched from the weight store now.
+        is_settled: Whether no engine has appeared for a while, so that what is seen is the fleet.
         now_s: Clock.
     """
 
@@ -151,6 +152,7 @@
     began_s: float
     store_loads: int
     now_s: float
+    is_settled: bool = True
 
 
 class CopyPlanner:
@@ -182,7 +184,8 @@
             self._serve_waiting(resource)
         self._add_copies()
         self._fill_adapter_places()
-        if not view.asked_s and view.now_s - view.began_s < AHEAD_S:
+        is_early = not view.asked_s and view.now_s - view.began_s < AHEAD_S
+        if is_early and view.is_settled:
             self._fetch_ahead()
         return self._jobs
 
--- /dev/null
+++ b/tests/test_model_placer.py
@@ -0,0 +1,126 @@
+"""Carrying out jobs at registered engines, with a scripted engine in place of the real one."""
+
+import asyncio
+import contextlib
+
+from crowsill.backends.engine_calls import EngineReport, OrderAnswer
+from crowsill.control.model_placer import ModelPlacer, ModelPlacerPorts, StoreLimits
+from crowsill.model.instances import Beat, HeldModel, Instance
+from crowsill.model.routes import (
+    CallerLimits,
+    EngineLimits,
+    ModelWeights,
+    RouteConfiguration,
+    ServiceDefinition,
+)
+from crowsill.state.commands import RecordBeat, RemoveInstance
+from crowsill.state.machine import StateMachine
+from crowsill.transport.messages import Submitted
+
+MODELS = [ModelWeights(f"m{number}", 70.0, 9.0, 0.8, 2.0, 0, 1.0) for number in range(4)]
+ENGINE = EngineLimits(220.0, 4, 8, 1000, 1.4, MODELS)
+
+
+class ScriptedEngines:
+    """Answers every order alike and reports what it was given."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.orders = []
+
+    async def order(self, instance, order):
+        self.orders.append((instance.instance_id, order.kind.value, order.model))
+        return self.answer
+
+    async def report(self, instance):
+        return EngineReport(instance.models, [], False, 0)
+
+
+class World:
+    """A placer over a replicated state of its own."""
+
+    def __init__(self, answer, heartbeat_s=0.1):
+        self.machine = StateMachine()
+        self.engines = ScriptedEngines(answer)
+        self.submitted = []
+        service = ServiceDefinition("s", 100, ENGINE)
+        self.routes = RouteConfiguration(1, [], [service], CallerLimits())
+        self.placer = ModelPlacer(
+            ModelPlacerPorts(
+                machine=self.machine,
+                calls=self.engines,
+                submit=self.submit,
+                has_lease=lambda: True,
+                routes=lambda: self.routes,
+                collect_demand=dict,
+                collect_urgent=dict,
+                collect_pressed=dict,
+                is_lost=lambda instance_id: False,
+                heartbeat_s=heartbeat_s,
+            ),
+            StoreLimits(),
+            "n",
+            1,
+            0.0,
+        )
+
+    async def submit(self, command):
+        self.submitted.append(command)
+        self.machine.apply(command)
+        return Submitted(None)
+
+    def register(self, instance_id, port, *models, on_disk=()):
+        instance = Instance(instance_id, "s", f"127.0.0.1:{port}", "z", 8)
+        held = [HeldModel(name) for name in models]
+        near = list(models) + list(on_disk)
+        found = Instance(
+            instance.instance_id, "s", instance.address, "z", 8, models=held, on_disk=near
+        )
+        self.machine.apply(RecordBeat(Beat(found, 1)))
+
+    async def until(self, condition, limit_s=10.0):
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+
+def play(world, script):
+    async def body():
+        running = asyncio.create_task(world.placer.run())
+        try:
+            await script(world)
+        finally:
+            running.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await running
+
+    asyncio.run(body())
+
+
+def test_an_engine_whose_address_another_instance_has_is_removed():
+    # Found on scale-1 of the first site: every order to it was refused, and tried again and again,
+    # while what it was thought to have on its disk kept others from loading the model.
+    async def script(world):
+        world.register("i-old", 1, "m0")
+        world.placer.want({"s|m1": 1})
+        await world.until(lambda: world.machine.directory.find("i-old") is None)
+
+    world = World(OrderAnswer.OTHER_INSTANCE)
+    play(world, script)
+    assert RemoveInstance("i-old") in world.submitted
+    assert len(world.engines.orders) == 1
+
+
+def test_nothing_is_fetched_ahead_before_all_engines_are_known():
+    # Found on every day: the first engines were given models that engines which registered a
+    # second later held already, in place of models that nobody else held.
+    async def script(world):
+        world.register("i-1", 1, "m0", "m1")
+        await asyncio.sleep(0.3)
+        assert world.engines.orders == []
+        world.register("i-2", 2, "m2", on_disk=["m3"])
+        await asyncio.sleep(1.2)
+
+    world = World(OrderAnswer.ACCEPTED, heartbeat_s=0.4)
+    play(world, script)
+    assert world.engines.orders == []
