Tell a first attempt that cannot be in time at once when to come back; hold a later one; poll reports less

Change: with a short target and a load that takes longer, a first attempt is given back within a fifth of its target with Retry-After = the load where its copy is nearest (the gateway knows from the directory); a later attempt is held for 0.45 of what it has left, at most three targets. Polls back off. A replica at the same site and one with an open connection are preferred a little more. The end of an answer logs the time to its first data and its longest gap.

--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -42,6 +42,7 @@
 ORDER_TRIES = 20
 LOAD_POLL_SHARE = 0.1
 SHORTEST_POLL_S = 0.02
+POLL_GROWTH = 1.5
 LONGEST_POLL_S = 0.5
 LOAD_TIMEOUT_FACTOR = 6.0
 LOAD_TIMEOUT_EXTRA_S = 3.0
@@ -515,6 +516,8 @@
             if monotonic_s() < next_report_s:
                 continue
             next_report_s = monotonic_s() + poll_s
+            # Reports are paid for, and an unload may wait seconds for requests that run.
+            poll_s = min(LONGEST_POLL_S, poll_s * POLL_GROWTH)
             report = await self._ports.calls.report(instance)
             if report is None or report.is_busy:
                 continue
--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -84,6 +84,8 @@
         self._close_after = close_after
         self.ended: asyncio.Future[AttemptEnd] = self._loop.create_future()
         self.first_data_s: float | None = None
+        self.longest_gap_s = 0.0
+        self._last_data_s = 0.0
         self.load: bytes | None = None
         self.relayed_bytes = 0
         self.connection: ReplicaConnection | None = None
@@ -122,8 +124,12 @@
 
     def on_data(self, data: bytes) -> None:
         """Take in a piece of the body."""
+        now_s = self._loop.time()
         if self.first_data_s is None:
-            self.first_data_s = self._loop.time()
+            self.first_data_s = now_s
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_data_s)
+        self._last_data_s = now_s
         if self._relaying:
             self._relay(data)
             return
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -21,7 +21,14 @@
 from crowsill.gateway.replica_book import ReplicaBook, ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayTable, pick_service
-from crowsill.gateway.selection import Choice, NoChoice, SelectionLimits, choose, part_keys
+from crowsill.gateway.selection import (
+    Choice,
+    NoChoice,
+    SelectionLimits,
+    choose,
+    part_keys,
+    shortest_load_s,
+)
 from crowsill.logs import log_event
 from crowsill.metrics import GATEWAY_ATTEMPTS, GATEWAY_FIRST_BYTE_S, GATEWAY_REQUESTS
 from crowsill.model.routes import Route, RouteKind
@@ -30,6 +37,18 @@
 ANSWER_MARGIN_S = 0.02
 LONGEST_HOLD_SHARE = 0.4
 LONGEST_HOLD_TARGETS = 2.0
+# A first attempt whose model would come too late is given back within this share of its target.
+FIRST_HOLD_TARGETS = 0.2
+FIRST_ATTEMPT_SHARE = 0.95
+# A later attempt is held for this share of the time that it has left: callers seldom come again.
+LAST_HOLD_SHARE = 0.45
+# But callers leave when nothing comes for about so many targets, and at least so long.
+CALLER_PATIENCE_TARGETS = 3.0
+SHORTEST_PATIENCE_S = 1.6
+# With a longer target a load that begins now may still be in time, in seconds.
+SHORT_TARGET_S = 3.0
+# Time that an order takes beside the load, in seconds.
+ORDER_S = 0.2
 # A request for a model is not sent where its first event would come later than this many targets:
 # an engine that is given more than it can serve in time serves nobody in time.
 PATIENCE_TARGETS = 2.0
@@ -211,14 +230,39 @@
     def _hold_until_s(self, route: Route, deadline_s: float) -> float:
         """Clock when a request that was not sent yet is given up.
 
-        Early enough for the caller to try again, and no later than its answer would be of use.
+        Early enough for the caller to try again, and no later than its answer would be of use. One
+        that cannot be in time any more is told at once when to come back: its next attempt counts
+        anew, and waits longer.
         """
         arrived_s = self._request.arrived_s
-        share_s = (deadline_s - arrived_s) * LONGEST_HOLD_SHARE
-        useful_s = route.target_latency_ms / 1000.0 * LONGEST_HOLD_TARGETS
-        until_s = arrived_s + min(share_s, useful_s)
+        left_s = deadline_s - arrived_s
+        target_s = route.target_latency_ms / 1000.0
+        until_s = arrived_s + min(left_s * LONGEST_HOLD_SHARE, target_s * LONGEST_HOLD_TARGETS)
+        if self._request.model:
+            patience_s = max(SHORTEST_PATIENCE_S, target_s * CALLER_PATIENCE_TARGETS)
+            if not self._is_first_attempt(route):
+                until_s = arrived_s + min(left_s * LAST_HOLD_SHARE, patience_s)
+            elif target_s < SHORT_TARGET_S and self._load_s() > target_s:
+                until_s = min(until_s, arrived_s + target_s * FIRST_HOLD_TARGETS)
         return min(until_s, self._context.hold_limit_s())
 
+    def _is_first_attempt(self, route: Route) -> bool:
+        """Whether the caller has all its time left, so that it has not come back yet."""
+        wait_ms = self._request.wait_ms
+        return wait_ms is None or wait_ms >= route.timeout_ms * FIRST_ATTEMPT_SHARE
+
+    def _load_s(self) -> float:
+        """Time that a load of the model takes where its copy is nearest; 0 if that is not known."""
+        table = self._context.table
+        service = None if table is None else table.services.get(self._service)
+        if service is None or service.engine is None:
+            return 0.0
+        name = self._request.model
+        weights = next((item for item in service.engine.models if item.name == name), None)
+        if weights is None:
+            return 0.0
+        return shortest_load_s(weights, self._context.book.of_service(self._service))
+
     async def _hold(self, why: NoChoice, until_s: float) -> bool:
         """Wait for something to change; return False when it is time to give up."""
         if why is NoChoice.ALL_TRIED:
@@ -390,6 +434,8 @@
             request=self._id(),
             status=end.status,
             sendings=self._progress.sendings,
+            first_ms=self._first_ms(),
+            gap_ms=self._longest_gap_ms(),
             ms=self._age_ms(),
         )
         self._caller.finish(not close)
@@ -399,7 +445,9 @@
             self._refuse(ErrorKind.BACKEND_FAILED, f"no replica is left to try: {why}")
         elif why is NoChoice.NO_MODEL:
             detail = "no replica holds the model yet"
-            self._refuse(ErrorKind.NO_REPLICA, detail, NO_MODEL_RETRY_S)
+            waited_s = self._loop.time() - self._request.arrived_s
+            back_s = max(NO_MODEL_RETRY_S, self._load_s() + ORDER_S - waited_s)
+            self._refuse(ErrorKind.NO_REPLICA, detail, round(back_s, 1))
         elif why is NoChoice.NO_REPLICA:
             self._refuse(ErrorKind.NO_REPLICA, "the service has no replica", NO_MODEL_RETRY_S)
         else:
@@ -440,6 +488,15 @@
     def _age_ms(self) -> float:
         return round((self._loop.time() - self._request.arrived_s) * 1000.0, 1)
 
+    def _first_ms(self) -> float:
+        """Time from the request to the first data of its answer."""
+        if self._attempt is None or self._attempt.first_data_s is None:
+            return 0.0
+        return round((self._attempt.first_data_s - self._request.arrived_s) * 1000.0, 1)
+
+    def _longest_gap_ms(self) -> float:
+        return 0.0 if self._attempt is None else round(self._attempt.longest_gap_s * 1000.0, 1)
+
     def _log_routed(self, choice: Choice) -> None:
         record = choice.record
         now_s = self._loop.time()
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -6,6 +6,7 @@
 
 from crowsill.gateway.replica_book import PartKey, ReplicaRecord
 from crowsill.gateway.request import CallerRequest
+from crowsill.model.routes import ModelWeights
 
 # First figures of an engine, in ms; what an instance deviates from them is learnt as slowness.
 PROMPT_TOKENS_PER_MS = 19.0
@@ -13,13 +14,15 @@
 RUNNING_MS = 1.5
 # A plain service works on `slots` at once; until its times are learnt each takes this long.
 SERVICE_MS = 20.0
-OTHER_ZONE_MS = 1.0
+# Another site costs more than its delay: its bytes are paid for.
+OTHER_ZONE_MS = 8.0
 # Share of this gateway's own load that each other one is assumed to bring to a replica.
 LIKENESS = 0.5
 # Up to so many own requests at a replica say nothing about what others do there.
 UNCROWDED = 2
-# A new connection takes two round trips and may hold a slot of the replica for a moment.
-NEW_CONNECTION_MS = 4.0
+# A new connection takes two round trips and may hold a slot of the replica for a moment; replicas
+# take few of them.
+NEW_CONNECTION_MS = 20.0
 ERROR_PENALTY = 4.0
 USUAL_ERROR_SHARE = 0.2
 
@@ -118,6 +121,19 @@
     return record.instance.accepts_work and not record.is_unreachable
 
 
+def shortest_load_s(model: ModelWeights, records: list[ReplicaRecord]) -> float:
+    """Return how long a load of a model takes at the engine that has its copy nearest."""
+    times = [model.load_s]
+    for record in records:
+        if not accepts(record):
+            continue
+        if model.name in record.instance.in_memory:
+            times.append(model.host_load_s)
+        elif model.name in record.instance.on_disk:
+            times.append(model.disk_load_s)
+    return min(times)
+
+
 def choose(
     records: list[ReplicaRecord],
     request: CallerRequest,
