Split the exchange and the placer; a load costs twice as much while its engine is blocked

Change: the context port, the pure holding policy, the encoding and the log lines of an exchange are modules of their own; so are the account of an engine and the jobs carried out at it. BLOCKED_COST 6 to 12.

--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -1,31 +1,26 @@
 """Places models and adapters on registered engines while this member leads.
 
-The planner is pure; here its jobs are carried out, one at a time for each engine. What is to make
-way is first withheld from gateways by a committed command, so that requests stop before the order
-goes out. An order names the engine's instance and how many orders it has accepted, so a copy that
-arrives late changes nothing; one without an answer is sent again until the engine has spoken.
+The planner is pure; here what it looks at is brought together, and its jobs are started, one at a
+time for each engine.
 """
 
 import asyncio
 import contextlib
 import math
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 
-from crowsill.backends.engine_calls import EngineCalls, EngineOrder, OrderAnswer
 from crowsill.clock import monotonic_s
+from crowsill.control.engine_account import EngineAccount, view_of
+from crowsill.control.engine_jobs import EngineJobPorts, EngineJobs, resource_of
 from crowsill.events import Event
 from crowsill.logs import log_event
-from crowsill.metrics import ORDERS
-from crowsill.model.instances import HeldModel, Instance
+from crowsill.model.instances import Instance
 from crowsill.model.routes import EngineLimits, RouteConfiguration
 from crowsill.placement.copies import CopyPlanner
 from crowsill.placement.copy_views import EngineView, Job, ServiceView
 from crowsill.placement.demand import DemandEstimate
 from crowsill.placement.load_window import LoadWindow
-from crowsill.state.commands import Command, OfferModels, OrderKind, RemoveInstance
-from crowsill.state.machine import StateMachine
-from crowsill.transport.messages import Submitted
 
 PLAN_INTERVAL_S = 0.1
 DEMAND_HALF_LIFE_S = 3.0
@@ -36,17 +31,6 @@
 WANTED_ADAPTER_LIFETIME_S = 5.0
 # After a longer gap than this a wait counts as a new one.
 WAITING_GAP_S = 3.0
-WITHHOLD_S = 0.05
-REPORT_LAG_S = 0.15
-ORDER_RETRY_S = 0.1
-ORDER_TRIES = 20
-LOAD_POLL_SHARE = 0.1
-SHORTEST_POLL_S = 0.02
-POLL_GROWTH = 1.5
-LONGEST_POLL_S = 0.5
-LOAD_TIMEOUT_FACTOR = 6.0
-LOAD_TIMEOUT_EXTRA_S = 3.0
-REST_AFTER_FAILURE_S = 0.5
 JOB_EXTRA_S = 0.3
 DEFERRED_INTERVAL_S = 1.0
 # Engines that register one after the other are all known when none has come for so many of their
@@ -72,65 +56,22 @@
     """What the placer works with.
 
     Attributes:
-        machine: The replicated state.
-        calls: Speaks to engines.
-        submit: Commits commands.
-        has_lease: Whether this member is provably the only leader at this moment.
+        engines: What its jobs work with.
         routes: Returns the route configuration in force.
         collect_demand: Returns requests by resource since the last call.
         collect_urgent: Returns those of them that have a short target.
         collect_pressed: Returns those whose model has too few copies.
-        is_lost: Returns whether a replica counts as lost.
         heartbeat_s: Time between two heartbeats of a replica.
     """
 
-    machine: StateMachine
-    calls: EngineCalls
-    submit: Callable[[Command], Awaitable[object]]
-    has_lease: Callable[[], bool]
+    engines: EngineJobPorts
     routes: Callable[[], RouteConfiguration | None]
     collect_demand: Callable[[], dict[str, int]]
     collect_urgent: Callable[[], dict[str, int]]
     collect_pressed: Callable[[], dict[str, int]]
-    is_lost: Callable[[str], bool]
     heartbeat_s: float = 1.0
 
 
-@dataclass(slots=True)
-class _Engine:
-    """What this leadership knows of one engine."""
-
-    sequence: int | None = None
-    held: dict[str, set[str]] = field(default_factory=dict)
-    job: asyncio.Task[None] | None = None
-    adapter_job: asyncio.Task[None] | None = None
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-    free_s: float = 0.0
-    is_fetching: bool = False
-    loading: str = ""
-    leaving: str = ""
-    rests_until_s: float = 0.0
-    loaded_s: dict[str, float] = field(default_factory=dict)
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether a job is under way, so that no other one may begin.
-
-        A model's load and an adapter's do not go together: during the first the engine refuses
-        every order, also the one that would tell whether the adapter has come.
-        """
-        return any(job is not None and not job.done() for job in (self.job, self.adapter_job))
-
-    @property
-    def takes_adapters(self) -> bool:
-        """Whether an adapter may be exchanged; an engine refuses that during a load."""
-        return not self.is_busy and self.sequence is not None
-
-
-class JobFailedError(Exception):
-    """A job could not be carried out; the engine's state is read anew."""
-
-
 class ModelPlacer:
     """Places models for one leadership."""
 
@@ -148,14 +89,13 @@
         """
         self._ports = ports
         self._limits = limits
-        self._holder = holder
         self._term = term
         now_s = monotonic_s()
         # Every leadership offers before it orders, so without an offer nobody ever ordered.
-        self._follows_another = ports.machine.directory.has_offers
+        self._follows_another = ports.engines.machine.directory.has_offers
         self._starts_s = now_s + lease_s if self._follows_another else now_s
         self._started_s = now_s
-        self._engines: dict[str, _Engine] = {}
+        self._engines: dict[str, EngineAccount] = {}
         # Clock of the last new engine, by service.
         self._joined_s: dict[str, float] = {}
         self._windows: dict[str, LoadWindow] = {}
@@ -171,6 +111,7 @@
         self._missed: dict[str, float] = {}
         self._deferred_s: dict[str, float] = {}
         self._wake = asyncio.Event()
+        self._jobs = EngineJobs(ports.engines, holder, term, self._wake.set)
 
     def want(self, wanted: dict[str, int]) -> None:
         """Take in what requests wait for."""
@@ -197,7 +138,7 @@
                     await asyncio.wait_for(self._wake.wait(), PLAN_INTERVAL_S)
                 self._wake.clear()
                 self._count_demand()
-                if monotonic_s() >= self._starts_s and self._ports.has_lease():
+                if monotonic_s() >= self._starts_s and self._ports.engines.has_lease():
                     self._step_contained()
         finally:
             for engine in self._engines.values():
@@ -233,8 +174,8 @@
             return
         instances = [
             item
-            for item in self._ports.machine.directory.reported
-            if item.accepts_work and not self._ports.is_lost(item.instance_id)
+            for item in self._ports.engines.machine.directory.reported
+            if item.accepts_work and not self._ports.engines.is_lost(item.instance_id)
         ]
         known = {instance.instance_id for instance in instances}
         for instance_id in list(self._engines):
@@ -252,11 +193,11 @@
         for instance in members:
             engine = self._engine_of(instance, name, now_s)
             if not engine.is_busy and engine.sequence is None and now_s >= engine.rests_until_s:
-                engine.job = asyncio.create_task(self._learn(instance, engine))
+                engine.job = asyncio.create_task(self._jobs.learn(instance, engine))
             if engine.is_busy and engine.loading:
                 loading[engine.loading] = loading.get(engine.loading, 0) + 1
             busy = engine.is_busy or engine.sequence is None or now_s < engine.rests_until_s
-            views.append(_view_of(instance, engine, limits, busy))
+            views.append(view_of(instance, engine, limits, busy))
         view = ServiceView(
             limits=limits,
             engines=views,
@@ -287,11 +228,11 @@
             self._start(job, by_id[job.instance_id], name, limits)
         self._log_deferred(name, planner.deferred, now_s)
 
-    def _engine_of(self, instance: Instance, service: str, now_s: float) -> _Engine:
+    def _engine_of(self, instance: Instance, service: str, now_s: float) -> EngineAccount:
         """Return what is known of an engine, and note one that is new."""
         known = self._engines.get(instance.instance_id)
         if known is None:
-            known = self._engines[instance.instance_id] = _Engine()
+            known = self._engines[instance.instance_id] = EngineAccount()
             self._joined_s[service] = now_s
         return known
 
@@ -330,7 +271,7 @@
             return 0
         shortest_s = min((model.load_s for model in limits.models), default=1.0)
         each = math.ceil(self._limits.window_s / max(0.1, shortest_s))
-        reported = self._ports.machine.directory.reported
+        reported = self._ports.engines.machine.directory.reported
         return each * sum(1 for instance in reported if instance.service == service)
 
     def _start(self, job: Job, instance: Instance, service: str, limits: EngineLimits) -> None:
@@ -340,14 +281,14 @@
         log_event(
             Event.PLACEMENT_DECIDED,
             replica=job.instance_id,
-            load=_resource(job.model, job.adapter),
+            load=resource_of(job.model, job.adapter),
             unload=",".join(job.unload),
             from_store=job.from_store,
             demand=round(self._demand.rates.get(f"{service}|{job.model}", 0.0), 2),
             reason=job.reason,
             term=self._term,
         )
-        task = asyncio.create_task(self._carry_out(job, instance, engine))
+        task = asyncio.create_task(self._jobs.carry_out(job, instance, engine))
         if job.adapter:
             engine.adapter_job = task
             return
@@ -356,226 +297,11 @@
         engine.free_s = monotonic_s() + job.load_s + JOB_EXTRA_S
         engine.job = task
 
-    # Jobs.
-
-    async def _learn(self, instance: Instance, engine: _Engine) -> None:
-        """Read what an engine holds and how many orders it has accepted."""
-        report = await self._ports.calls.report(instance)
-        if report is None or report.is_busy or report.coming:
-            engine.rests_until_s = monotonic_s() + REST_AFTER_FAILURE_S
-            return
-        engine.sequence = report.sequence
-        engine.held = {held.name: set(held.adapters) for held in report.models}
-        await self._tell(instance, engine, ())
-
-    async def _carry_out(self, job: Job, instance: Instance, engine: _Engine) -> None:
-        try:
-            if job.unload:
-                await self._tell(instance, engine, job.unload)
-                await asyncio.sleep(WITHHOLD_S)
-                for resource in job.unload:
-                    engine.leaving = "" if job.adapter else resource
-                    await self._unload(instance, engine, resource)
-            if job.model:
-                await self._load(instance, engine, job)
-                await self._tell(instance, engine, ())
-        except JobFailedError as error:
-            engine.sequence = None
-            engine.rests_until_s = monotonic_s() + REST_AFTER_FAILURE_S
-            log_event(Event.ORDER_SETTLED, replica=job.instance_id, succeeded=False, detail=error)
-        finally:
-            if not job.adapter:
-                engine.loading = ""
-                engine.leaving = ""
-                engine.free_s = 0.0
-            self._wake.set()
-
-    async def _tell(self, instance: Instance, engine: _Engine, withheld: tuple[str, ...]) -> None:
-        """Commit what gateways may use at an engine."""
-        offered = [
-            HeldModel(name, 1, sorted(item for item in names if f"{name}/{item}" not in withheld))
-            for name, names in engine.held.items()
-            if name not in withheld
-        ]
-        command = OfferModels(instance.instance_id, offered)
-        reply = await self._ports.submit(command)
-        if not isinstance(reply, Submitted):
-            raise JobFailedError("the holdings could not be committed")
-
-    async def _unload(self, instance: Instance, engine: _Engine, resource: str) -> None:
-        model, _, adapter = resource.partition("/")
-        started_s = monotonic_s()
-        await self._order(instance, engine, OrderKind.UNLOAD, model, adapter)
-        if not adapter:
-            await self._wait_for(instance, engine, model, present=False, expected_s=0.1)
-        if adapter:
-            engine.held.get(model, set()).discard(adapter)
-        else:
-            engine.held.pop(model, None)
-        self._log_settled(instance, OrderKind.UNLOAD, resource, started_s)
-
-    async def _load(self, instance: Instance, engine: _Engine, job: Job) -> None:
-        started_s = monotonic_s()
-        resource = _resource(job.model, job.adapter)
-        await self._order(instance, engine, OrderKind.LOAD, job.model, job.adapter)
-        if job.adapter:
-            await self._wait_for_adapter(instance, engine, job)
-            engine.held.setdefault(job.model, set()).add(job.adapter)
-        else:
-            await self._wait_for(instance, engine, job.model, True, job.load_s)
-            engine.held.setdefault(job.model, set())
-        engine.loaded_s[resource] = monotonic_s()
-        self._log_settled(instance, OrderKind.LOAD, resource, started_s)
-
-    async def _order(
-        self, instance: Instance, engine: _Engine, kind: OrderKind, model: str, adapter: str
-    ) -> bool:
-        """Send an order until the engine has spoken; return whether it was so already."""
-        async with engine.lock:
-            return await self._order_alone(instance, engine, kind, model, adapter)
-
-    async def _order_alone(
-        self, instance: Instance, engine: _Engine, kind: OrderKind, model: str, adapter: str
-    ) -> bool:
-        """Send an order while no other one is under way to the engine."""
-        for _ in range(ORDER_TRIES):
-            if engine.sequence is None or not self._ports.has_lease():
-                raise JobFailedError("no lease")
-            if self._ports.is_lost(instance.instance_id):
-                raise JobFailedError("the engine is gone")
-            order = EngineOrder(kind, model, adapter, engine.sequence, self._holder, self._term)
-            answer = await self._ports.calls.order(instance, order)
-            ORDERS.labels(kind, answer).inc()
-            log_event(
-                Event.ORDER_ANSWERED,
-                replica=instance.instance_id,
-                kind=kind,
-                resource=_resource(model, adapter),
-                expected=engine.sequence,
-                fence=self._term,
-                answer=answer,
-            )
-            if answer is OrderAnswer.ACCEPTED:
-                engine.sequence += 1
-                return False
-            if answer is OrderAnswer.ALREADY_SO:
-                # An adapter that nobody uses is unloaded at once, and that is counted.
-                if kind is OrderKind.UNLOAD and adapter:
-                    engine.sequence += 1
-                return True
-            if answer is OrderAnswer.OTHER_INSTANCE and not adapter:
-                # Whoever has the address now is not this instance, so it has ended.
-                await self._ports.submit(RemoveInstance(instance.instance_id))
-                raise JobFailedError("the engine has ended: another instance has its address")
-            if answer is not OrderAnswer.UNKNOWN and answer is not OrderAnswer.NOT_NOW:
-                raise JobFailedError(f"{kind} {model} {adapter}: {answer}")
-            await asyncio.sleep(ORDER_RETRY_S)
-            # An earlier copy may have been accepted: the report tells.
-            if answer is OrderAnswer.NOT_NOW and await self._was_accepted(
-                instance, engine, kind, model, adapter
-            ):
-                return False
-        raise JobFailedError(f"{kind} {model} {adapter}: no answer")
-
-    async def _was_accepted(
-        self, instance: Instance, engine: _Engine, kind: OrderKind, model: str, adapter: str
-    ) -> bool:
-        expected = engine.sequence
-        if expected is None:
-            raise JobFailedError("its state is not known")
-        await asyncio.sleep(REPORT_LAG_S)
-        report = await self._ports.calls.report(instance)
-        if report is None or report.sequence == engine.sequence:
-            return False
-        if report.sequence != expected + 1:
-            # Somebody else's orders were carried out late: what it holds is not known any more.
-            raise JobFailedError(f"{report.sequence} orders accepted, {expected} expected")
-        engine.sequence = report.sequence
-        held = {item.name: set(item.adapters) for item in report.models}
-        present = model in held and (not adapter or adapter in held[model])
-        coming = _resource(model, adapter) in report.coming
-        loaded = present or coming or report.is_busy
-        if loaded is not (kind is OrderKind.LOAD) and not report.is_busy:
-            raise JobFailedError("another order was accepted in place of this one")
-        return True
-
-    async def _wait_for(
-        self, instance: Instance, engine: _Engine, model: str, present: bool, expected_s: float
-    ) -> None:
-        """Wait until a model is there, or is gone, by its heartbeat or its report."""
-        deadline_s = monotonic_s() + expected_s * LOAD_TIMEOUT_FACTOR + LOAD_TIMEOUT_EXTRA_S
-        poll_s = min(LONGEST_POLL_S, max(SHORTEST_POLL_S, expected_s * LOAD_POLL_SHARE))
-        next_report_s = monotonic_s() + expected_s + REPORT_LAG_S
-        while monotonic_s() < deadline_s:
-            await asyncio.sleep(SHORTEST_POLL_S)
-            told = self._ports.machine.directory.find_reported(instance.instance_id)
-            if told is None or self._ports.is_lost(instance.instance_id):
-                raise JobFailedError("the engine is gone")
-            if told.holds(model) is present:
-                return
-            if monotonic_s() < next_report_s:
-                continue
-            next_report_s = monotonic_s() + poll_s
-            # Reports are paid for, and an unload may wait seconds for requests that run.
-            poll_s = min(LONGEST_POLL_S, poll_s * POLL_GROWTH)
-            report = await self._ports.calls.report(instance)
-            if report is None or report.is_busy:
-                continue
-            if (model in {item.name for item in report.models}) is present:
-                return
-        raise JobFailedError(f"{model}: not settled in time")
-
-    async def _wait_for_adapter(self, instance: Instance, engine: _Engine, job: Job) -> None:
-        """Ask by the same order until the engine says that the adapter is there."""
-        deadline_s = monotonic_s() + LOAD_TIMEOUT_EXTRA_S
-        pause_s = job.load_s
-        while monotonic_s() < deadline_s:
-            await asyncio.sleep(pause_s)
-            if await self._order(instance, engine, OrderKind.LOAD, job.model, job.adapter):
-                return
-            pause_s = min(LONGEST_POLL_S, pause_s * 1.5)
-        raise JobFailedError(f"{job.model}/{job.adapter}: did not come in time")
-
-    def _log_settled(
-        self, instance: Instance, kind: OrderKind, resource: str, started_s: float
-    ) -> None:
-        log_event(
-            Event.ORDER_SETTLED,
-            replica=instance.instance_id,
-            kind=kind,
-            resource=resource,
-            succeeded=True,
-            seconds=round(monotonic_s() - started_s, 3),
-        )
-
 
 def _wanted_lifetime_s(resource: str) -> float:
     return WANTED_ADAPTER_LIFETIME_S if "/" in resource else WANTED_LIFETIME_S
 
 
-def _resource(model: str, adapter: str) -> str:
-    return f"{model}/{adapter}" if adapter else model
-
-
-def _view_of(instance: Instance, engine: _Engine, limits: EngineLimits, busy: bool) -> EngineView:
-    """Return the planner's view; what is being exchanged counts on both sides."""
-    pending_mb = 0.0
-    for model in limits.models:
-        if model.name == engine.loading and model.name not in engine.held:
-            pending_mb = model.memory_mb
-    return EngineView(
-        instance=instance,
-        limits=limits,
-        held={name: names for name, names in engine.held.items() if name != engine.leaving},
-        is_busy=busy,
-        is_fetching=engine.is_busy and engine.is_fetching,
-        free_s=engine.free_s,
-        takes_adapters=engine.takes_adapters,
-        pending_mb=pending_mb,
-        loaded_s=engine.loaded_s,
-    )
-
-
 def _by_model(counts: dict[str, int]) -> dict[str, int]:
     """Count requests for adapters for their models, too.
 
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -18,6 +18,7 @@
 from crowsill.consensus.types import MemberSetup, RaftConfig, Role, Snapshot
 from crowsill.control.bootstrap import agree_on_members, agree_with_seeds, first_state
 from crowsill.control.driver import ConsensusDriver
+from crowsill.control.engine_jobs import EngineJobPorts
 from crowsill.control.fleet_observer import FleetObserver
 from crowsill.control.joining import Joiner
 from crowsill.control.leader_link import LeaderLink
@@ -336,16 +337,19 @@
     ) -> None:
         """Place models on engines that registered themselves."""
         started_s = monotonic_s()
-        ports = ModelPlacerPorts(
+        engines = EngineJobPorts(
             machine=self._machine,
             calls=calls,
             submit=driver.submit,
             has_lease=driver.has_lease,
+            is_lost=lambda instance_id: service.is_lost(instance_id, started_s),
+        )
+        ports = ModelPlacerPorts(
+            engines=engines,
             routes=self._current_routes,
             collect_demand=service.demand.collect,
             collect_urgent=service.urgent.collect,
             collect_pressed=service.pressed.collect,
-            is_lost=lambda instance_id: service.is_lost(instance_id, started_s),
             heartbeat_s=self._control.replica_heartbeat_s,
         )
         control = self._control
--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -61,6 +61,7 @@
         made_s: Clock when the attempt began.
         connection: The connection in use, or None.
         first_data_s: Clock when the first byte of the body came, or None.
+        longest_gap_s: Longest time between two pieces of the body.
         relayed_bytes: Bytes of the body that have gone to the caller.
         load: The load that the replica told, or None.
     """
--- /dev/null
+++ b/src/crowsill/gateway/context.py
@@ -0,0 +1,52 @@
+"""The port through which an exchange reaches what the gateway's process shares."""
+
+from random import Random
+from typing import Protocol
+
+from crowsill.gateway.dialect import HeaderNames
+from crowsill.gateway.pool import ConnectionPool
+from crowsill.gateway.replica_book import ReplicaBook, ReplicaRecord
+from crowsill.gateway.routing_table import GatewayTable
+from crowsill.routing.shared_budget import SharedBudget
+
+
+class ExchangeContext(Protocol):
+    """What an exchange works with; the gateway's role provides it."""
+
+    names: HeaderNames
+    zone: str
+    book: ReplicaBook
+    pool: ConnectionPool
+    random: Random
+
+    @property
+    def table(self) -> GatewayTable | None:
+        """The routes in force; None before the first configuration."""
+
+    @property
+    def gateways(self) -> int:
+        """Number of live gateways."""
+
+    def is_stopping(self) -> bool:
+        """Whether connections end after their present answer."""
+
+    def hold_limit_s(self) -> float:
+        """Clock after which no request is held: a process that stops passes callers on."""
+
+    def budget(self, service: str) -> SharedBudget:
+        """Return the retry budget of a service."""
+
+    def ask_for(self, service: str, model: str, adapter: str) -> None:
+        """Tell the control group that a model or adapter is asked for and held nowhere."""
+
+    def note_demand(self, service: str, model: str, adapter: str, target_ms: float) -> None:
+        """Count a request for a model or adapter."""
+
+    def note_pressed(self, service: str, model: str) -> None:
+        """Count a request whose model has too few copies."""
+
+    def unreachable(self, record: ReplicaRecord) -> None:
+        """No connection could be made: use the replica again only when one can be."""
+
+    async def changed(self, timeout_s: float) -> bool:
+        """Wait for a change of the directory or the routes; return whether one came."""
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -8,17 +8,22 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from random import Random
-from typing import Protocol
 
 from crowsill.errors import ErrorKind, Problem
-from crowsill.events import Event
 from crowsill.gateway.answer import encode_problem
 from crowsill.gateway.attempt import Attempt, AttemptEnd, Result, encode_whole_answer
 from crowsill.gateway.caller_protocol import CallerConnection
-from crowsill.gateway.dialect import HeaderNames, end_to_end_headers
-from crowsill.gateway.pool import ConnectError, ConnectionPool
-from crowsill.gateway.replica_book import ReplicaBook, ReplicaRecord
+from crowsill.gateway.context import ExchangeContext
+from crowsill.gateway.exchange_log import ExchangeLog
+from crowsill.gateway.forwarded import encode_forwarded
+from crowsill.gateway.holding import (
+    LONGEST_HOLD_SHARE,
+    is_first_attempt,
+    longest_hold_for_model_s,
+    longest_hold_s,
+)
+from crowsill.gateway.pool import ConnectError
+from crowsill.gateway.replica_book import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayTable, pick_service
 from crowsill.gateway.selection import (
@@ -29,24 +34,10 @@
     part_keys,
     shortest_load_s,
 )
-from crowsill.logs import log_event
-from crowsill.metrics import GATEWAY_ATTEMPTS, GATEWAY_FIRST_BYTE_S, GATEWAY_REQUESTS
+from crowsill.metrics import GATEWAY_ATTEMPTS
 from crowsill.model.routes import Route, RouteKind
-from crowsill.routing.shared_budget import SharedBudget
 
 ANSWER_MARGIN_S = 0.02
-LONGEST_HOLD_SHARE = 0.4
-LONGEST_HOLD_TARGETS = 2.0
-# A first attempt whose model would come too late is given back within this share of its target.
-FIRST_HOLD_TARGETS = 0.2
-FIRST_ATTEMPT_SHARE = 0.95
-# A later attempt is held for this share of the time that it has left: callers seldom come again.
-LAST_HOLD_SHARE = 0.45
-# But callers leave when nothing comes for about so many targets, and at least so long.
-CALLER_PATIENCE_TARGETS = 3.0
-SHORTEST_PATIENCE_S = 1.6
-# With a longer target a load that begins now may still be in time, in seconds.
-SHORT_TARGET_S = 3.0
 # Time that an order takes beside the load, in seconds.
 ORDER_S = 0.2
 # A request for a model is not sent where its first event would come later than this many targets:
@@ -67,48 +58,6 @@
 FAILED_STATUS = 500
 
 
-class ExchangeContext(Protocol):
-    """What an exchange works with; the gateway's role provides it."""
-
-    names: HeaderNames
-    zone: str
-    book: ReplicaBook
-    pool: ConnectionPool
-    random: Random
-
-    @property
-    def table(self) -> GatewayTable | None:
-        """The routes in force; None before the first configuration."""
-
-    @property
-    def gateways(self) -> int:
-        """Number of live gateways."""
-
-    def is_stopping(self) -> bool:
-        """Whether connections end after their present answer."""
-
-    def hold_limit_s(self) -> float:
-        """Clock after which no request is held: a process that stops passes callers on."""
-
-    def budget(self, service: str) -> SharedBudget:
-        """Return the retry budget of a service."""
-
-    def ask_for(self, service: str, model: str, adapter: str) -> None:
-        """Tell the control group that a model or adapter is asked for and held nowhere."""
-
-    def note_demand(self, service: str, model: str, adapter: str, target_ms: float) -> None:
-        """Count a request for a model or adapter."""
-
-    def note_pressed(self, service: str, model: str) -> None:
-        """Count a request whose model has too few copies."""
-
-    def unreachable(self, record: ReplicaRecord) -> None:
-        """No connection could be made: use the replica again only when one can be."""
-
-    async def changed(self, timeout_s: float) -> bool:
-        """Wait for a change of the directory or the routes; return whether one came."""
-
-
 @dataclass(slots=True)
 class _Progress:
     """What has been done for the request so far."""
@@ -134,11 +83,11 @@
         self._progress = _Progress()
         self._attempt: Attempt | None = None
         self._service = ""
-        self._kind = "unknown"
+        self._log = ExchangeLog(request)
 
     def request_id(self) -> str:
         """Return the caller's id of the request."""
-        return self._id()
+        return self._log.request_id
 
     def pause(self, paused: bool) -> None:
         """Hold the replica back while the caller does not read."""
@@ -159,8 +108,9 @@
         if route is None:
             self._refuse(ErrorKind.UNKNOWN_ROUTE, "no route matches host and path")
             return
-        self._kind = route.kind.value
         self._service = pick_service(route, self._context.random)
+        self._log.kind = route.kind.value
+        self._log.service = self._service
         deadline_s = self._deadline_s(route)
         self._context.budget(self._service).earn(self._loop.time())
         request = self._request
@@ -228,28 +178,14 @@
         return choose(records, self._request, self._progress.tried, limits, self._loop.time())
 
     def _hold_until_s(self, route: Route, deadline_s: float) -> float:
-        """Clock when a request that was not sent yet is given up.
-
-        Early enough for the caller to try again, and no later than its answer would be of use. One
-        that cannot be in time any more is told at once when to come back: its next attempt counts
-        anew, and waits longer.
-        """
-        arrived_s = self._request.arrived_s
-        left_s = deadline_s - arrived_s
-        target_s = route.target_latency_ms / 1000.0
-        until_s = arrived_s + min(left_s * LONGEST_HOLD_SHARE, target_s * LONGEST_HOLD_TARGETS)
-        if self._request.model:
-            patience_s = max(SHORTEST_PATIENCE_S, target_s * CALLER_PATIENCE_TARGETS)
-            if not self._is_first_attempt(route):
-                until_s = arrived_s + min(left_s * LAST_HOLD_SHARE, patience_s)
-            elif target_s < SHORT_TARGET_S and self._load_s() > target_s:
-                until_s = min(until_s, arrived_s + target_s * FIRST_HOLD_TARGETS)
-        return min(until_s, self._context.hold_limit_s())
-
-    def _is_first_attempt(self, route: Route) -> bool:
-        """Whether the caller has all its time left, so that it has not come back yet."""
-        wait_ms = self._request.wait_ms
-        return wait_ms is None or wait_ms >= route.timeout_ms * FIRST_ATTEMPT_SHARE
+        """Clock when a request that was not sent yet is given up."""
+        request = self._request
+        left_s = deadline_s - request.arrived_s
+        longest_s = longest_hold_s(route, left_s)
+        if request.model:
+            is_first = is_first_attempt(route, request.wait_ms)
+            longest_s = longest_hold_for_model_s(route, left_s, is_first, self._load_s())
+        return min(request.arrived_s + longest_s, self._context.hold_limit_s())
 
     def _load_s(self) -> float:
         """Time that a load of the model takes where its copy is nearest; 0 if that is not known."""
@@ -274,7 +210,7 @@
             self._context.ask_for(self._service, request.model, request.adapter)
         if self._progress.held_for is not why:
             self._progress.held_for = why
-            self._log_held(why)
+            self._log.held(why, self._context.book.version)
         left_s = until_s - self._loop.time()
         if left_s <= 0:
             return False
@@ -296,7 +232,8 @@
         record, request, context = choice.record, self._request, self._context
         instance_id = record.instance.instance_id
         self._progress.tried.add(instance_id)
-        self._log_routed(choice)
+        version = 0 if context.table is None else context.table.version
+        self._log.routed(choice, self._progress.sendings + 1, version, context.book.version)
         unread = max(0, request.prompt_tokens - choice.known_tokens)
         record.in_flight += 1
         record.pending_prompt_tokens += unread
@@ -309,7 +246,9 @@
             attempt.connection = connection
             self._attempt = attempt
             sent_s = self._loop.time()
-            message = self._encode(record, route, deadline_s - sent_s)
+            message = encode_forwarded(
+                request, context.names, record.instance.instance_id, route, deadline_s - sent_s
+            )
             self._progress.sendings += 1
             self._progress.may_have_run = True
             is_head = request.method == b"HEAD"
@@ -324,7 +263,7 @@
             context.unreachable(record)
             GATEWAY_ATTEMPTS.labels("unreachable").inc()
             self._progress.last = f"connect: {error}"
-            self._log_failed(record, "unreachable", str(error))
+            self._log.failed(record, "unreachable", str(error))
             return None
         finally:
             record.in_flight -= 1
@@ -343,23 +282,7 @@
             return
         record.note_break(self._loop.time())
         self._context.unreachable(record)
-        self._log_failed(record, "silent", "no answer")
-
-    def _encode(self, record: ReplicaRecord, route: Route, left_s: float) -> bytes:
-        names, request = self._context.names, self._request
-        own = frozenset((names.deadline, names.expect_instance, names.priority))
-        headers = end_to_end_headers(request.headers, own)
-        headers.append((names.deadline, b"%d" % max(1, int(left_s * 1000))))
-        headers.append((names.expect_instance, record.instance.instance_id.encode()))
-        if request.model:
-            headers.append((names.priority, b"%d" % min(9, route.rank)))
-        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
-            headers.append((b"Content-Length", b"%d" % len(request.body)))
-        lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
-        lines.extend(b"%s: %s\r\n" % header for header in headers)
-        lines.append(b"\r\n")
-        lines.append(request.body)
-        return b"".join(lines)
+        self._log.failed(record, "silent", "no answer")
 
     def _note_pressure(self, route: Route, attempt: Attempt, sent_s: float) -> None:
         """Tell placement of a first event that took most of its target."""
@@ -377,12 +300,12 @@
         record.note_load(attempt.load, now_s)
         if end.result is Result.NOT_RUN:
             if end.status == 421 and request.model:
-                record.lacks.add(_resource(request))
+                record.lacks.add(request.resource)
             return
         self._progress.runs += 1
         if end.result is not Result.WHOLE:
             record.note_break(now_s)
-            self._log_failed(record, end.result, end.detail)
+            self._log.failed(record, end.result, end.detail)
             return
         if end.status >= FAILED_STATUS:
             record.note_error_answer()
@@ -425,19 +348,10 @@
             self._refuse(ErrorKind.BACKEND_FAILED, f"the replica failed: {end.detail}")
             return
         close = self._closes()
-        self._count("answered")
         if not end.relayed:
             is_head = self._request.method == b"HEAD"
             self._caller.write(encode_whole_answer(end, close, is_head))
-        log_event(
-            Event.REQUEST_FINISHED,
-            request=self._id(),
-            status=end.status,
-            sendings=self._progress.sendings,
-            first_ms=self._first_ms(),
-            gap_ms=self._longest_gap_ms(),
-            ms=self._age_ms(),
-        )
+        self._log.finished(end.status, self._progress.sendings, self._attempt)
         self._caller.finish(not close)
 
     def _give_up(self, why: NoChoice) -> None:
@@ -480,87 +394,6 @@
         self._caller.write(answer)
         self._caller.finish(not close)
 
-    # Logging.
-
-    def _id(self) -> str:
-        return self._request.request_id.decode("latin-1")
-
-    def _age_ms(self) -> float:
-        return round((self._loop.time() - self._request.arrived_s) * 1000.0, 1)
-
-    def _first_ms(self) -> float:
-        """Time from the request to the first data of its answer."""
-        if self._attempt is None or self._attempt.first_data_s is None:
-            return 0.0
-        return round((self._attempt.first_data_s - self._request.arrived_s) * 1000.0, 1)
-
-    def _longest_gap_ms(self) -> float:
-        return 0.0 if self._attempt is None else round(self._attempt.longest_gap_s * 1000.0, 1)
-
-    def _log_routed(self, choice: Choice) -> None:
-        record = choice.record
-        now_s = self._loop.time()
-        log_event(
-            Event.REQUEST_ROUTED,
-            request=self._id(),
-            version=self._context.table.version if self._context.table else 0,
-            service=self._service,
-            resource=_resource(self._request),
-            replica=record.instance.instance_id,
-            directory=self._context.book.version,
-            candidates=choice.candidates,
-            expected_ms=round(choice.expected_ms, 1),
-            known_tokens=choice.known_tokens,
-            in_flight=record.in_flight,
-            others=round(record.others_now(now_s), 1),
-            slowness=round(record.slowness_now(now_s), 2),
-            sending=self._progress.sendings + 1,
-            ms=self._age_ms(),
-        )
-
-    def _log_failed(self, record: ReplicaRecord, result: str, detail: str) -> None:
-        log_event(
-            Event.ATTEMPT_FAILED,
-            request=self._id(),
-            replica=record.instance.instance_id,
-            result=result,
-            detail=detail,
-            failures=record.failures,
-            ms=self._age_ms(),
-        )
-
-    def _log_held(self, why: NoChoice) -> None:
-        log_event(
-            Event.REQUEST_HELD,
-            request=self._id(),
-            service=self._service,
-            resource=_resource(self._request),
-            why=why,
-            directory=self._context.book.version,
-            ms=self._age_ms(),
-        )
-
-    def _count(self, result: str) -> None:
-        """Count the end of the request."""
-        GATEWAY_REQUESTS.labels(self._kind, result).inc()
-        first_s = None if self._attempt is None else self._attempt.first_data_s
-        if first_s is not None:
-            GATEWAY_FIRST_BYTE_S.labels(self._kind).observe(first_s - self._request.arrived_s)
-
     def _log_refused(self, kind: str, detail: str) -> None:
-        self._count(kind)
-        log_event(
-            Event.REQUEST_REFUSED,
-            request=self._id(),
-            service=self._service,
-            resource=_resource(self._request),
-            kind=kind,
-            detail=detail,
-            sendings=self._progress.sendings,
-            may_have_run=self._progress.may_have_run,
-            ms=self._age_ms(),
-        )
-
-
-def _resource(request: CallerRequest) -> str:
-    return f"{request.model}/{request.adapter}" if request.adapter else request.model
+        progress = self._progress
+        self._log.refused(kind, detail, progress.sendings, progress.may_have_run, self._attempt)
--- /dev/null
+++ b/src/crowsill/gateway/exchange_log.py
@@ -0,0 +1,120 @@
+"""What an exchange says of its decisions: log lines and counters."""
+
+import asyncio
+
+from crowsill.events import Event
+from crowsill.gateway.attempt import Attempt
+from crowsill.gateway.replica_book import ReplicaRecord
+from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.selection import Choice, NoChoice
+from crowsill.logs import log_event
+from crowsill.metrics import GATEWAY_FIRST_BYTE_S, GATEWAY_REQUESTS
+
+
+class ExchangeLog:
+    """Lines and counters of one request.
+
+    Attributes:
+        service: Its service, once it is known.
+        kind: Kind of its route, once it is known.
+    """
+
+    def __init__(self, request: CallerRequest) -> None:
+        self.service = ""
+        self.kind = "unknown"
+        self._request = request
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id of the request."""
+        return self._request.request_id.decode("latin-1")
+
+    def _age_ms(self) -> float:
+        return round((self._loop.time() - self._request.arrived_s) * 1000.0, 1)
+
+    def routed(self, choice: Choice, sending: int, version: int, directory: int) -> None:
+        """It goes to a replica."""
+        record = choice.record
+        now_s = self._loop.time()
+        log_event(
+            Event.REQUEST_ROUTED,
+            request=self.request_id,
+            version=version,
+            service=self.service,
+            resource=self._request.resource,
+            replica=record.instance.instance_id,
+            directory=directory,
+            candidates=choice.candidates,
+            expected_ms=round(choice.expected_ms, 1),
+            known_tokens=choice.known_tokens,
+            in_flight=record.in_flight,
+            others=round(record.others_now(now_s), 1),
+            slowness=round(record.slowness_now(now_s), 2),
+            sending=sending,
+            ms=self._age_ms(),
+        )
+
+    def failed(self, record: ReplicaRecord, result: str, detail: str) -> None:
+        """A replica did not answer it."""
+        log_event(
+            Event.ATTEMPT_FAILED,
+            request=self.request_id,
+            replica=record.instance.instance_id,
+            result=result,
+            detail=detail,
+            failures=record.failures,
+            ms=self._age_ms(),
+        )
+
+    def held(self, why: NoChoice, directory: int) -> None:
+        """It waits."""
+        log_event(
+            Event.REQUEST_HELD,
+            request=self.request_id,
+            service=self.service,
+            resource=self._request.resource,
+            why=why,
+            directory=directory,
+            ms=self._age_ms(),
+        )
+
+    def finished(self, status: int, sendings: int, attempt: Attempt | None) -> None:
+        """It was answered whole."""
+        self._count("answered", attempt)
+        first_ms, gap_ms = 0.0, 0.0
+        if attempt is not None and attempt.first_data_s is not None:
+            first_ms = (attempt.first_data_s - self._request.arrived_s) * 1000.0
+            gap_ms = attempt.longest_gap_s * 1000.0
+        log_event(
+            Event.REQUEST_FINISHED,
+            request=self.request_id,
+            status=status,
+            sendings=sendings,
+            first_ms=round(first_ms, 1),
+            gap_ms=round(gap_ms, 1),
+            ms=self._age_ms(),
+        )
+
+    def refused(
+        self, kind: str, detail: str, sendings: int, may_have_run: bool, attempt: Attempt | None
+    ) -> None:
+        """It was given up."""
+        self._count(kind, attempt)
+        log_event(
+            Event.REQUEST_REFUSED,
+            request=self.request_id,
+            service=self.service,
+            resource=self._request.resource,
+            kind=kind,
+            detail=detail,
+            sendings=sendings,
+            may_have_run=may_have_run,
+            ms=self._age_ms(),
+        )
+
+    def _count(self, result: str, attempt: Attempt | None) -> None:
+        GATEWAY_REQUESTS.labels(self.kind, result).inc()
+        first_s = None if attempt is None else attempt.first_data_s
+        if first_s is not None:
+            GATEWAY_FIRST_BYTE_S.labels(self.kind).observe(first_s - self._request.arrived_s)
--- a/src/crowsill/gateway/request.py
+++ b/src/crowsill/gateway/request.py
@@ -51,6 +51,11 @@
     output_tokens: int = 0
     parts: list[PromptPart] = field(default_factory=list)
 
+    @property
+    def resource(self) -> str:
+        """What a replica must hold to run it: `model`, `model/adapter`, or nothing."""
+        return f"{self.model}/{self.adapter}" if self.adapter else self.model
+
 
 def interpret(request: CallerRequest, names: HeaderNames) -> CallerRequest:
     """Fill in what the headers say; values that cannot be read count as absent."""
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -180,7 +180,6 @@
 def _holds(record: ReplicaRecord, request: CallerRequest) -> bool:
     if not request.model:
         return True
-    wanted = f"{request.model}/{request.adapter}" if request.adapter else request.model
-    if request.model in record.lacks or wanted in record.lacks:
+    if request.model in record.lacks or request.resource in record.lacks:
         return False
     return record.instance.holds(request.model, request.adapter)
--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -25,7 +25,7 @@
 STAY_S = 8.0
 # What a load costs for each second, in which its engine takes no other order, in weighted requests:
 # most single requests for rare models are not worth that.
-BLOCKED_COST = 6.0
+BLOCKED_COST = 12.0
 # Engines that count as left to react when all are in long loads.
 LEAST_LEFT = 0.25
 # An unload waits for requests that run; those that came so long ago have mostly ended, in seconds.
--- a/tests/test_model_placer.py
+++ b/tests/test_model_placer.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-import dataclasses
 
 from crowsill.backends.engine_calls import EngineReport, OrderAnswer
+from crowsill.control.engine_jobs import EngineJobPorts
 from crowsill.control.model_placer import ModelPlacer, ModelPlacerPorts, StoreLimits
 from crowsill.model.instances import Beat, HeldModel, Instance
 from crowsill.model.routes import (
@@ -40,24 +40,26 @@
 class World:
     """A placer over a replicated state of its own."""
 
-    def __init__(self, answer, heartbeat_s=0.1):
+    def __init__(self, engines, heartbeat_s=0.1):
         self.machine = StateMachine()
-        self.engines = ScriptedEngines(answer)
+        self.engines = engines
         self.submitted = []
         self.demand = {}
         service = ServiceDefinition("s", 100, ENGINE)
         self.routes = RouteConfiguration(1, [], [service], CallerLimits())
         self.placer = ModelPlacer(
             ModelPlacerPorts(
-                machine=self.machine,
-                calls=self.engines,
-                submit=self.submit,
-                has_lease=lambda: True,
+                engines=EngineJobPorts(
+                    machine=self.machine,
+                    calls=self.engines,
+                    submit=self.submit,
+                    has_lease=lambda: True,
+                    is_lost=lambda instance_id: False,
+                ),
                 routes=lambda: self.routes,
                 collect_demand=self.collect,
                 collect_urgent=self.collect,
                 collect_pressed=dict,
-                is_lost=lambda instance_id: False,
                 heartbeat_s=heartbeat_s,
             ),
             StoreLimits(),
@@ -111,7 +113,7 @@
         world.placer.want({"s|m1": 1})
         await world.until(lambda: world.machine.directory.find("i-old") is None)
 
-    world = World(OrderAnswer.OTHER_INSTANCE)
+    world = World(ScriptedEngines(OrderAnswer.OTHER_INSTANCE))
     play(world, script)
     assert RemoveInstance("i-old") in world.submitted
     assert len(world.engines.orders) == 1
@@ -127,7 +129,7 @@
         world.register("i-2", 2, "m2", on_disk=["m3"])
         await asyncio.sleep(1.2)
 
-    world = World(OrderAnswer.ACCEPTED, heartbeat_s=0.4)
+    world = World(ScriptedEngines(OrderAnswer.ACCEPTED), heartbeat_s=0.4)
     play(world, script)
     assert world.engines.orders == []
 
@@ -156,9 +158,7 @@
         world.placer.want({"s|m3": 1})
         await world.until(lambda: any(expected == 2 for expected, _ in world.engines.orders))
 
-    world = World(OrderAnswer.ACCEPTED)
-    world.engines = LateOrders(OrderAnswer.ACCEPTED)
-    world.placer._ports = dataclasses.replace(world.placer._ports, calls=world.engines)
+    world = World(LateOrders(OrderAnswer.ACCEPTED))
     play(world, script)
     # There is no room for a fourth model: one of the three goes first.
     assert next(model for expected, model in world.engines.orders if expected == 2) != "m3"
