A gateway is current as soon as what was confirmed has come; push the newest routes once

Cause: after the loss of all power gateways had all routes and the directory 0.03 to 0.1 s after the new leader's first confirmation, but counted as current only at the next heartbeat that was not behind: 0.5 to 2 s later, since the directory moves on with every registration. Members pushed and gateways read every version of the routes that a restarted member applied anew. Change: the versions that the group confirmed are kept, and the gateway is current once it has them; they are forgotten with their stream. Routes applied in one go are pushed once.

--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -117,6 +117,7 @@
         self._registrations: HttpServer | None = None
         self._engine_calls: EngineCalls | None = None
         self._routes: RouteConfiguration | None = None
+        self._routes_are_due = False
 
     def _recover(self) -> Result[RecoveredState, str]:
         try:
@@ -289,7 +290,7 @@
                 size = len(command.document.content)
                 log_event(Event.ROUTES_PUBLISHED, version=version, bytes=size)
                 ROUTES_VERSION.set(version)
-                self._subscribers.push_routes()
+                self._push_routes_soon()
             case RecordBeat():
                 instance = command.beat.instance
                 log_event(
@@ -316,6 +317,20 @@
         if isinstance(command, RecordBeat | RemoveInstance | OfferModels):
             self._subscribers.push_directory(directory.last_change)
 
+    def _push_routes_soon(self) -> None:
+        """Send the routes once for all versions that are applied in one go.
+
+        A member that starts again applies hundreds of them; gateways need the newest only.
+        """
+        if self._routes_are_due:
+            return
+        self._routes_are_due = True
+        asyncio.get_running_loop().call_soon(self._push_routes)
+
+    def _push_routes(self) -> None:
+        self._routes_are_due = False
+        self._subscribers.push_routes()
+
     def _on_role(self, role: Role) -> None:
         for task in self._leading:
             task.cancel()
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -82,6 +82,8 @@
         self._random = random
         self._connection: Connection | None = None
         self._failed: Address | None = None
+        # What the group confirmed as current, while not all of it has come.
+        self._awaited: Currency | None = None
 
     def use_seeds(self, seeds: list[Address]) -> None:
         """Use other seeds from now on."""
@@ -129,10 +131,15 @@
         finally:
             if proved:
                 log_event(Event.PEER_LOST, member=connection.peer.node)
-            self._connection = None
+            self.lost()
             connection.close()
             await asyncio.wait([reader])
 
+    def lost(self) -> None:
+        """The stream has ended: what was confirmed on it counts no more."""
+        self._connection = None
+        self._awaited = None
+
     async def _heartbeat(self, connection: Connection) -> bool:
         status = EntryStatus(self._local.identity, self._local.node, self._local.zone, 0)
         demand = self.demand.collect()
@@ -159,12 +166,20 @@
             return False
         if reply.members:
             self._members = [parse_address(member) for member in reply.members]
-        behind = self.routes_version < reply.routes_version
-        behind = behind or self.book.version < reply.directory_version
-        if not behind:
-            self._hooks.on_current(max(1, reply.entries))
+        self._awaited = reply
+        self._prove_current()
         return True
 
+    def _prove_current(self) -> None:
+        """Say so once everything that the group confirmed last has come."""
+        awaited = self._awaited
+        if awaited is None or self.routes_version < awaited.routes_version:
+            return
+        if self.book.version < awaited.directory_version:
+            return
+        self._awaited = None
+        self._hooks.on_current(max(1, awaited.entries))
+
     def send_notice(self, notice: DemandNotice | SuspectInstances) -> bool:
         """Tell the group at once what was seen; return whether it could be sent."""
         connection = self._connection
@@ -176,3 +191,4 @@
             self._hooks.on_routes(body.document)
         elif isinstance(body, DirectoryUpdate):
             self._hooks.on_directory(self.book.adopt(body.change, body.whole))
+        self._prove_current()
