--- a/src/crowsill/control/engine_account.py
+++ b/src/crowsill/control/engine_account.py
@@ -14,6 +14,8 @@
 
     Attributes:
         sequence: Orders that it has accepted; None while its state is not known.
+        is_fenced: Whether it has accepted an order of this leadership since its state was read, so
+            that it refuses those of former leaders.
         held: Models that it holds, each with its adapters.
         job: The model job under way there, or the last one.
         adapter_job: The adapter job under way there, or the last one.
@@ -27,6 +29,7 @@
     """
 
     sequence: int | None = None
+    is_fenced: bool = False
     held: dict[str, set[str]] = field(default_factory=dict)
     job: asyncio.Task[None] | None = None
     adapter_job: asyncio.Task[None] | None = None
--- a/src/crowsill/control/engine_jobs.py
+++ b/src/crowsill/control/engine_jobs.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from crowsill.backends.engine_calls import EngineCalls, EngineOrder, OrderAnswer
+from crowsill.backends.engine_calls import EngineCalls, EngineOrder, EngineReport, OrderAnswer
 from crowsill.clock import monotonic_s
 from crowsill.control.engine_account import EngineAccount
 from crowsill.events import Event
@@ -85,6 +85,7 @@
             engine.rests_until_s = monotonic_s() + REST_AFTER_FAILURE_S
             return
         engine.sequence = report.sequence
+        engine.is_fenced = False
         engine.held = {held.name: set(held.adapters) for held in report.models}
         await self._tell(instance, engine, ())
 
@@ -161,6 +162,7 @@
         self, instance: Instance, engine: EngineAccount, kind: OrderKind, model: str, adapter: str
     ) -> bool:
         """Send an order while no other one is under way to the engine."""
+        is_unanswered = False
         for _ in range(ORDER_TRIES):
             if engine.sequence is None or not self._ports.has_lease():
                 raise JobFailedError("no lease")
@@ -168,20 +170,14 @@
                 raise JobFailedError("the engine is gone")
             order = EngineOrder(kind, model, adapter, engine.sequence, self._holder, self._term)
             answer = await self._ports.calls.order(instance, order)
-            ORDERS.labels(kind, answer).inc()
-            log_event(
-                Event.ORDER_ANSWERED,
-                replica=instance.instance_id,
-                kind=kind,
-                resource=resource_of(model, adapter),
-                expected=engine.sequence,
-                fence=self._term,
-                answer=answer,
-            )
+            self._log_answer(instance, order, answer)
             if answer is OrderAnswer.ACCEPTED:
                 engine.sequence += 1
+                engine.is_fenced = True
                 return False
             if answer is OrderAnswer.ALREADY_SO:
+                if kind is OrderKind.UNLOAD and not adapter and not is_unanswered:
+                    raise JobFailedError(f"{model}: it was not there, so the account is wrong")
                 # An adapter that nobody uses is unloaded at once, and that is counted.
                 if kind is OrderKind.UNLOAD and adapter:
                     engine.sequence += 1
@@ -192,36 +188,50 @@
                 raise JobFailedError("the engine has ended: another instance has its address")
             if answer is not OrderAnswer.UNKNOWN and answer is not OrderAnswer.NOT_NOW:
                 raise JobFailedError(f"{kind} {model} {adapter}: {answer}")
+            is_unanswered = is_unanswered or answer is OrderAnswer.UNKNOWN
             await asyncio.sleep(ORDER_RETRY_S)
-            # An earlier copy may have been accepted: the report tells.
             if answer is OrderAnswer.NOT_NOW and await self._was_accepted(
-                instance, engine, kind, model, adapter
+                instance, engine, order, is_unanswered
             ):
                 return False
         raise JobFailedError(f"{kind} {model} {adapter}: no answer")
 
     async def _was_accepted(
-        self, instance: Instance, engine: EngineAccount, kind: OrderKind, model: str, adapter: str
+        self, instance: Instance, engine: EngineAccount, order: EngineOrder, is_unanswered: bool
     ) -> bool:
-        expected = engine.sequence
-        if expected is None:
-            raise JobFailedError("its state is not known")
+        """Whether an earlier copy of a refused order has been accepted, by the engine's report.
+
+        Raises:
+            JobFailedError: Others' orders were accepted, so what it holds is not known any more.
+        """
         await asyncio.sleep(REPORT_LAG_S)
         report = await self._ports.calls.report(instance)
-        if report is None or report.sequence == engine.sequence:
+        if report is None or report.sequence == order.expected_sequence:
             return False
-        if report.sequence != expected + 1:
-            # Somebody else's orders were carried out late: what it holds is not known any more.
-            raise JobFailedError(f"{report.sequence} orders accepted, {expected} expected")
-        engine.sequence = report.sequence
-        held = {item.name: set(item.adapters) for item in report.models}
-        present = model in held and (not adapter or adapter in held[model])
-        coming = resource_of(model, adapter) in report.coming
-        loaded = present or coming or report.is_busy
-        if loaded is not (kind is OrderKind.LOAD) and not report.is_busy:
+        if not is_unanswered or report.sequence != order.expected_sequence + 1:
+            detail = f"{report.sequence} orders accepted, {order.expected_sequence} expected"
+            raise JobFailedError(detail)
+        if report.is_busy and not engine.is_fenced:
+            # It may be a former leader's order that is under way: the end of it will tell.
+            return False
+        if not report.is_busy and not _is_carried_out(order, report):
             raise JobFailedError("another order was accepted in place of this one")
+        engine.sequence = report.sequence
+        engine.is_fenced = True
         return True
 
+    def _log_answer(self, instance: Instance, order: EngineOrder, answer: OrderAnswer) -> None:
+        ORDERS.labels(order.kind, answer).inc()
+        log_event(
+            Event.ORDER_ANSWERED,
+            replica=instance.instance_id,
+            kind=order.kind,
+            resource=resource_of(order.model, order.adapter),
+            expected=order.expected_sequence,
+            fence=order.fence,
+            answer=answer,
+        )
+
     async def _wait_for(
         self,
         instance: Instance,
@@ -277,6 +287,16 @@
         )
 
 
+def _is_carried_out(order: EngineOrder, report: EngineReport) -> bool:
+    """Whether an engine that is not busy reports what an order asked for."""
+    held = {item.name: item.adapters for item in report.models}
+    present = order.model in held
+    if order.adapter:
+        resource = resource_of(order.model, order.adapter)
+        present = present and (order.adapter in held[order.model] or resource in report.coming)
+    return present is (order.kind is OrderKind.LOAD)
+
+
 def resource_of(model: str, adapter: str) -> str:
     """Return the name of a model or of an adapter beside it.
 
--- a/tests/test_model_placer.py
+++ b/tests/test_model_placer.py
@@ -14,7 +14,7 @@
     RouteConfiguration,
     ServiceDefinition,
 )
-from crowsill.state.commands import RecordBeat, RemoveInstance
+from crowsill.state.commands import OrderKind, RecordBeat, RemoveInstance
 from crowsill.state.machine import StateMachine
 from crowsill.transport.messages import Submitted
 
@@ -162,3 +162,63 @@
     play(world, script)
     # There is no room for a fourth model: one of the three goes first.
     assert next(model for expected, model in world.engines.orders if expected == 2) != "m3"
+
+
+class FormerLeadersLoad(ScriptedEngines):
+    """An engine that has just accepted a load of a former leader, which its first report lacks.
+
+    It has room for three models and falls when it is ordered to hold more.
+    """
+
+    LOAD_REPORTS = 6
+
+    def __init__(self):
+        super().__init__(OrderAnswer.ACCEPTED)
+        self.sequence = 2
+        self.held = ["m0", "m1"]
+        self.reports = 0
+        self.fell = False
+
+    @property
+    def is_busy(self):
+        return self.reports < self.LOAD_REPORTS
+
+    async def order(self, instance, order):
+        self.orders.append((order.kind.value, order.model))
+        if self.is_busy or order.expected_sequence != self.sequence:
+            return OrderAnswer.NOT_NOW
+        if order.kind is OrderKind.UNLOAD and order.model not in self.held:
+            return OrderAnswer.ALREADY_SO
+        self.sequence += 1
+        if order.kind is OrderKind.UNLOAD:
+            self.held.remove(order.model)
+        else:
+            self.held.append(order.model)
+            self.fell = self.fell or len(self.held) > 3
+        return OrderAnswer.ACCEPTED
+
+    async def report(self, instance):
+        self.reports += 1
+        if self.reports == 1:
+            return EngineReport([HeldModel("m0"), HeldModel("m1")], [], False, 1)
+        if not self.is_busy and "m2" not in self.held and self.sequence == 2:
+            self.held.append("m2")
+        return EngineReport(
+            [HeldModel(name) for name in self.held], [], self.is_busy, self.sequence
+        )
+
+
+def test_a_former_leaders_load_is_not_taken_for_ones_own():
+    # Found as a rule broken (LIMIT, an engine fell) on trouble-3 of the second site, seed 15838:
+    # the new leader's load was refused because the former one's was under way, and counted as
+    # accepted.
+    async def script(world):
+        world.register("i-1", 1, "m0", "m1", on_disk=["m3"])
+        world.demand = {"s|m0": 1, "s|m3": 20}
+        world.placer.want({"s|m3": 1})
+        await world.until(lambda: "m3" in world.engines.held)
+        await asyncio.sleep(0.3)
+
+    world = World(FormerLeadersLoad())
+    play(world, script)
+    assert not world.engines.fell and len(world.engines.held) == 3
