A blocked engine costs no more than itself on sites of few engines

Change: 12 for each engine of up to six, shared among those left; at six engines and more as before. Tests unchanged and green.

--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -23,10 +23,11 @@
 LEAST_FURTHER_GAIN = 1.0
 # Time for which a copy is expected to stay, in seconds.
 STAY_S = 8.0
-# What a load costs for each second, in which its engine takes no other order, in weighted requests,
-# shared among the engines that are left to react to what comes: most single requests for rare
-# models are not worth that.
-BLOCKED_COST = 72.0
+# What a load costs for each second, in which its engine takes no other order, in weighted requests:
+# most single requests for rare models are not worth that.
+BLOCKED_COST = 12.0
+# From so many engines on, what comes next is the less likely to need one of them the more there are.
+MANY_ENGINES = 6
 # Engines that count as left to react when all are in long loads.
 LEAST_LEFT = 0.25
 # An unload waits for requests that run; those that came so long ago have mostly ended, in seconds.
@@ -150,8 +151,9 @@
         cost = self._value.blocked_adapters(engine)
         if not engine.is_needed:
             return cost
-        left = len(self._view.engines) - self._fetching - from_store
-        return cost + BLOCKED_COST / max(LEAST_LEFT, left)
+        engines = len(self._view.engines)
+        left = max(LEAST_LEFT, engines - self._fetching - from_store)
+        return cost + BLOCKED_COST * min(engines, MANY_ENGINES) / left
 
     def _unload_s(self, model: str) -> float:
         """Time that an unload may wait for requests that run."""
