--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -26,7 +26,7 @@
 # What a load costs for each second, in which its engine takes no other order, in weighted requests:
 # most single requests for rare models are not worth that.
 BLOCKED_COST = 12.0
-# From so many engines on, what comes next is the less likely to need one of them the more there are.
+# From so many engines on, each further one makes it less likely that the next need is for this one.
 MANY_ENGINES = 6
 # Engines that count as left to react when all are in long loads.
 LEAST_LEFT = 0.25
