Start control beside gateways where no machine is set aside for it; drop reserved headers

A control process without a disk stores nothing, never votes and points callers at the members, so that the new role may start on machines of gateways anywhere. The first seed with a disk forms the group.

--- a/src/crowsill/control/bootstrap.py
+++ b/src/crowsill/control/bootstrap.py
@@ -72,30 +72,32 @@
 ) -> Membership | None:
     """Form a group with the other seeds, if this member is the one that forms it.
 
-    The seed with the lowest address forms the group, once every other seed has confirmed that it
-    is blank. A machine that lost its disk is not told to bootstrap, so this happens once.
+    The seed with the lowest address that may vote forms the group, once every other seed has
+    confirmed that it is blank. A machine that lost its disk is not told to bootstrap, so this
+    happens once.
 
     Returns:
         The membership of the new group; None when another seed forms it, or one exists already.
     """
     ordered = sorted(seeds, key=lambda seed: (seed.host, seed.port))
-    if not ordered or ordered[0] != own:
+    if own not in ordered:
         return None
-    identities: dict[Address, str] = {own: local.identity}
-    while len(identities) < len(ordered):
+    replies = {own: MemberBlank(local.identity, is_blank=True)}
+    while len(replies) < len(ordered):
         for seed in ordered:
-            if seed in identities:
+            if seed in replies:
                 continue
             reply = await ask_if_blank(seed, local)
-            if reply is not None and not reply.is_blank:
+            if reply is None:
+                continue
+            comes_first = ordered.index(seed) < ordered.index(own)
+            if not reply.is_blank or (comes_first and reply.may_vote):
                 return None
-            if reply is not None:
-                identities[seed] = reply.identity
-        if len(identities) < len(ordered):
+            replies[seed] = reply
+        if len(replies) < len(ordered):
             await asyncio.sleep(RETRY_S)
-    return Membership(
-        [_seed_member(identities[seed], seed) for seed in ordered],
-    )
+    voters = [seed for seed in ordered if replies[seed].may_vote]
+    return Membership([_seed_member(replies[seed].identity, seed) for seed in voters])
 
 
 def _seed_member(identity: str, address: Address) -> Member:
--- a/src/crowsill/daemon.py
+++ b/src/crowsill/daemon.py
@@ -20,10 +20,11 @@
 from crowsill.events import Event
 from crowsill.logs import configure_logs, flush_logs, log_event
 from crowsill.platform_ports import PlatformPorts
-from crowsill.settings import Settings, load_settings
+from crowsill.settings import ControlSettings, Settings, load_settings
 from crowsill.transport.stream import load_cluster_key
 
 if TYPE_CHECKING:
+    from crowsill.control.redirector import ControlRedirector
     from crowsill.control.role import ControlRole
     from crowsill.entry.role import EntryRole
     from crowsill.gateway.role import GatewayRole
@@ -60,7 +61,7 @@
         self._key = key
         self._ports = ports
         self._gateway: GatewayRole | None = None
-        self._control: ControlRole | None = None
+        self._control: ControlRole | ControlRedirector | None = None
         self._entry: EntryRole | None = None
         self._stop = asyncio.Event()
 
@@ -104,13 +105,7 @@
         # Each role's modules are imported only where the role is played: imports cost start time
         # and memory, of which small machines have little.
         if settings.control is not None:
-            from crowsill.control.role import open_control_role
-
-            opened = open_control_role(settings, settings.control, self._key, self._ports)
-            if not isinstance(opened, Success):
-                return Failure(opened.failure())
-            self._control = opened.unwrap()
-            started = await self._control.start()
+            started = await self._start_control(settings.control)
             if not isinstance(started, Success):
                 return started
         if settings.gateway is not None:
@@ -128,6 +123,23 @@
             await self._entry.start()
         return Success(None)
 
+    async def _start_control(self, control: ControlSettings) -> Result[None, str]:
+        if not control.data_folder:
+            from crowsill.control.redirector import make_redirector
+
+            redirector = make_redirector(self._settings, control, self._key)
+            self._control = redirector
+            await redirector.start()
+            return Success(None)
+        from crowsill.control.role import open_control_role
+
+        opened = open_control_role(self._settings, control, self._key, self._ports)
+        if not isinstance(opened, Success):
+            return Failure(opened.failure())
+        member = opened.unwrap()
+        self._control = member
+        return await member.start()
+
     async def _wait(self) -> BaseException | None:
         """Wait for a stop or for the control member to fail; return the failure."""
         waiting = [asyncio.create_task(self._wait_for_stop())]
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -59,6 +59,10 @@
     GROUP_FORMED = EventDefinition(310, "INFO", "This member formed a new group with its seeds.")
     STORAGE_FAILED = EventDefinition(311, "ERROR", "The disk refused a write; it is repeated.")
 
+    LEADER_FOUND = EventDefinition(
+        312, "INFO", "A control process without a disk found the leader."
+    )
+
     CONFIGURATION_ACCEPTED = EventDefinition(400, "INFO", "A configuration change was committed.")
     CONFIGURATION_REFUSED = EventDefinition(401, "INFO", "A configuration change was refused.")
     CONFIGURATION_ADOPTED = EventDefinition(402, "INFO", "This entry serves a new revision.")
--- a/src/crowsill/gateway/dialect.py
+++ b/src/crowsill/gateway/dialect.py
@@ -26,6 +26,7 @@
         priority: Rank among the requests of a replica.
         instance: Identity of the instance that answers.
         last_event_id: Last event that a caller has seen of a stream.
+        reserved: Further names that only the gateway may set; a caller's are left out.
     """
 
     request_id: bytes = b"crowsill-request-id"
@@ -40,6 +41,7 @@
     priority: bytes = b"crowsill-priority"
     instance: bytes = b"crowsill-instance-id"
     last_event_id: bytes = b"last-event-id"
+    reserved: frozenset[bytes] = frozenset()
 
 
 # Headers that pertain to one connection only (RFC 9110, section 7.6.1), and the framing of a
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -25,6 +25,7 @@
     DirectoryUpdate,
     EntryStatus,
     Heartbeat,
+    NotLeader,
     RoutesUpdate,
     SuspectInstances,
 )
@@ -161,6 +162,8 @@
             reply = await connection.request(heartbeat, HEARTBEAT_TIMEOUT_S)
         except ConnectionLostError:
             reply = None
+        if isinstance(reply, NotLeader) and reply.leader is not None:
+            self._members = [parse_address(reply.leader)]
         if not isinstance(reply, Currency):
             # What was counted is dropped: kept, it would arrive later as if it had come at once.
             return False
--- a/src/crowsill/gateway/forwarded.py
+++ b/src/crowsill/gateway/forwarded.py
@@ -20,8 +20,8 @@
         route: Its route.
         left_s: Time that is left for it.
     """
-    own = frozenset((names.deadline, names.expect_instance, names.priority))
-    headers = end_to_end_headers(request.headers, own)
+    set_here = (names.deadline, names.expect_instance, names.priority)
+    headers = end_to_end_headers(request.headers, names.reserved.union(set_here))
     headers.append((names.deadline, b"%d" % max(1, int(left_s * 1000))))
     headers.append((names.expect_instance, instance_id.encode()))
     if request.model:
--- a/src/crowsill/settings.py
+++ b/src/crowsill/settings.py
@@ -48,7 +48,8 @@
     """The control role.
 
     Attributes:
-        data_folder: The folder for durable files; created if missing.
+        data_folder: The folder for durable files; created if missing. Empty on a machine without a
+            disk: the process then never votes and points callers at the members.
         listen: Address for other crowsill processes.
         operators: HTTP listener for operators.
         operator_token_sha256: SHA-256 of each operator token.
@@ -228,6 +229,8 @@
 
 
 def _control_fault(control: ControlSettings) -> str | None:
+    if not control.data_folder and not control.seeds:
+        return "control: without data_folder, seeds are needed: the process only points at members"
     if control.seeds and control.initial_members:
         return "control: seeds and initial_members exclude each other"
     names = [member.name for member in control.initial_members]
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -104,10 +104,17 @@
 
 
 class MemberBlank(msgspec.Struct, frozen=True, tag="member-blank"):
-    """The answer to `BlankCheck`."""
+    """The answer to `BlankCheck`.
+
+    Attributes:
+        identity: Identity bound to the disk; empty without one.
+        is_blank: Whether nothing was stored yet.
+        may_vote: Whether the process has a disk, so that it may become a member.
+    """
 
     identity: str
     is_blank: bool
+    may_vote: bool = True
 
 
 class MemberAction(StrEnum):
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -42,7 +42,8 @@
 class Machine:
     """One machine with one process."""
 
-    def __init__(self, site, name, ip, role):
+    def __init__(self, site, name, ip, role, has_disk=True):
+        self.has_disk = has_disk
         self.site = site
         self.name = name
         self.ip = ip
@@ -82,7 +83,7 @@
             f"seeds = {json.dumps(seeds)}",
             f"bootstrap = {json.dumps(bootstrap)}",
             "countsTowardFaults = true",
-            f'dataDir = "{self.data}"',
+            *([f'dataDir = "{self.data}"'] if self.has_disk else []),
             f"heartbeatMs = {int(HEARTBEAT_S * 1000)}",
             "unheardOf = { field = 1 }",
             "[listen]",
@@ -236,7 +237,7 @@
 class PlatformSite:
     """All machines of a small site."""
 
-    def __init__(self, folder, core=5, fronts=2):
+    def __init__(self, folder, core=5, fronts=2, redirectors=0):
         self.folder = folder
         ports = free_ports(4)
         self.control_port, self.front_port, self.ready_port, self.inner_port = ports
@@ -246,10 +247,15 @@
         self.fronts = []
         for number in range(fronts):
             self.fronts.append(Machine(self, f"front-{number}", f"127.0.2.{number + 1}", "gateway"))
+        # Control processes on the machines of gateways, which have no disk here.
+        self.redirectors = [
+            Machine(self, f"beside-{number}", front.ip, "control-beside-gateway", has_disk=False)
+            for number, front in enumerate(self.fronts[:redirectors])
+        ]
 
     @property
     def machines(self):
-        return self.core + self.fronts
+        return self.core + self.fronts + self.redirectors
 
     def start(self):
         for machine in self.machines:
--- /dev/null
+++ b/tests/test_forwarded.py
@@ -0,0 +1,60 @@
+"""What of a caller's headers reaches a replica."""
+
+import sys
+
+import pytest
+
+from crowsill.gateway.dialect import HeaderNames
+from crowsill.gateway.forwarded import encode_forwarded
+from crowsill.gateway.request import CallerRequest
+from crowsill.model.routes import Route, RouteKind
+from tests.platform_site import ROOT
+
+sys.path.insert(0, str(ROOT / "platform"))
+
+from crowsill_platform.headers import HEADER_NAMES, RESERVED_NAMES
+
+ROUTE = Route("r", "shop", "/", RouteKind.STREAM, 5000, [], target_latency_ms=800)
+
+
+def forwarded(headers, names=HEADER_NAMES):
+    """Return the header lines that reach the replica, as lower-case pairs."""
+    request = CallerRequest(b"POST", b"/draft/x", headers, b"pay", True, 0.0, model="m")
+    head, _, body = encode_forwarded(request, names, "i-1", ROUTE, 2.0).partition(b"\r\n\r\n")
+    assert body == b"pay"
+    lines = [line.split(b": ", 1) for line in head.split(b"\r\n")[1:]]
+    return [(name.lower(), value) for name, value in lines]
+
+
+def odd_case(name):
+    return b"".join(
+        name[index : index + 1].upper() if index % 2 else name[index : index + 1]
+        for index in range(len(name))
+    )
+
+
+@pytest.mark.parametrize("name", sorted(RESERVED_NAMES))
+def test_a_caller_cannot_set_what_only_the_gateway_may(name):
+    headers = [(odd_case(name), b"stolen"), (b"X-Mine", b"a"), (name, b"again")]
+    reached = forwarded(headers)
+    assert (b"x-mine", b"a") in reached
+    assert name not in [reached_name for reached_name, _ in reached]
+
+
+def test_what_the_gateway_sets_itself_stands_once():
+    own = [HEADER_NAMES.deadline, HEADER_NAMES.expect_instance, HEADER_NAMES.priority]
+    reached = forwarded([(odd_case(name), b"999999") for name in own for _ in range(2)])
+    for name in own:
+        values = [value for reached_name, value in reached if reached_name == name]
+        assert len(values) == 1 and values[0] != b"999999"
+
+
+def test_headers_named_by_the_connection_stay_with_it():
+    named = [(b"Connection", b"close, X-Crowsill-Hold, x-hop"), (b"X-Hop", b"1")]
+    reached = forwarded([*named, (b"X-Crowsill-Hold", b"h1"), (b"X-Crowsill-Model", b"m")])
+    assert (b"x-crowsill-model", b"m") in reached
+    assert not {b"connection", b"x-hop", b"x-crowsill-hold"} & {name for name, _ in reached}
+
+
+def test_a_deployment_without_reserved_names_passes_all_on():
+    assert (b"x-hold", b"h") in forwarded([(b"X-Hold", b"h")], HeaderNames())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -194,3 +194,30 @@
             await replica.stop()
 
     run(scenario())
+
+
+def test_control_processes_without_a_disk_point_at_the_members(tmp_path):
+    """They start beside gateways where other machines are set aside for control, too."""
+    site = PlatformSite(tmp_path, core=3, fronts=1, redirectors=1)
+    site.start()
+    beside = site.redirectors[0]
+
+    async def scenario():
+        assert await site.publish(configuration(1)) == 200
+
+        async def points_at_a_member():
+            status, body = await site.call_whole("GET", "/config", machine=beside)
+            return status == 200 and json.loads(body)["version"] == 1
+
+        await site.until(points_at_a_member)
+        # The operator may choose it for a change, and it never ends by itself.
+        assert await site.call("PUT", "/config", configuration(2), machine=beside) == 200
+        status, body = await site.call_whole("GET", "/config")
+        assert status == 200 and json.loads(body)["version"] == 2
+        assert beside.process.poll() is None
+        assert beside.stop(5) == 0
+
+    try:
+        run(scenario())
+    finally:
+        site.stop()
