--- a/src/crowsill/daemon.py
+++ b/src/crowsill/daemon.py
@@ -136,7 +136,7 @@
         opened = open_control_role(self._settings, control, self._key, self._ports)
         if not isinstance(opened, Success):
             return Failure(opened.failure())
-        member = opened.unwrap()
+        member: ControlRole = opened.unwrap()
         self._control = member
         return await member.start()
 
