Learn how fast engines read prompts, and choose by the pauses of their streams

routing/engine_pace.py learns read times by model from the quickest first events, and each engine's delay and pauses from the newest ones; prompts count as unread until their first event.

--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -1,6 +1,7 @@
 """One sending of a request to a replica, and what came of it."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -61,6 +62,8 @@
         made_s: Clock when the attempt began.
         connection: The connection in use, or None.
         first_data_s: Clock when the first byte of the body came, or None.
+        on_first_data: Called when it has come.
+        on_gap: Called with each time between two pieces of the body, and the clock.
         longest_gap_s: Longest time between two pieces of the body.
         relayed_bytes: Bytes of the body that have gone to the caller.
         load: The load that the replica told, or None.
@@ -83,6 +86,8 @@
         self._names = names
         self._is_stream = is_stream
         self._close_after = close_after
+        self.on_first_data: Callable[[], None] = lambda: None
+        self.on_gap: Callable[[float, float], None] = lambda _gap_s, _now_s: None
         self.ended: asyncio.Future[AttemptEnd] = self._loop.create_future()
         self.first_data_s: float | None = None
         self.longest_gap_s = 0.0
@@ -128,8 +133,11 @@
         now_s = self._loop.time()
         if self.first_data_s is None:
             self.first_data_s = now_s
+            self.on_first_data()
         else:
-            self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_data_s)
+            gap_s = now_s - self._last_data_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            self.on_gap(gap_s, now_s)
         self._last_data_s = now_s
         if self._relaying:
             self._relay(data)
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -70,6 +70,25 @@
     held_for: NoChoice | None = None
 
 
+class _PendingPrompt:
+    """A prompt that a replica has not read yet, counted until its first event or its end."""
+
+    def __init__(self, record: ReplicaRecord, tokens: int, sent_s: float) -> None:
+        self._record = record
+        self._tokens = tokens
+        self._is_counted = True
+        record.pending_prompt_tokens += tokens
+        record.unanswered_s[id(self)] = sent_s
+
+    def read(self) -> None:
+        """Count it no more."""
+        if not self._is_counted:
+            return
+        self._is_counted = False
+        self._record.pending_prompt_tokens -= self._tokens
+        del self._record.unanswered_s[id(self)]
+
+
 class Exchange:
     """Serves one request."""
 
@@ -173,6 +192,7 @@
             gateways=context.gateways,
             longest_ms=longest_ms,
             has_idle=context.pool.has_idle,
+            pace=context.book.pace(self._service),
         )
         records = context.book.of_service(self._service)
         return choose(records, self._request, self._progress.tried, limits, self._loop.time())
@@ -236,7 +256,7 @@
         self._log.routed(choice, self._progress.sendings + 1, version, context.book.version)
         unread = max(0, request.prompt_tokens - choice.known_tokens)
         record.in_flight += 1
-        record.pending_prompt_tokens += unread
+        prompt = _PendingPrompt(record, unread, self._loop.time())
         reusable = False
         connection = None
         try:
@@ -244,6 +264,9 @@
             is_stream = route.kind is RouteKind.STREAM
             attempt = Attempt(self._caller, context.names, is_stream, self._closes())
             attempt.connection = connection
+            attempt.on_first_data = prompt.read
+            if request.model:
+                attempt.on_gap = record.note_gap
             self._attempt = attempt
             sent_s = self._loop.time()
             message = encode_forwarded(
@@ -267,7 +290,7 @@
             return None
         finally:
             record.in_flight -= 1
-            record.pending_prompt_tokens -= unread
+            prompt.read()
             if self._attempt is not None:
                 self._notice_silence(record, self._attempt)
                 self._attempt.connection = None
@@ -314,8 +337,15 @@
         for key in part_keys(request):
             record.remember_part(key)
         first_s = now_s if attempt.first_data_s is None else attempt.first_data_s
+        taken_s = first_s - sent_s
+        if request.model:
+            unread = max(0, request.prompt_tokens - choice.known_tokens)
+            pace = self._context.book.pace(self._service)
+            record.note_time(taken_s, pace.quickest_ms(request.model, unread) / 1000.0, now_s)
+            pace.learn(request.model, unread, taken_s * 1000.0)
+            return
         expected_s = choice.expected_ms / 1000.0 / max(0.2, record.slowness_now(now_s))
-        record.note_time(first_s - sent_s, expected_s, now_s)
+        record.note_time(taken_s, expected_s, now_s)
 
     def _goes_on_after(self, route: Route, end: AttemptEnd) -> bool:
         """Whether the request may go to another replica."""
--- a/src/crowsill/gateway/replica_book.py
+++ b/src/crowsill/gateway/replica_book.py
@@ -5,6 +5,7 @@
 
 from crowsill.gateway.dialect import read_number
 from crowsill.model.instances import Instance
+from crowsill.routing.engine_pace import EngineDelay, EnginePace
 from crowsill.state.directory import DirectoryChange
 
 FIRST_PAUSE_S = 0.3
@@ -35,6 +36,9 @@
         error_share: Moving share of its answers that failed.
         slowness: Moving ratio of its time to answer to what was expected.
         slowness_s: Clock of the last change of that.
+        delay: What requests at an engine take beyond the quickest time.
+        pause: Time between two events of streams that it runs.
+        unanswered_s: Clocks when own streams without a first event were sent, by a key of each.
         lacks: Models and adapters that it said it does not hold.
         parts: Parts of prompts that it has read lately.
     """
@@ -50,6 +54,9 @@
     error_share: float = 0.0
     slowness: float = 1.0
     slowness_s: float = 0.0
+    delay: EngineDelay = field(default_factory=EngineDelay)
+    pause: EngineDelay = field(default_factory=EngineDelay)
+    unanswered_s: dict[int, float] = field(default_factory=dict)
     lacks: set[str] = field(default_factory=set)
     parts: OrderedDict[PartKey, None] = field(default_factory=OrderedDict)
 
@@ -96,12 +103,21 @@
         self.paused_until_s = now_s + pause_s
 
     def note_time(self, taken_s: float, expected_s: float, now_s: float) -> None:
-        """Compare the time of an answer with what was expected."""
+        """Compare the time of an answer, or of a first event, with what was expected."""
+        self.delay.learn((taken_s - expected_s) * 1000.0, now_s)
         ratio = min(20.0, max(0.2, taken_s / max(expected_s, 0.001)))
         self.slowness = self.slowness_now(now_s)
         self.slowness += (ratio - self.slowness) * SLOWNESS_WEIGHT
         self.slowness_s = now_s
 
+    def note_gap(self, gap_s: float, now_s: float) -> None:
+        """Take in the time between two events of a stream that it runs."""
+        self.pause.learn(gap_s * 1000.0, now_s)
+
+    def longest_unanswered_ms(self, now_s: float) -> float:
+        """Return how long the oldest own stream without a first event has waited."""
+        return (now_s - min(self.unanswered_s.values(), default=now_s)) * 1000.0
+
     def remember_part(self, key: PartKey) -> None:
         """It has read this part of a prompt."""
         self.parts[key] = None
@@ -121,12 +137,17 @@
         self.version = 0
         self._records: dict[str, ReplicaRecord] = {}
         self._by_service: dict[str, list[ReplicaRecord]] = {}
+        self._paces: dict[str, EnginePace] = {}
         self._gone: OrderedDict[str, None] = OrderedDict()
 
     def of_service(self, service: str) -> list[ReplicaRecord]:
         """Return the instances of a service."""
         return self._by_service.get(service, [])
 
+    def pace(self, service: str) -> EnginePace:
+        """Return what is known of how fast the engines of a service are."""
+        return self._paces.setdefault(service, EnginePace())
+
     def find(self, instance_id: str) -> ReplicaRecord | None:
         """Return an instance, or None."""
         return self._records.get(instance_id)
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -1,17 +1,14 @@
 """Chooses the replica of a request: a pure decision over what the gateway knows."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from crowsill.gateway.replica_book import PartKey, ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.model.routes import ModelWeights
+from crowsill.routing.engine_pace import EnginePace
 
-# First figures of an engine, in ms; what an instance deviates from them is learnt as slowness.
-PROMPT_TOKENS_PER_MS = 19.0
-FIRST_EVENT_MS = 15.0
-RUNNING_MS = 1.5
 # A plain service works on `slots` at once; until its times are learnt each takes this long.
 SERVICE_MS = 20.0
 # Another site costs more than its delay: its bytes are paid for.
@@ -23,6 +20,9 @@
 # A new connection takes two round trips and may hold a slot of the replica for a moment; replicas
 # take few of them.
 NEW_CONNECTION_MS = 20.0
+# A pause between events counts as much as the same time before the first one: either can make a
+# stream late, and an engine whose streams pause has little time left.
+PAUSE_WEIGHT = 1.0
 ERROR_PENALTY = 4.0
 USUAL_ERROR_SHARE = 0.2
 
@@ -63,6 +63,7 @@
         gateways: Number of live gateways.
         longest_ms: A request that is expected to take longer is not sent.
         has_idle: Whether a connection to an instance is open and free.
+        pace: How fast the engines of the service are.
     """
 
     zone: str
@@ -70,6 +71,7 @@
     gateways: int = 1
     longest_ms: float = float("inf")
     has_idle: Callable[[str], bool] = lambda _instance_id: True
+    pace: EnginePace = field(default_factory=EnginePace)
 
 
 def part_keys(request: CallerRequest) -> list[PartKey]:
@@ -91,22 +93,12 @@
     record: ReplicaRecord, request: CallerRequest, limits: SelectionLimits, now_s: float
 ) -> tuple[float, int]:
     """Return the expected time to the first event or answer, and the known tokens."""
-    # Other gateways do much as this one does. What the replica told is soon out of date, and a
-    # replica that is overwhelmed tells nothing at all.
-    crowded = max(0, record.in_flight - UNCROWDED)
-    alike = (limits.gateways - 1) * LIKENESS * crowded / max(1, record.in_flight)
-    others = max(record.others_now(now_s), record.in_flight * alike)
-    requests = record.in_flight + others
     known = 0
     if request.model:
         known = known_tokens(record, request)
-        pending = record.pending_prompt_tokens * (1.0 + alike)
-        unread = max(0, request.prompt_tokens - known) + pending
-        base_ms = FIRST_EVENT_MS + unread / PROMPT_TOKENS_PER_MS + requests * RUNNING_MS
+        total_ms = first_event_ms(record, request, known, limits, now_s)
     else:
-        slots = max(1, record.instance.slots)
-        base_ms = SERVICE_MS * max(1.0, (requests + 1.0) / slots) + requests
-    total_ms = base_ms * record.slowness_now(now_s)
+        total_ms = answer_ms(record, limits, now_s)
     surplus = max(0.0, record.error_share - USUAL_ERROR_SHARE)
     total_ms *= 1.0 + ERROR_PENALTY * surplus
     if record.instance.zone != limits.zone:
@@ -116,6 +108,40 @@
     return total_ms, known
 
 
+def _alike(record: ReplicaRecord, limits: SelectionLimits) -> float:
+    """Return the load that other gateways are assumed to bring, as a multiple of the own.
+
+    They do much as this one does. What the replica told is soon out of date, and a replica that is
+    overwhelmed tells nothing at all.
+    """
+    crowded = max(0, record.in_flight - UNCROWDED)
+    return (limits.gateways - 1) * LIKENESS * crowded / max(1, record.in_flight)
+
+
+def first_event_ms(
+    record: ReplicaRecord,
+    request: CallerRequest,
+    known: int,
+    limits: SelectionLimits,
+    now_s: float,
+) -> float:
+    """Return the expected time to the first event at an engine that has read `known` tokens."""
+    pending = record.pending_prompt_tokens * (1.0 + _alike(record, limits))
+    unread = max(0, request.prompt_tokens - known)
+    quickest_ms = limits.pace.quickest_ms(request.model, unread)
+    waiting_ms = limits.pace.read_ms(request.model, int(pending)) + record.delay.now_ms(now_s)
+    return quickest_ms + max(waiting_ms, record.longest_unanswered_ms(now_s))
+
+
+def answer_ms(record: ReplicaRecord, limits: SelectionLimits, now_s: float) -> float:
+    """Return the expected time to the answer of a plain service."""
+    others = max(record.others_now(now_s), record.in_flight * _alike(record, limits))
+    requests = record.in_flight + others
+    slots = max(1, record.instance.slots)
+    base_ms = SERVICE_MS * max(1.0, (requests + 1.0) / slots) + requests
+    return base_ms * record.slowness_now(now_s)
+
+
 def accepts(record: ReplicaRecord) -> bool:
     """Whether new requests may be sent to a replica."""
     return record.instance.accepts_work and not record.is_unreachable
@@ -141,7 +167,7 @@
     limits: SelectionLimits,
     now_s: float,
 ) -> Choice | NoChoice:
-    """Choose the replica with the least expected time.
+    """Choose the replica with the least expected time to the first event and between events.
 
     Args:
         records: Instances of the service.
@@ -167,10 +193,13 @@
         # Nothing else is left: the one whose pause ends first.
         sound = [min(open_records, key=lambda record: record.paused_until_s)]
     best: Choice | None = None
+    best_score = 0.0
     for record in sound:
         total_ms, known = expected_ms(record, request, limits, now_s)
-        if best is None or total_ms < best.expected_ms:
+        score = total_ms + PAUSE_WEIGHT * record.pause.now_ms(now_s)
+        if best is None or score < best_score:
             best = Choice(record, total_ms, known, len(sound))
+            best_score = score
     assert best is not None
     if best.expected_ms > limits.longest_ms:
         return NoChoice.ALL_FULL
