--- a/tests/test_model_placer.py
+++ b/tests/test_model_placer.py
@@ -226,3 +226,28 @@
     world = World(FormerLeadersLoad())
     play(world, script)
     assert not world.engines.fell and len(world.engines.held) == 3
+
+
+def test_an_engine_that_takes_an_adapter_says_when_it_will_be_free():
+    # Found on the quiet day of the third site: it seemed busy for an unknown time, so that a copy
+    # on its disk was passed over for a load of six seconds from the store.
+    class Slow(ScriptedEngines):
+        async def order(self, instance, order):
+            await asyncio.sleep(0.5)
+            return await super().order(instance, order)
+
+    async def script(world):
+        world.register("i-1", 1, "m0")
+        world.demand = {"s|m0": 20, "s|m0/a1": 20}
+        world.placer.want({"s|m0/a1": 1})
+        await world.until(lambda: world.placer._engines and account(world).adapter_job is not None)
+        assert account(world).is_busy and account(world).free_s > 0.0
+
+    def account(world):
+        return world.placer._engines["i-1"]
+
+    with_adapters = [ModelWeights("m0", 70.0, 9.0, 0.8, 2.0, 3, 1.0)]
+    world = World(Slow(OrderAnswer.ACCEPTED))
+    limits = EngineLimits(220.0, 4, 8, 1000, 1.4, with_adapters)
+    world.routes = RouteConfiguration(1, [], [ServiceDefinition("s", 100, limits)], CallerLimits())
+    play(world, script)
