--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -58,8 +58,8 @@
 FULL_RETRY_S = 0.3
 # A process that stops sends callers on: another gateway has the same routes.
 STOPPING_RETRY_S = 0.1
-# A stream that takes so many times what is expected of it must still end in time: with 1.5, two of 40
-# hunted days cut one beside a change of the configuration (docs/FINDINGS.md).
+# A stream that takes so many times what is expected of it must still end in time: with 1.5, two of
+# 40 hunted days cut one beside a change of the configuration (docs/FINDINGS.md).
 STREAM_MARGIN = 3.0
 FAILED_STATUS = 500
 
