--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -7,11 +7,9 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
 
-from crowsill.errors import ErrorKind, Problem
-from crowsill.gateway.answer import encode_problem
-from crowsill.gateway.attempt import Attempt, AttemptEnd, Result, encode_whole_answer
+from crowsill.errors import ErrorKind
+from crowsill.gateway.attempt import Attempt, AttemptEnd, Result
 from crowsill.gateway.caller_protocol import CallerConnection
 from crowsill.gateway.context import ExchangeContext
 from crowsill.gateway.exchange_log import ExchangeLog
@@ -22,7 +20,9 @@
     longest_hold_for_model_s,
     longest_hold_s,
 )
+from crowsill.gateway.outcome import Outcome
 from crowsill.gateway.pool import ConnectError
+from crowsill.gateway.progress import PendingPrompt, Progress
 from crowsill.gateway.replica_book import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayTable, pick_service
@@ -39,8 +39,6 @@
 from crowsill.model.routes import Route, RouteKind
 
 ANSWER_MARGIN_S = 0.02
-# Time that an order takes beside the load, in seconds.
-ORDER_S = 0.2
 # A request for a model is not sent where its first event would come later than this many targets:
 # an engine that is given more than it can serve in time serves nobody in time.
 PATIENCE_TARGETS = 2.0
@@ -54,8 +52,6 @@
 MOST_SENDINGS = 4
 CONNECTION_SHARE = 0.9
 FEWEST_CONNECTIONS = 2
-NO_MODEL_RETRY_S = 0.5
-FULL_RETRY_S = 0.3
 # A process that stops sends callers on: another gateway has the same routes.
 STOPPING_RETRY_S = 0.1
 # A stream that takes so many times what is expected of it must still end in time: with 1.5, two of
@@ -64,37 +60,6 @@
 FAILED_STATUS = 500
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What has been done for the request so far."""
-
-    tried: set[str] = field(default_factory=set)
-    sendings: int = 0
-    runs: int = 0
-    may_have_run: bool = False
-    last: str = ""
-    held_for: NoChoice | None = None
-
-
-class _PendingPrompt:
-    """A prompt that a replica has not read yet, counted until its first event or its end."""
-
-    def __init__(self, record: ReplicaRecord, tokens: int, sent_s: float) -> None:
-        self._record = record
-        self._tokens = tokens
-        self._is_counted = True
-        record.pending_prompt_tokens += tokens
-        record.unanswered_s[id(self)] = sent_s
-
-    def read(self) -> None:
-        """Count it no more."""
-        if not self._is_counted:
-            return
-        self._is_counted = False
-        self._record.pending_prompt_tokens -= self._tokens
-        del self._record.unanswered_s[id(self)]
-
-
 class Exchange:
     """Serves one request."""
 
@@ -105,10 +70,10 @@
         self._caller = caller
         self._request = request
         self._loop = asyncio.get_running_loop()
-        self._progress = _Progress()
-        self._attempt: Attempt | None = None
+        self._progress = Progress()
         self._service = ""
         self._log = ExchangeLog(request)
+        self._outcome = Outcome(context, caller, request, self._progress, self._log)
 
     def request_id(self) -> str:
         """Return the caller's id of the request."""
@@ -116,22 +81,22 @@
 
     def pause(self, paused: bool) -> None:
         """Hold the replica back while the caller does not read."""
-        if self._attempt is not None and self._attempt.connection is not None:
-            self._attempt.connection.pause_reading(paused)
+        if self._progress.attempt is not None and self._progress.attempt.connection is not None:
+            self._progress.attempt.connection.pause_reading(paused)
 
     def end_for_stop(self) -> None:
         """Answer at once what can be answered, because the process ends."""
-        self._time_out()
+        self._outcome.time_out()
 
     async def run(self) -> None:
         """Serve the request; ends early when it is cancelled, because the caller left."""
         table = await self._wait_for_routes()
         if table is None:
-            self._refuse(ErrorKind.NOT_READY, "no configuration is known yet", 0.5)
+            self._outcome.refuse(ErrorKind.NOT_READY, "no configuration is known yet", 0.5)
             return
         route = table.find(self._request.host, self._request.path)
         if route is None:
-            self._refuse(ErrorKind.UNKNOWN_ROUTE, "no route matches host and path")
+            self._outcome.refuse(ErrorKind.UNKNOWN_ROUTE, "no route matches host and path")
             return
         self._service = pick_service(route, self._context.random)
         self._log.kind = route.kind.value
@@ -146,7 +111,7 @@
             async with asyncio.timeout_at(deadline_s):
                 await self._serve(route, deadline_s)
         except TimeoutError:
-            self._time_out()
+            self._outcome.time_out()
 
     async def _wait_for_routes(self) -> GatewayTable | None:
         """A process that has just started knows the routes within a moment."""
@@ -168,7 +133,7 @@
     async def _serve(self, route: Route, deadline_s: float) -> None:
         if self._outlasts_process():
             detail = "the stream would outlast this process, which stops"
-            self._refuse(ErrorKind.OVERLOADED, detail, STOPPING_RETRY_S)
+            self._outcome.refuse(ErrorKind.OVERLOADED, detail, STOPPING_RETRY_S)
             return
         while True:
             choice = self._choose(route)
@@ -184,9 +149,13 @@
             if end is None:
                 continue
             if not self._goes_on_after(route, end):
-                self._conclude(end)
+                self._outcome.conclude(end)
                 return
 
+    def _give_up(self, why: NoChoice) -> None:
+        waited_s = self._loop.time() - self._request.arrived_s
+        self._outcome.give_up(why, waited_s, self._load_s())
+
     def _outlasts_process(self) -> bool:
         """Whether a stream would be cut because this process stops: another gateway serves it."""
         limit_s = self._context.stop_limit_s()
@@ -277,18 +246,18 @@
         self._log.routed(choice, self._progress.sendings + 1, version, context.book.version)
         unread = max(0, request.prompt_tokens - choice.known_tokens)
         record.in_flight += 1
-        prompt = _PendingPrompt(record, unread, self._loop.time())
+        prompt = PendingPrompt(record, unread, self._loop.time())
         reusable = False
         connection = None
         try:
             connection = await context.pool.acquire(record.instance, deadline_s - self._loop.time())
             is_stream = route.kind is RouteKind.STREAM
-            attempt = Attempt(self._caller, context.names, is_stream, self._closes())
+            attempt = Attempt(self._caller, context.names, is_stream, self._outcome.closes())
             attempt.connection = connection
             attempt.on_first_data = prompt.read
             if request.model:
                 attempt.on_gap = record.note_gap
-            self._attempt = attempt
+            self._progress.attempt = attempt
             sent_s = self._loop.time()
             message = encode_forwarded(
                 request, context.names, record.instance.instance_id, route, deadline_s - sent_s
@@ -312,9 +281,9 @@
         finally:
             record.in_flight -= 1
             prompt.read()
-            if self._attempt is not None:
-                self._notice_silence(record, self._attempt)
-                self._attempt.connection = None
+            if self._progress.attempt is not None:
+                self._notice_silence(record, self._progress.attempt)
+                self._progress.attempt.connection = None
             if connection is not None:
                 context.pool.release(instance_id, connection, reusable)
 
@@ -385,67 +354,3 @@
         budget = self._context.budget(self._service)
         left = budget.left(self._loop.time(), self._context.gateways)
         return left >= 1.0 and not isinstance(self._choose(route), NoChoice)
-
-    # Answering.
-
-    def _closes(self) -> bool:
-        return self._context.is_stopping() or not self._request.keep_alive
-
-    def _conclude(self, end: AttemptEnd) -> None:
-        if end.result is Result.CUT:
-            self._log_refused("answer_cut", end.detail)
-            self._caller.abort()
-            return
-        if end.result is Result.FAILED:
-            self._refuse(ErrorKind.BACKEND_FAILED, f"the replica failed: {end.detail}")
-            return
-        close = self._closes()
-        if not end.relayed:
-            is_head = self._request.method == b"HEAD"
-            self._caller.write(encode_whole_answer(end, close, is_head))
-        self._log.finished(end.status, self._progress.sendings, self._attempt)
-        self._caller.finish(not close)
-
-    def _give_up(self, why: NoChoice) -> None:
-        if self._progress.may_have_run:
-            self._refuse(ErrorKind.BACKEND_FAILED, f"no replica is left to try: {why}")
-        elif why is NoChoice.NO_MODEL:
-            detail = "no replica holds the model yet"
-            waited_s = self._loop.time() - self._request.arrived_s
-            back_s = max(NO_MODEL_RETRY_S, self._load_s() + ORDER_S - waited_s)
-            self._refuse(ErrorKind.NO_REPLICA, detail, round(back_s, 1))
-        elif why is NoChoice.NO_REPLICA:
-            self._refuse(ErrorKind.NO_REPLICA, "the service has no replica", NO_MODEL_RETRY_S)
-        else:
-            detail = f"every replica is full: {self._progress.last}"
-            self._refuse(ErrorKind.OVERLOADED, detail, FULL_RETRY_S)
-
-    def _time_out(self) -> None:
-        if self._caller.is_closed or not self._caller.is_busy:
-            return
-        attempt = self._attempt
-        if attempt is not None and attempt.is_relaying:
-            self._log_refused(
-                ErrorKind.ANSWER_TRUNCATED, f"cut after {attempt.relayed_bytes} bytes"
-            )
-            self._caller.abort()
-            return
-        if self._progress.may_have_run:
-            self._refuse(ErrorKind.DEADLINE_EXCEEDED, "no answer in time")
-        else:
-            self._refuse(ErrorKind.OVERLOADED, "not sent in time", FULL_RETRY_S)
-
-    def _refuse(self, kind: ErrorKind, detail: str, retry_after_s: float | None = None) -> None:
-        self._log_refused(kind, detail)
-        names = self._context.names
-        close = self._closes()
-        problem = Problem(kind, detail)
-        answer = encode_problem(
-            problem, self._request.request_id, names.request_id, close, retry_after_s
-        )
-        self._caller.write(answer)
-        self._caller.finish(not close)
-
-    def _log_refused(self, kind: str, detail: str) -> None:
-        progress = self._progress
-        self._log.refused(kind, detail, progress.sendings, progress.may_have_run, self._attempt)
--- /dev/null
+++ b/src/crowsill/gateway/outcome.py
@@ -0,0 +1,110 @@
+"""How a request ends for its caller: a replica's answer, a refusal, or a break that shows as one.
+
+A refusal says "not run" only when that is known, and then when to come back.
+"""
+
+from crowsill.errors import ErrorKind, Problem
+from crowsill.gateway.answer import encode_problem
+from crowsill.gateway.attempt import Attempt, AttemptEnd, Result, encode_whole_answer
+from crowsill.gateway.caller_protocol import CallerConnection
+from crowsill.gateway.context import ExchangeContext
+from crowsill.gateway.exchange_log import ExchangeLog
+from crowsill.gateway.progress import Progress
+from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.selection import NoChoice
+
+# Time that an order takes beside the load, in seconds.
+ORDER_S = 0.2
+# When to come back where the model or the service has no replica, and where all are full.
+NO_MODEL_RETRY_S = 0.5
+FULL_RETRY_S = 0.3
+
+
+class Outcome:
+    """Ends one request."""
+
+    def __init__(
+        self,
+        context: ExchangeContext,
+        caller: CallerConnection,
+        request: CallerRequest,
+        progress: Progress,
+        log: ExchangeLog,
+    ) -> None:
+        self._context = context
+        self._caller = caller
+        self._request = request
+        self._progress = progress
+        self._log = log
+
+    def closes(self) -> bool:
+        """Whether the caller's connection ends with this answer."""
+        return self._context.is_stopping() or not self._request.keep_alive
+
+    def conclude(self, end: AttemptEnd) -> None:
+        """Pass on what the last attempt brought."""
+        if end.result is Result.CUT:
+            self._log_refused("answer_cut", end.detail)
+            self._caller.abort()
+            return
+        if end.result is Result.FAILED:
+            self.refuse(ErrorKind.BACKEND_FAILED, f"the replica failed: {end.detail}")
+            return
+        close = self.closes()
+        if not end.relayed:
+            is_head = self._request.method == b"HEAD"
+            self._caller.write(encode_whole_answer(end, close, is_head))
+        self._log.finished(end.status, self._progress.sendings, self._progress.attempt)
+        self._caller.finish(not close)
+
+    def give_up(self, why: NoChoice, waited_s: float, load_s: float) -> None:
+        """Refuse because no replica takes the request.
+
+        Args:
+            why: What was in the way last.
+            waited_s: Time since the request arrived.
+            load_s: Time that a load of its model takes.
+        """
+        if self._progress.may_have_run:
+            self.refuse(ErrorKind.BACKEND_FAILED, f"no replica is left to try: {why}")
+        elif why is NoChoice.NO_MODEL:
+            back_s = max(NO_MODEL_RETRY_S, load_s + ORDER_S - waited_s)
+            detail = "no replica holds the model yet"
+            self.refuse(ErrorKind.NO_REPLICA, detail, round(back_s, 1))
+        elif why is NoChoice.NO_REPLICA:
+            self.refuse(ErrorKind.NO_REPLICA, "the service has no replica", NO_MODEL_RETRY_S)
+        else:
+            detail = f"every replica is full: {self._progress.last}"
+            self.refuse(ErrorKind.OVERLOADED, detail, FULL_RETRY_S)
+
+    def time_out(self) -> None:
+        """End the request because its time, or that of the process, is over."""
+        if self._caller.is_closed or not self._caller.is_busy:
+            return
+        attempt: Attempt | None = self._progress.attempt
+        if attempt is not None and attempt.is_relaying:
+            self._log_refused(
+                ErrorKind.ANSWER_TRUNCATED, f"cut after {attempt.relayed_bytes} bytes"
+            )
+            self._caller.abort()
+            return
+        if self._progress.may_have_run:
+            self.refuse(ErrorKind.DEADLINE_EXCEEDED, "no answer in time")
+        else:
+            self.refuse(ErrorKind.OVERLOADED, "not sent in time", FULL_RETRY_S)
+
+    def refuse(self, kind: ErrorKind, detail: str, retry_after_s: float | None = None) -> None:
+        """Answer with an error of the closed list."""
+        self._log_refused(kind, detail)
+        names = self._context.names
+        close = self.closes()
+        problem = Problem(kind, detail)
+        answer = encode_problem(
+            problem, self._request.request_id, names.request_id, close, retry_after_s
+        )
+        self._caller.write(answer)
+        self._caller.finish(not close)
+
+    def _log_refused(self, kind: str, detail: str) -> None:
+        progress = self._progress
+        self._log.refused(kind, detail, progress.sendings, progress.may_have_run, progress.attempt)
--- /dev/null
+++ b/src/crowsill/gateway/progress.py
@@ -0,0 +1,49 @@
+"""What has been done for one request so far."""
+
+from dataclasses import dataclass, field
+
+from crowsill.gateway.attempt import Attempt
+from crowsill.gateway.replica_book import ReplicaRecord
+from crowsill.gateway.selection import NoChoice
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has been done for a request.
+
+    Attributes:
+        tried: Ids of instances that have had it.
+        sendings: How often it was sent.
+        runs: How often a replica ran it, or may have.
+        may_have_run: Whether "not run" may no longer be said.
+        last: Why the last sending brought nothing, for the refusal.
+        held_for: Why it was held last.
+        attempt: The present sending, or the last one.
+    """
+
+    tried: set[str] = field(default_factory=set)
+    sendings: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    last: str = ""
+    held_for: NoChoice | None = None
+    attempt: Attempt | None = None
+
+
+class PendingPrompt:
+    """A prompt that a replica has not read yet, counted until its first event or its end."""
+
+    def __init__(self, record: ReplicaRecord, tokens: int, sent_s: float) -> None:
+        self._record = record
+        self._tokens = tokens
+        self._is_counted = True
+        record.pending_prompt_tokens += tokens
+        record.unanswered_s[id(self)] = sent_s
+
+    def read(self) -> None:
+        """Count it no more."""
+        if not self._is_counted:
+            return
+        self._is_counted = False
+        self._record.pending_prompt_tokens -= self._tokens
+        del self._record.unanswered_s[id(self)]
