--- /dev/null
+++ b/src/crowsill/control/publisher.py
@@ -0,0 +1,102 @@
+"""What a control member tells its followers, and its log, of each command that it applies."""
+
+import asyncio
+
+from crowsill.control.subscribers import Subscribers
+from crowsill.events import Event
+from crowsill.logs import log_event
+from crowsill.metrics import DIRECTORY_VERSION, REVISION, ROUTES_VERSION
+from crowsill.model.configuration import ConfigurationDelta
+from crowsill.state.commands import (
+    Acknowledged,
+    ChangeConfiguration,
+    Command,
+    CommandResult,
+    ConfigurationDecision,
+    ConfigurationResult,
+    OfferModels,
+    PublishRoutes,
+    RecordBeat,
+    RemoveInstance,
+)
+from crowsill.state.machine import StateMachine
+
+
+class ChangePublisher:
+    """Pushes changes to the entries and gateways that follow one member."""
+
+    def __init__(self, machine: StateMachine, subscribers: Subscribers) -> None:
+        self._machine = machine
+        self._subscribers = subscribers
+        self._routes_are_due = False
+
+    def on_applied(self, command: Command, result: CommandResult) -> None:
+        """Publish what a command that was applied has changed."""
+        if isinstance(result, Acknowledged) and result.accepted:
+            self._publish_change(command)
+        if not isinstance(command, ChangeConfiguration):
+            return
+        if not isinstance(result, ConfigurationResult):
+            return
+        change = command.change
+        if result.decision is not ConfigurationDecision.ACCEPTED:
+            log_event(
+                Event.CONFIGURATION_REFUSED,
+                change=change.change_id,
+                decision=result.decision,
+                detail=result.detail,
+            )
+            return
+        REVISION.set(result.revision)
+        log_event(Event.CONFIGURATION_ACCEPTED, change=change.change_id, revision=result.revision)
+        self._subscribers.push_configuration(ConfigurationDelta(result.revision, change.content))
+
+    def _publish_change(self, command: Command) -> None:
+        """Tell gateways what a command changed for them."""
+        directory = self._machine.directory
+        match command:
+            case PublishRoutes():
+                version = command.document.version
+                size = len(command.document.content)
+                log_event(Event.ROUTES_PUBLISHED, version=version, bytes=size)
+                ROUTES_VERSION.set(version)
+                self._push_routes_soon()
+            case RecordBeat():
+                instance = command.beat.instance
+                log_event(
+                    Event.INSTANCE_RECORDED,
+                    replica=instance.instance_id,
+                    service=instance.service,
+                    address=instance.address,
+                    state=instance.state,
+                    models=",".join(held.name for held in instance.models),
+                    in_memory=",".join(instance.in_memory),
+                    on_disk=",".join(instance.on_disk),
+                    sequence=command.beat.sequence,
+                    directory=directory.version,
+                )
+            case RemoveInstance():
+                log_event(
+                    Event.INSTANCE_REMOVED,
+                    replica=command.instance_id,
+                    directory=directory.version,
+                )
+        if isinstance(command, PublishRoutes) or directory.last_change is None:
+            return
+        DIRECTORY_VERSION.set(directory.version)
+        if isinstance(command, RecordBeat | RemoveInstance | OfferModels):
+            self._subscribers.push_directory(directory.last_change)
+
+    def _push_routes_soon(self) -> None:
+        """Send the routes once for all versions that are applied in one go.
+
+        A member that starts again applies hundreds of them; gateways need the newest only.
+        """
+        if self._routes_are_due:
+            return
+        self._routes_are_due = True
+        asyncio.get_running_loop().call_soon(self._push_routes)
+
+    def _push_routes(self) -> None:
+        self._routes_are_due = False
+        self._subscribers.push_routes()
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -16,6 +16,7 @@
 from crowsill.consensus.messages import Envelope
 from crowsill.consensus.node import RaftNode
 from crowsill.consensus.types import MemberSetup, RaftConfig, Role, Snapshot
+from crowsill.control.abandonment import abandon_vanished
 from crowsill.control.bootstrap import agree_on_members, agree_with_seeds, first_state
 from crowsill.control.driver import ConsensusDriver
 from crowsill.control.engine_jobs import EngineJobPorts
@@ -26,32 +27,18 @@
 from crowsill.control.model_placer import ModelPlacer, ModelPlacerPorts, StoreLimits
 from crowsill.control.operations import Operations
 from crowsill.control.placement_controller import PlacementController, PlacementPorts
+from crowsill.control.publisher import ChangePublisher
 from crowsill.control.registrations import Registrations
 from crowsill.control.service import MemberService
 from crowsill.control.subscribers import Subscribers
 from crowsill.events import Event
 from crowsill.logs import log_event
-from crowsill.metrics import DIRECTORY_VERSION, REVISION, ROUTES_VERSION
-from crowsill.model.configuration import ConfigurationDelta
-from crowsill.model.fleet import FleetDelta, FleetView
+from crowsill.model.fleet import FleetView
 from crowsill.model.route_codec import unpack
 from crowsill.model.routes import RouteConfiguration
 from crowsill.placement.core import PlacementLimits
 from crowsill.platform_ports import PlatformPorts
 from crowsill.settings import ControlSettings, Settings
-from crowsill.state.commands import (
-    AbandonHolders,
-    Acknowledged,
-    ChangeConfiguration,
-    Command,
-    CommandResult,
-    ConfigurationDecision,
-    ConfigurationResult,
-    OfferModels,
-    PublishRoutes,
-    RecordBeat,
-    RemoveInstance,
-)
 from crowsill.state.machine import StateMachine
 from crowsill.storage.folder import DataFolder, open_data_folder
 from crowsill.storage.frames import DamagedFileError
@@ -65,8 +52,6 @@
 
 GROUP = "main"
 HAND_OVER_TIMEOUT_S = 1.5
-ABANDON_AFTER_S = 30.0
-ABANDON_CHECK_S = 1.0
 MEMBERS_POLL_S = 0.2
 
 
@@ -105,6 +90,7 @@
             self._machine.routes,
             self._machine.directory,
         )
+        self._publisher = ChangePublisher(self._machine, self._subscribers)
         self._joiner: Joiner | None = None
         self._links = MemberLinks(self._local, self._random, self._receive)
         self._tasks: list[asyncio.Task[None]] = []
@@ -117,7 +103,6 @@
         self._registrations: HttpServer | None = None
         self._engine_calls: EngineCalls | None = None
         self._routes: RouteConfiguration | None = None
-        self._routes_are_due = False
 
     def _recover(self) -> Result[RecoveredState, str]:
         try:
@@ -239,7 +224,7 @@
             applied_membership=membership,
             send=self._links.send,
             tick_s=self._control.tick_s,
-            on_applied=self._on_applied,
+            on_applied=self._publisher.on_applied,
             on_role=self._on_role,
             on_restored=self._subscribers.push_everything,
         )
@@ -261,76 +246,6 @@
             self._links.follow(driver.node.membership.members)
             await asyncio.sleep(MEMBERS_POLL_S)
 
-    def _on_applied(self, command: Command, result: CommandResult) -> None:
-        if isinstance(result, Acknowledged) and result.accepted:
-            self._publish_change(command)
-        if not isinstance(command, ChangeConfiguration):
-            return
-        if not isinstance(result, ConfigurationResult):
-            return
-        change = command.change
-        if result.decision is not ConfigurationDecision.ACCEPTED:
-            log_event(
-                Event.CONFIGURATION_REFUSED,
-                change=change.change_id,
-                decision=result.decision,
-                detail=result.detail,
-            )
-            return
-        REVISION.set(result.revision)
-        log_event(Event.CONFIGURATION_ACCEPTED, change=change.change_id, revision=result.revision)
-        self._subscribers.push_configuration(ConfigurationDelta(result.revision, change.content))
-
-    def _publish_change(self, command: Command) -> None:
-        """Tell gateways what a command changed for them."""
-        directory = self._machine.directory
-        match command:
-            case PublishRoutes():
-                version = command.document.version
-                size = len(command.document.content)
-                log_event(Event.ROUTES_PUBLISHED, version=version, bytes=size)
-                ROUTES_VERSION.set(version)
-                self._push_routes_soon()
-            case RecordBeat():
-                instance = command.beat.instance
-                log_event(
-                    Event.INSTANCE_RECORDED,
-                    replica=instance.instance_id,
-                    service=instance.service,
-                    address=instance.address,
-                    state=instance.state,
-                    models=",".join(held.name for held in instance.models),
-                    in_memory=",".join(instance.in_memory),
-                    on_disk=",".join(instance.on_disk),
-                    sequence=command.beat.sequence,
-                    directory=directory.version,
-                )
-            case RemoveInstance():
-                log_event(
-                    Event.INSTANCE_REMOVED,
-                    replica=command.instance_id,
-                    directory=directory.version,
-                )
-        if isinstance(command, PublishRoutes) or directory.last_change is None:
-            return
-        DIRECTORY_VERSION.set(directory.version)
-        if isinstance(command, RecordBeat | RemoveInstance | OfferModels):
-            self._subscribers.push_directory(directory.last_change)
-
-    def _push_routes_soon(self) -> None:
-        """Send the routes once for all versions that are applied in one go.
-
-        A member that starts again applies hundreds of them; gateways need the newest only.
-        """
-        if self._routes_are_due:
-            return
-        self._routes_are_due = True
-        asyncio.get_running_loop().call_soon(self._push_routes)
-
-    def _push_routes(self) -> None:
-        self._routes_are_due = False
-        self._subscribers.push_routes()
-
     def _on_role(self, role: Role) -> None:
         for task in self._leading:
             task.cancel()
@@ -389,7 +304,7 @@
     ) -> None:
         """Observe the polled back ends and place models on them."""
         term = driver.node.term
-        observer = FleetObserver(backends, backends, self._fleet, self._publish_fleet)
+        observer = FleetObserver(backends, backends, self._fleet, self._subscribers.push_fleet)
         ports = PlacementPorts(
             machine=self._machine,
             fleet=self._fleet,
@@ -409,31 +324,9 @@
         self._leading += [
             asyncio.create_task(observer.run(term)),
             asyncio.create_task(placement.run()),
-            asyncio.create_task(self._abandon_vanished(service, driver)),
+            asyncio.create_task(abandon_vanished(service, self._machine, driver)),
         ]
 
-    def _publish_fleet(self, delta: FleetDelta) -> None:
-        self._subscribers.push_fleet(delta)
-
-    async def _abandon_vanished(self, service: MemberService, driver: ConsensusDriver) -> None:
-        """Declare the open claims of entries unheard of for long to be of unknown outcome."""
-        last_seen_s: dict[str, float] = {}
-        while True:
-            await asyncio.sleep(ABANDON_CHECK_S)
-            now_s = monotonic_s()
-            live = {status.incarnation for status in service.live_entries.live(now_s)}
-            holders = self._machine.claims.open_holders()
-            last_seen_s = {
-                holder: now_s if holder in live else last_seen_s.get(holder, now_s)
-                for holder in holders
-            }
-            vanished = [
-                holder for holder, seen_s in last_seen_s.items() if now_s - seen_s > ABANDON_AFTER_S
-            ]
-            if vanished:
-                log_event(Event.CLAIM_ABANDONED, holders=",".join(vanished))
-                await driver.submit(AbandonHolders(vanished, 0.0))
-
     async def drain(self) -> None:
         """Stop by plan: give leadership away."""
         if self._service is not None and self._service.driver is not None:
