--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -214,3 +214,30 @@
     def leave(self):
         with contextlib.suppress(OSError):
             self.writer.transport.abort()
+
+
+# A caller that comes back has less time left than the route gives.
+LATER = "crowsill-deadline-ms: 2500"
+
+
+async def good(headers, writer, _number):
+    writer.write(answer(headers[ID]))
+    return True
+
+
+async def not_run(headers, writer, _number):
+    writer.write(answer(headers[ID], b"", "503 Full", f"{NOT_RUN}: 1"))
+    return True
+
+
+async def closes(_headers, _writer, _number):
+    return False
+
+
+async def silent(_headers, _writer, _number):
+    await asyncio.sleep(30)
+    return False
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 30))
