Log what a gateway awaits, writes that do not end and pauses of a member

Cause: nothing in the logs told apart a member that lags, a leader that is busy and a slow stream. Change: E409 when what one heartbeat confirmed has not come by the next, E314 when a write to the disk takes over 0.3 s, E313 when a member's event loop did not run for that long.

--- a/src/crowsill/control/driver.py
+++ b/src/crowsill/control/driver.py
@@ -31,6 +31,10 @@
 SNAPSHOT_KEPT_ENTRIES = 500
 MAX_BATCH_COMMANDS = 512
 SAVE_RETRY_S = 0.1
+# A write that takes this long, and a pause of the event loop this long, are logged: a member that
+# is silent for an election timeout (0.5 s) loses its lease.
+SLOW_SAVE_S = 0.3
+STALL_S = 0.3
 
 Answer = Submitted | NotLeader | Undecided
 
@@ -161,8 +165,12 @@
 
     async def _tick(self) -> None:
         while True:
+            slept_s = monotonic_s()
             await asyncio.sleep(self._tick_s)
-            self.node.tick(monotonic_s())
+            now_s = monotonic_s()
+            if now_s - slept_s > self._tick_s + STALL_S:
+                log_event(Event.MEMBER_STALLED, seconds=round(now_s - slept_s, 2), role=self._role)
+            self.node.tick(now_s)
             self._wake.set()
 
     async def _process(self) -> None:
@@ -209,8 +217,12 @@
         """
         loop = asyncio.get_running_loop()
         while True:
+            saving = loop.run_in_executor(self._executor, self._journal.save, ready)
+            _, unfinished = await asyncio.wait([saving], timeout=SLOW_SAVE_S)
+            if unfinished:
+                log_event(Event.STORAGE_SLOW, seconds=SLOW_SAVE_S, applied=self.applied_index)
             try:
-                await loop.run_in_executor(self._executor, self._journal.save, ready)
+                await saving
                 return
             except OSError as error:
                 log_event(Event.STORAGE_FAILED, error=error)
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -63,6 +63,13 @@
         312, "INFO", "A control process without a disk found the leader."
     )
 
+    MEMBER_STALLED = EventDefinition(
+        313, "WARNING", "This control member did not run for a while, and told nobody anything."
+    )
+    STORAGE_SLOW = EventDefinition(
+        314, "WARNING", "A write to the disk has not ended; nothing is applied meanwhile."
+    )
+
     CONFIGURATION_ACCEPTED = EventDefinition(400, "INFO", "A configuration change was committed.")
     CONFIGURATION_REFUSED = EventDefinition(401, "INFO", "A configuration change was refused.")
     CONFIGURATION_ADOPTED = EventDefinition(402, "INFO", "This entry serves a new revision.")
@@ -74,6 +81,10 @@
     SETTINGS_RELOADED = EventDefinition(407, "INFO", "The settings file was read again.")
     SETTINGS_REFUSED = EventDefinition(408, "ERROR", "Changed settings are unusable; kept as were.")
 
+    ROUTES_AWAITED = EventDefinition(
+        409, "WARNING", "This gateway lacks routes or replicas that its control member confirmed."
+    )
+
     FLEET_CHANGED = EventDefinition(500, "INFO", "A replica appeared, changed state or left.")
     PLACEMENT_DECIDED = EventDefinition(501, "INFO", "A load or unload was decided, and why.")
     ORDER_SETTLED = EventDefinition(502, "INFO", "An engine confirmed or refused an order.")
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -169,10 +169,23 @@
             return False
         if reply.members:
             self._members = [parse_address(member) for member in reply.members]
+        if self._awaited is not None:
+            self._log_awaited(connection, self._awaited)
         self._awaited = reply
         self._prove_current()
         return True
 
+    def _log_awaited(self, connection: Connection, awaited: Currency) -> None:
+        """Log that what one heartbeat confirmed had not come by the next one."""
+        log_event(
+            Event.ROUTES_AWAITED,
+            member=connection.peer.node,
+            routes=self.routes_version,
+            confirmed_routes=awaited.routes_version,
+            directory=self.book.version,
+            confirmed_directory=awaited.directory_version,
+        )
+
     def _prove_current(self) -> None:
         """Say so once everything that the group confirmed last has come."""
         awaited = self._awaited
--- /dev/null
+++ b/tests/control_group.py
@@ -0,0 +1,129 @@
+"""Control members in one process, with disks that can be made to hang, for tests of the roles."""
+
+import asyncio
+import threading
+from random import Random
+
+from crowsill.control.role import open_control_role
+from crowsill.gateway.follower import GatewayFollower, GatewayHooks
+from crowsill.gateway.replica_book import ReplicaBook
+from crowsill.model.route_codec import pack
+from crowsill.platform_ports import PlatformPorts
+from crowsill.settings import Address, ControlSettings, Settings
+from crowsill.state.commands import PublishRoutes
+from crowsill.transport.messages import SubmitCommand, Submitted
+from crowsill.transport.stream import LocalIdentity
+from tests.platform_site import free_ports
+
+KEY = b"k" * 32
+
+
+class HangingDisk:
+    """Lets the writes of one journal through, or none."""
+
+    def __init__(self, journal):
+        self._save = journal.save
+        self._goes_on = threading.Event()
+        self._goes_on.set()
+        journal.save = self._save_when_it_goes_on
+
+    def _save_when_it_goes_on(self, ready):
+        self._goes_on.wait()
+        self._save(ready)
+
+    def hang(self):
+        self._goes_on.clear()
+
+    def go_on(self):
+        self._goes_on.set()
+
+
+class ControlGroup:
+    """A group formed from seeds."""
+
+    def __init__(self, folder, size=3):
+        self.addresses = [Address("127.0.0.1", port) for port in free_ports(size)]
+        self.roles = []
+        for number, address in enumerate(self.addresses):
+            control = ControlSettings(
+                data_folder=str(folder / f"m{number}"),
+                listen=address,
+                seeds=self.addresses,
+                bootstrap=True,
+                tolerated_losses=1,
+            )
+            settings = Settings(f"m{number}", "z", control=control)
+            role = open_control_role(settings, control, KEY, PlatformPorts()).unwrap()
+            self.roles.append(role)
+        self.disks = [HangingDisk(role._journal) for role in self.roles]
+
+    async def start(self):
+        for role in self.roles:
+            await role.start()
+        await until(lambda: any(self._leads(role) for role in self.roles))
+
+    def _leads(self, role):
+        service = role._service
+        return service is not None and service.driver is not None and service.driver.is_leader
+
+    def follower_number(self):
+        """Return the number of a member that does not lead."""
+        return next(number for number, role in enumerate(self.roles) if not self._leads(role))
+
+    async def publish(self, version):
+        """Have a version of the routes committed."""
+        command = SubmitCommand(PublishRoutes(pack(version, b"routes")))
+
+        async def committed():
+            for role, disk in zip(self.roles, self.disks, strict=True):
+                if self._leads(role) and disk._goes_on.is_set():
+                    reply = await role._service.submit_anywhere(command)
+                    if isinstance(reply, Submitted):
+                        return True
+            return False
+
+        await until_done(committed)
+
+    async def stop(self):
+        for disk in self.disks:
+            disk.go_on()
+        for role in self.roles:
+            await role.stop()
+
+
+class FollowingGateway:
+    """What keeps a gateway up to date, first at one given member."""
+
+    def __init__(self, first):
+        self.current = 0
+        hooks = GatewayHooks(lambda document: None, lambda ended: None, self._on_current)
+        local = LocalIdentity("g1", "g1.1", "z", KEY)
+        self.follower = GatewayFollower(local, [first], ReplicaBook(), hooks, Random(1))
+        self._task = None
+
+    def _on_current(self, gateways):
+        self.current += 1
+
+    async def start(self):
+        self._task = asyncio.create_task(self.follower.run())
+        await until(lambda: self.current > 0)
+
+    async def stop(self):
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+
+async def until(holds, within_s=10.0):
+    """Wait until a condition holds."""
+
+    async def done():
+        return holds()
+
+    await until_done(done, within_s)
+
+
+async def until_done(wanted, within_s=10.0):
+    """Wait until an awaitable condition holds."""
+    async with asyncio.timeout(within_s):
+        while not await wanted():
+            await asyncio.sleep(0.02)
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 from crowsill.gateway.follower import GatewayFollower, GatewayHooks
 from crowsill.gateway.replica_book import ReplicaBook
+from crowsill.logs import configure_logs
 from crowsill.model.instances import Instance
 from crowsill.state.directory import DirectoryChange
 from crowsill.state.route_store import RouteDocument
@@ -17,6 +19,7 @@
 
     def __init__(self, routes_version, directory_version):
         self.currency = Currency(0, 3, [], routes_version, directory_version)
+        self.peer = SimpleNamespace(node="m1")
 
     async def request(self, _heartbeat, _timeout_s):
         return self.currency
@@ -71,3 +74,19 @@
         assert current == []
 
     asyncio.run(scenario())
+
+
+def test_what_was_confirmed_and_has_not_come_by_the_next_heartbeat_is_logged():
+    lines = []
+    configure_logs("g1", "INFO", lines.append)
+
+    async def scenario():
+        here = follower([])
+        member = ConfirmingMember(7, 3)
+        await here._heartbeat(member)
+        here._on_push(None, routes(7))
+        assert lines == []
+        await here._heartbeat(member)
+
+    asyncio.run(scenario())
+    assert "E409 routes_awaited member=m1 routes=7 confirmed_routes=7 directory=0" in lines[0]
--- /dev/null
+++ b/tests/test_member_sight.py
@@ -0,0 +1,40 @@
+"""What a control member's log tells of a disk that hangs and of a process that does not run."""
+
+import asyncio
+import time
+
+from crowsill.logs import configure_logs
+from tests.control_group import ControlGroup, until
+
+
+def run_with_group(folder, scenario):
+    """Run a scenario with a group and the log lines of all its members."""
+
+    async def run():
+        lines = []
+        group = ControlGroup(folder)
+        await group.start()
+        configure_logs("test", "INFO", lines.append)
+        try:
+            await scenario(group, lines)
+        finally:
+            await group.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_a_write_that_does_not_end_is_logged(tmp_path):
+    async def scenario(group, lines):
+        group.disks[group.follower_number()].hang()
+        await group.publish(1)
+        await until(lambda: any(" E314 storage_slow " in line for line in lines))
+
+    run_with_group(tmp_path, scenario)
+
+
+def test_a_pause_of_a_members_event_loop_is_logged(tmp_path):
+    async def scenario(_group, lines):
+        time.sleep(0.5)  # noqa: ASYNC251
+        await until(lambda: any(" E313 member_stalled " in line for line in lines))
+
+    run_with_group(tmp_path, scenario)
