A follower turns to the next leader at once

Cause: who leads was looked at between two questions to the leader only. Change: it is looked at every 50 ms beside the questions; the stream to a leader that is lost is closed, so that what was asked of it fails and is asked of the next. Result: the test that was red passes.

--- a/src/crowsill/control/leader_link.py
+++ b/src/crowsill/control/leader_link.py
@@ -12,6 +12,8 @@
 
 REFRESH_S = 0.5
 RETRY_S = 0.05
+# As often as the consensus core ticks: what it learns of the leader is seen at its next step.
+WATCH_S = 0.05
 
 
 class LeaderLink:
@@ -58,14 +60,23 @@
             return
         reader = asyncio.create_task(connection.run())
         self._service.leader_stream = connection
+        refreshing = asyncio.create_task(self._refresh())
         try:
+            # Looked at beside the questions, not between them: a question to a leader that is lost
+            # without a word lasts until its time-out, and all that followers ask waits behind it.
             while not connection.is_closed and self._still_leads(address):
-                await self._service.refresh_from_leader()
-                await asyncio.sleep(REFRESH_S)
+                await asyncio.sleep(WATCH_S)
         finally:
             self._service.leader_stream = None
+            refreshing.cancel()
             connection.close()
-            await asyncio.wait([reader])
+            await asyncio.wait([reader, refreshing])
+
+    async def _refresh(self) -> None:
+        """Ask the leader again and again, so that fleet and demand stay up to date."""
+        while True:
+            await self._service.refresh_from_leader()
+            await asyncio.sleep(REFRESH_S)
 
     def _still_leads(self, address: str) -> bool:
         driver = self._service.driver
