--- a/src/crowsill_lab/relay.py
+++ b/src/crowsill_lab/relay.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import struct
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -75,3 +77,67 @@
         """Stop listening."""
         for server in self._servers:
             server.close()
+
+
+@dataclass(slots=True)
+class _Relayed:
+    """One relayed connection; what goes in a silent direction is swallowed."""
+
+    to_target_is_silent: bool = False
+    to_caller_is_silent: bool = False
+
+
+class SilencingRelay:
+    """Relays connections to one target; those that are open can go silent for good.
+
+    Nothing is closed and bytes are taken as before, so that only an answer that fails to come shows
+    it. New connections work.
+    """
+
+    def __init__(self) -> None:
+        self._open: list[_Relayed] = []
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, port: int, target_port: int) -> None:
+        """Relay a loopback port to another one."""
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                onward = await asyncio.open_connection("127.0.0.1", target_port)
+            except OSError:
+                writer.close()
+                return
+            relayed = _Relayed()
+            self._open.append(relayed)
+            await asyncio.gather(
+                _swallowing_pump(reader, onward[1], lambda: relayed.to_target_is_silent),
+                _swallowing_pump(onward[0], writer, lambda: relayed.to_caller_is_silent),
+            )
+            self._open.remove(relayed)
+
+        self._server = await asyncio.start_server(accept, "127.0.0.1", port)
+
+    def silence(self, to_target: bool, to_caller: bool) -> None:
+        """Silence all connections that are open, in one direction or both."""
+        for relayed in self._open:
+            relayed.to_target_is_silent = to_target
+            relayed.to_caller_is_silent = to_caller
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+
+async def _swallowing_pump(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_silent: Callable[[], bool]
+) -> None:
+    try:
+        while data := await reader.read(CHUNK_BYTES):
+            if not is_silent():
+                writer.write(data)
+                await writer.drain()
+    except OSError:
+        pass
+    finally:
+        writer.close()
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -9,10 +9,11 @@
 from crowsill.gateway.replica_book import ReplicaBook
 from crowsill.model.route_codec import pack
 from crowsill.platform_ports import PlatformPorts
-from crowsill.settings import Address, ControlSettings, Settings
+from crowsill.settings import Address, ControlSettings, PeerSettings, Settings
 from crowsill.state.commands import PublishRoutes
 from crowsill.transport.messages import SubmitCommand, Submitted
 from crowsill.transport.stream import LocalIdentity
+from crowsill_lab.relay import SilencingRelay
 from tests.platform_site import free_ports
 
 KEY = b"k" * 32
@@ -39,18 +40,25 @@
 
 
 class ControlGroup:
-    """A group formed from seeds."""
+    """Three members; each is reached through a relay whose connections can go silent.
+
+    Attributes:
+        addresses: Where others reach the members.
+    """
 
     def __init__(self, folder, size=3):
-        self.addresses = [Address("127.0.0.1", port) for port in free_ports(size)]
+        ports = free_ports(2 * size)
+        self._listen = [Address("127.0.0.1", port) for port in ports[:size]]
+        self.addresses = [Address("127.0.0.1", port) for port in ports[size:]]
+        self.relays = [SilencingRelay() for _ in ports[:size]]
+        peers = [
+            PeerSettings(f"m{number}", address.host, address.port)
+            for number, address in enumerate(self.addresses)
+        ]
         self.roles = []
-        for number, address in enumerate(self.addresses):
+        for number, address in enumerate(self._listen):
             control = ControlSettings(
-                data_folder=str(folder / f"m{number}"),
-                listen=address,
-                seeds=self.addresses,
-                bootstrap=True,
-                tolerated_losses=1,
+                data_folder=str(folder / f"m{number}"), listen=address, initial_members=peers
             )
             settings = Settings(f"m{number}", "z", control=control)
             role = open_control_role(settings, control, KEY, PlatformPorts()).unwrap()
@@ -58,6 +66,8 @@
         self.disks = [HangingDisk(role._journal) for role in self.roles]
 
     async def start(self):
+        for relay, address, target in zip(self.relays, self.addresses, self._listen, strict=True):
+            await relay.listen(address.port, target.port)
         for role in self.roles:
             await role.start()
         await until(lambda: any(self._leads(role) for role in self.roles))
@@ -89,6 +99,8 @@
             disk.go_on()
         for role in self.roles:
             await role.stop()
+        for relay in self.relays:
+            relay.close()
 
 
 class FollowingGateway:
