Members probe the streams between them; a silent stream to the leader is replaced

Cause: what members send one another is not answered on the same stream, so that one that swallows everything was kept for good; a question to the leader that got no answer left its stream in use. Change: a ping each 0.5 s, the stream is closed after 0.8 s without its answer; a stream on which the leader did not answer is closed.

--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -29,6 +29,8 @@
     MemberBlank,
     MembersRequest,
     NotLeader,
+    Ping,
+    Pong,
     SeenInstances,
     SubmitCommand,
     SuspectInstances,
@@ -109,8 +111,8 @@
 
     async def on_request(self, connection: Connection, body: Body) -> Body:
         """Answer a request."""
-        if isinstance(body, BlankCheck):
-            return MemberBlank(self._local.identity, self._is_blank())
+        if isinstance(body, Ping | BlankCheck):
+            return self._answer_for_itself(body)
         driver = self.driver
         if driver is None:
             return NotLeader(None)
@@ -122,6 +124,12 @@
             return await self._on_heartbeat(connection, body, driver)
         return NotLeader(driver.leader_address())
 
+    def _answer_for_itself(self, question: Ping | BlankCheck) -> Pong | MemberBlank:
+        """Answer what needs no group."""
+        if isinstance(question, Ping):
+            return Pong()
+        return MemberBlank(self._local.identity, self._is_blank())
+
     async def answer_as_leader(
         self, request: SubmitCommand | MembersRequest, driver: ConsensusDriver
     ) -> Body:
@@ -314,7 +322,9 @@
         try:
             reply = await stream.request(heartbeat, LEADER_REPLY_TIMEOUT_S)
         except ConnectionLostError:
-            # Demand that did not arrive is dropped: later it would seem to have come at once.
+            # Demand that did not arrive is dropped: later it would seem to have come at once. The
+            # stream may have gone silent for good: the next question goes out on a new one.
+            stream.close()
             return None
         return reply if isinstance(reply, Currency) else None
 
--- a/src/crowsill/transport/member_links.py
+++ b/src/crowsill/transport/member_links.py
@@ -9,13 +9,18 @@
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.transport.backoff import Backoff
-from crowsill.transport.connection import Connection, open_connection
-from crowsill.transport.messages import Body, ConsensusTraffic
+from crowsill.transport.connection import Connection, ConnectionLostError, open_connection
+from crowsill.transport.messages import Body, ConsensusTraffic, Ping
 from crowsill.transport.stream import LocalIdentity, ProtocolError
 
 FIRST_RETRY_S = 0.05
 # A member that comes back must be heard before an election ends without it.
 LARGEST_RETRY_S = 0.3
+# A stream may go silent for good without a reset while new ones work, and what members send on it
+# is not answered on it: without a question of its own nobody notices. With it a group whose streams
+# all went silent commits again after 1.5 s; without it not within 10 s.
+PROBE_S = 0.5
+PROBE_TIMEOUT_S = 0.8
 
 
 class MemberLinks:
@@ -83,9 +88,11 @@
             backoff.reset()
             self._connections[member.member_id] = connection
             log_event(Event.PEER_CONNECTED, member=member.name)
+            probing = asyncio.create_task(_probe(connection))
             try:
                 await connection.run()
             finally:
+                probing.cancel()
                 connection.close()
                 if self._connections.get(member.member_id) is connection:
                     del self._connections[member.member_id]
@@ -94,3 +101,14 @@
     def close(self) -> None:
         """Close all streams."""
         self.follow([])
+
+
+async def _probe(connection: Connection) -> None:
+    """Close a stream on which no answer comes, so that a new one is opened."""
+    while not connection.is_closed:
+        try:
+            await connection.request(Ping(), PROBE_TIMEOUT_S)
+        except ConnectionLostError:
+            connection.close()
+            return
+        await asyncio.sleep(PROBE_S)
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -103,6 +103,14 @@
     """The first member of a new group asks whether this one has ever stored anything."""
 
 
+class Ping(msgspec.Struct, frozen=True, tag="ping"):
+    """A member asks whether a stream still carries anything in both directions."""
+
+
+class Pong(msgspec.Struct, frozen=True, tag="pong"):
+    """The answer to `Ping`."""
+
+
 class MemberBlank(msgspec.Struct, frozen=True, tag="member-blank"):
     """The answer to `BlankCheck`.
 
@@ -300,6 +308,8 @@
     | SubmitCommand
     | Heartbeat
     | BlankCheck
+    | Ping
+    | Pong
     | MemberBlank
     | MembersRequest
     | MembersReport
