--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -90,15 +90,20 @@
         else:
             connection.discard()
 
-    def forget(self, instance_id: str) -> None:
-        """Close the idle connections of an instance that gets no more work."""
+    def close_idle(self, instance_id: str) -> None:
+        """Close the idle connections of an instance, so that the next request opens a new one."""
         pool = self._pools.get(instance_id)
         if pool is None:
             return
         for connection in pool.idle:
             connection.discard()
         pool.idle.clear()
-        if pool.in_use == 0:
+
+    def forget(self, instance_id: str) -> None:
+        """Close the idle connections of an instance that gets no more work."""
+        self.close_idle(instance_id)
+        pool = self._pools.get(instance_id)
+        if pool is not None and pool.in_use == 0:
             del self._pools[instance_id]
 
     async def sweep(self) -> None:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -221,6 +221,9 @@
         if record.is_unreachable:
             return
         record.is_unreachable = True
+        # Other connections to it are as old as the one that failed or said nothing: each would
+        # cost a request its deadline, and would pass for the proof that it can be reached.
+        self.pool.close_idle(record.instance.instance_id)
         self._follower.send_notice(SuspectInstances([record.instance.instance_id]))
         task = asyncio.create_task(self._try_again(record))
         self._retrying.add(task)
