A test of a second try no longer depends on which replica registered first

Cause: with both replicas idle the one that registered first is always chosen; where that was the sound one, the rejecting one was never tried and the test ran into its limit (once, beside load). Change: one request stays at the sound replica, so that the other is tried first.

--- a/tests/test_platform_closes.py
+++ b/tests/test_platform_closes.py
@@ -168,9 +168,12 @@
         till = WatchingReplica(site, 1, "till")
         rejecting = RejectingReplica(site, 2, "till")
         await ready_site(site, rejecting, till)
+        # With one request at the other replica, the one that rejects is tried first.
+        staying = await Caller(site, "/pay/x").send()
         while rejecting.rejected == 0:
             caller = await Caller(site, "/pay/x").send()
             await freed(site, till, caller)
+        await staying.close()
 
     run(scenario())
 
