A table of how callers fared, from the saved logs of gateways

Cause: whether a change serves callers better could be told from the outside only. Change: crowsill-lab tries: by route, first tries and later ones: in time, late, failed, left, refused at once or after a wait, how long, and what Retry-After said; a plot of the waits in vain.

--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -73,6 +73,17 @@
     raise typer.Exit(run_demo(deployment, seconds, seed, folder))
 
 
+@application.command()
+def tries(logs: list[Path]) -> None:
+    """Show from saved logs of gateways how callers fared, on first tries and on later ones."""
+    from crowsill_lab.report import plot, read_tries, table
+
+    texts = [path.read_text(encoding="utf-8", errors="replace") for path in logs]
+    found = read_tries(texts)
+    typer.echo(table(found))
+    typer.echo(plot(found))
+
+
 @application.command()
 def reference(folder: Path = Path("docs")) -> None:
     """Write the reference pages of errors and log events."""
--- /dev/null
+++ b/tests/test_tries_report.py
@@ -0,0 +1,29 @@
+"""The table of how callers fared, from saved logs."""
+
+from crowsill_lab.report import plot, read_tries, table
+
+AT = "2026-01-02T03:04:05.678Z INFO"
+FINISHED = f"{AT} E202 request_finished returned=False route=r1"
+REFUSED = f"{AT} E201 request_refused route=r1"
+LOG = f"""
+{FINISHED} request=a status=200 late=False ms=50 node=g
+{FINISHED} request=b status=200 late=True ms=900 node=g
+{FINISHED} request=c status=500 late=False ms=50 node=g
+{REFUSED} request=d may_have_run=False retry_after_s=2.1 returned=False ms=1
+{REFUSED} request=e may_have_run=False retry_after_s=2.3 returned=False ms=1500
+{REFUSED} request=f may_have_run=True retry_after_s= returned=True ms=1500
+{AT} E209 caller_left request=e
+a broken line
+"""
+
+
+def test_tries_are_counted_by_their_first_end():
+    found = read_tries([LOG])
+    lines = table(found).splitlines()
+    first = ["r1,", "first", "5", "0.200", "0.200", "0.200", "0.000", "0.200", "0.200"]
+    assert lines[1].split() == [*first, "1.50", "1.50", "2.30", "2.30"]
+    assert lines[2].split()[:3] == ["r1,", "later", "1"]
+
+
+def test_waits_in_vain_of_first_tries_are_plotted():
+    assert "up to  2.00 s      1 ########" in plot(read_tries([LOG]))
