--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -1,11 +1,12 @@
 """How a gateway follows the control group: routes, replicas, and what is current.
 
 It holds one stream to any control member, chosen at random. A heartbeat every
-`HEARTBEAT_S` carries what it has and the demand it saw; a member that cannot have the leader
-confirm what is current is left for another one at once.
+`HEARTBEAT_S` carries what it has and the demand it saw. A member that cannot have the leader
+confirm what is current, or lacks what is confirmed, is left for another one at once.
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -169,10 +170,26 @@
             return False
         if reply.members:
             self._members = [parse_address(member) for member in reply.members]
+        if self._awaited is not None:
+            # A stream keeps its order, so that what one reply confirmed has come before the next
+            # reply, however slow the link is. What has not come will not: ask another member.
+            self._log_awaited(connection, self._awaited)
+            return False
         self._awaited = reply
         self._prove_current()
         return True
 
+    def _log_awaited(self, connection: Connection, awaited: Currency) -> None:
+        """Log that what one heartbeat confirmed had not come by the next one."""
+        log_event(
+            Event.ROUTES_AWAITED,
+            member=connection.peer.node,
+            routes=self.routes_version,
+            confirmed_routes=awaited.routes_version,
+            directory=self.book.version,
+            confirmed_directory=awaited.directory_version,
+        )
+
     def _prove_current(self) -> None:
         """Say so once everything that the group confirmed last has come."""
         awaited = self._awaited
@@ -193,5 +210,7 @@
             self.routes_version = body.document.version
             self._hooks.on_routes(body.document)
         elif isinstance(body, DirectoryUpdate):
-            self._hooks.on_directory(self.book.adopt(body.change, body.whole))
+            # The clock of the event loop, by which requests are timed.
+            ended = self.book.adopt(body.change, body.whole, time.monotonic())
+            self._hooks.on_directory(ended)
         self._prove_current()
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -103,6 +103,14 @@
     """The first member of a new group asks whether this one has ever stored anything."""
 
 
+class Ping(msgspec.Struct, frozen=True, tag="ping"):
+    """A member asks whether a stream still carries anything in both directions."""
+
+
+class Pong(msgspec.Struct, frozen=True, tag="pong"):
+    """The answer to `Ping`."""
+
+
 class MemberBlank(msgspec.Struct, frozen=True, tag="member-blank"):
     """The answer to `BlankCheck`.
 
@@ -197,6 +205,10 @@
     leader: str | None
 
 
+class MemberBehind(msgspec.Struct, frozen=True, tag="member-behind"):
+    """This member lacks what the leader confirms as current: follow another one."""
+
+
 class Undecided(msgspec.Struct, frozen=True, tag="undecided"):
     """The command may or may not be committed: leadership was lost while it was pending."""
 
@@ -296,11 +308,14 @@
     | SubmitCommand
     | Heartbeat
     | BlankCheck
+    | Ping
+    | Pong
     | MemberBlank
     | MembersRequest
     | MembersReport
     | Submitted
     | NotLeader
+    | MemberBehind
     | Undecided
     | Currency
     | ConfigurationUpdate
