A fault soak with the real programs

Cause: overlapping faults were played with stand-ins of processes or one after the other only. Change: crowsill-lab soak: control members behind relays and gateways as processes of their own; signals, restarts, pauses, silent and reset connections, replicas replaced, versions published, in series that overlap, from a seed; callers keep their connections until the process is gone. Checked: own whole answers, at most once, not run, versions never older and in force in the calm after each burst, no work for a leaving replica, planned stops that cut nothing and end in time. Not in it: placement of models, disks that misbehave.

--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -84,6 +84,29 @@
     typer.echo(plot(found))
 
 
+@application.command()
+def soak(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    minutes: float = 0.5,
+    members: int = 3,
+    gateways: int = 3,
+    folder: Path = Path("soak-run"),
+) -> None:
+    """Run the real programs under faults from outside and check every promise, seed after seed."""
+    from crowsill_lab.soak.runner import SoakPlan, run_soak
+
+    broken = 0
+    for number in range(seed, seed + seeds):
+        plan = SoakPlan(number, minutes * 60.0, members, gateways, folder / str(number))
+        report = run_soak(plan)
+        typer.echo(report.text())
+        broken += bool(report.violations)
+    typer.echo(f"{seeds} seeds, {broken} with broken promises")
+    raise typer.Exit(1 if broken else 0)
+
+
 @application.command()
 def reference(folder: Path = Path("docs")) -> None:
     """Write the reference pages of errors and log events."""
--- a/src/crowsill_lab/relay.py
+++ b/src/crowsill_lab/relay.py
@@ -83,6 +83,7 @@
 class _Relayed:
     """One relayed connection; what goes in a silent direction is swallowed."""
 
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
     to_target_is_silent: bool = False
     to_caller_is_silent: bool = False
 
@@ -107,12 +108,16 @@
             except OSError:
                 writer.close()
                 return
-            relayed = _Relayed()
+            relayed = _Relayed((writer, onward[1]))
             self._open.append(relayed)
-            await asyncio.gather(
-                _swallowing_pump(reader, onward[1], lambda: relayed.to_target_is_silent),
-                _swallowing_pump(onward[0], writer, lambda: relayed.to_caller_is_silent),
-            )
+            try:
+                await asyncio.gather(
+                    _swallowing_pump(reader, onward[1], lambda: relayed.to_target_is_silent),
+                    _swallowing_pump(onward[0], writer, lambda: relayed.to_caller_is_silent),
+                )
+            except asyncio.CancelledError:
+                # The event loop ends.
+                writer.close()
             self._open.remove(relayed)
 
         self._server = await asyncio.start_server(accept, "127.0.0.1", port)
@@ -123,6 +128,12 @@
             relayed.to_target_is_silent = to_target
             relayed.to_caller_is_silent = to_caller
 
+    def reset(self) -> None:
+        """Break off all connections that are open."""
+        for relayed in self._open:
+            for writer in relayed.writers:
+                writer.transport.abort()
+
     def close(self) -> None:
         """Stop listening."""
         if self._server is not None:
--- /dev/null
+++ b/src/crowsill_lab/soak/faults.py
@@ -0,0 +1,158 @@
+"""Faults of a soak, in series that overlap: signals, restarts, silent and broken connections."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from crowsill_lab.demo.processes import ManagedProcess
+from crowsill_lab.soak.ledger import Ledger
+from crowsill_lab.soak.replica import SoakReplica
+from crowsill_lab.soak.site import GRACE_S, Gateway, Member, SoakSite
+
+LONGEST_GAP_S = 0.8
+LONGEST_DOWN_S = 1.5
+LONGEST_PAUSE_S = 2.0
+STOP_BOUND_S = GRACE_S + 2.0
+
+Fault = Callable[[], Awaitable[None]]
+
+
+class FaultInjector:
+    """Begins one fault after the other; at most one member at a time is down or paused.
+
+    Attributes:
+        done: What was done, in order.
+    """
+
+    def __init__(
+        self, site: SoakSite, replicas: list[SoakReplica], ledger: Ledger, random: Random
+    ) -> None:
+        self._site = site
+        self._replicas = replicas
+        self._ledger = ledger
+        self._random = random
+        self._member_lock = asyncio.Lock()
+        self._gateway_locks = {gateway.name: asyncio.Lock() for gateway in site.gateways}
+        self._running: set[asyncio.Task[None]] = set()
+        self._next_replica = len(replicas) + 1
+        self.done: list[str] = []
+
+    async def burst(self, seconds: float) -> None:
+        """Begin faults for a time, and wait until all have ended."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + seconds
+        while loop.time() < until_s:
+            task = asyncio.create_task(self._one())
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+            await asyncio.sleep(self._random.random() * LONGEST_GAP_S)
+        await asyncio.gather(*self._running)
+
+    async def _one(self) -> None:
+        random = self._random
+        member = random.choice(self._site.members)
+        gateway = random.choice(self._site.gateways)
+        faults: list[Fault] = [
+            lambda: self._kill_member(member),
+            lambda: self._pause_member(member),
+            lambda: self._stop_member(member),
+            lambda: self._silence(member),
+            lambda: self._reset(member),
+            lambda: self._kill_gateway(gateway),
+            lambda: self._pause_gateway(gateway),
+            lambda: self._stop_gateway(gateway),
+            lambda: self._hup(member, gateway),
+            self._replace_replica,
+        ]
+        await random.choice(faults)()
+
+    def _note(self, what: str) -> None:
+        self.done.append(what)
+
+    async def _kill_member(self, member: Member) -> None:
+        async with self._member_lock:
+            self._note(f"kill {member.name}")
+            await self._kill(member.process)
+
+    async def _pause_member(self, member: Member) -> None:
+        async with self._member_lock:
+            self._note(f"pause {member.name}")
+            await self._pause(member.process)
+
+    async def _stop_member(self, member: Member) -> None:
+        async with self._member_lock:
+            self._note(f"stop {member.name}")
+            await self._stop(member.process)
+
+    async def _silence(self, member: Member) -> None:
+        to_target, to_caller = self._random.choice([(True, False), (False, True), (True, True)])
+        self._note(f"silence {member.name} {to_target} {to_caller}")
+        member.relay.silence(to_target, to_caller)
+
+    async def _reset(self, member: Member) -> None:
+        self._note(f"reset {member.name}")
+        member.relay.reset()
+
+    async def _kill_gateway(self, gateway: Gateway) -> None:
+        async with self._gateway_locks[gateway.name]:
+            self._note(f"kill {gateway.name}")
+            gateway.cuts += 1
+            await self._kill(gateway.process)
+            gateway.cuts += 1
+            gateway.lives += 1
+
+    async def _pause_gateway(self, gateway: Gateway) -> None:
+        async with self._gateway_locks[gateway.name]:
+            self._note(f"pause {gateway.name}")
+            gateway.cuts += 1
+            await self._pause(gateway.process)
+            gateway.cuts += 1
+
+    async def _stop_gateway(self, gateway: Gateway) -> None:
+        async with self._gateway_locks[gateway.name]:
+            self._note(f"stop {gateway.name}")
+            await self._stop(gateway.process)
+            gateway.lives += 1
+
+    async def _hup(self, member: Member, gateway: Gateway) -> None:
+        self._note(f"hup {member.name} {gateway.name}")
+        for process in (member.process, gateway.process):
+            if process is not None:
+                process.send(signal.SIGHUP)
+
+    async def _replace_replica(self) -> None:
+        leaving = self._replicas.pop(0)
+        self._note(f"replace {leaving.instance_id}")
+        other = SoakReplica(self._next_replica, self._site, self._ledger, self._random)
+        self._next_replica += 1
+        await other.start()
+        self._replicas.append(other)
+        await asyncio.sleep(1.0)
+        await leaving.leave()
+
+    async def _kill(self, process: ManagedProcess | None) -> None:
+        if process is None:
+            return
+        process.send(signal.SIGKILL)
+        await asyncio.to_thread(process.wait)
+        await asyncio.sleep(self._random.random() * LONGEST_DOWN_S)
+        process.start()
+
+    async def _pause(self, process: ManagedProcess | None) -> None:
+        if process is None:
+            return
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(self._random.random() * LONGEST_PAUSE_S)
+        process.send(signal.SIGCONT)
+
+    async def _stop(self, process: ManagedProcess | None) -> None:
+        if process is None:
+            return
+        process.send(signal.SIGTERM)
+        if await asyncio.to_thread(process.wait, STOP_BOUND_S) is None:
+            self._ledger.broken(f"{process.name}: still there {STOP_BOUND_S} s after SIGTERM")
+            process.send(signal.SIGKILL)
+            await asyncio.to_thread(process.wait)
+        await asyncio.sleep(self._random.random() * LONGEST_DOWN_S)
+        process.start()
--- /dev/null
+++ b/src/crowsill_lab/soak/operator.py
@@ -0,0 +1,81 @@
+"""The operator of a soak: version after version of the routes, each with a route of its own."""
+
+import asyncio
+import time
+from random import Random
+
+import aiohttp
+import msgspec
+
+from crowsill.model.routes import (
+    CallerLimits,
+    Route,
+    RouteConfiguration,
+    RouteKind,
+    ServiceDefinition,
+    WeightedService,
+)
+from crowsill_lab.soak.ledger import Ledger
+from crowsill_lab.soak.replica import SERVICE
+from crowsill_lab.soak.site import HOST, SoakSite
+
+HOST_NAME = "shop.example"
+TIMEOUT_MS = 3000.0
+CALL_TIMEOUT_S = 1.0
+LONGEST_PAUSE_S = 1.5
+
+
+def routes_of(version: int) -> RouteConfiguration:
+    """Return a version: two routes that stay, and one that only this version has."""
+
+    def route(name: str, kind: RouteKind, attempts: int) -> Route:
+        share = [WeightedService(SERVICE, 1.0)]
+        return Route(name, HOST_NAME, f"/{name}/", kind, TIMEOUT_MS, share, max_attempts=attempts)
+
+    routes = [
+        route("once", RouteKind.AT_MOST_ONCE, 1),
+        route("safe", RouteKind.IDEMPOTENT, 2),
+        route(f"v{version}", RouteKind.AT_MOST_ONCE, 1),
+    ]
+    return RouteConfiguration(version, routes, [ServiceDefinition(SERVICE, 100)], CallerLimits())
+
+
+class Operator:
+    """Publishes versions until cancelled."""
+
+    def __init__(self, site: SoakSite, ledger: Ledger, random: Random) -> None:
+        self._site = site
+        self._ledger = ledger
+        self._random = random
+        self.acknowledged_s = 0.0
+
+    async def publish(self, version: int) -> None:
+        """Send a version to one member after the other until one acknowledges it."""
+        body = msgspec.json.encode(routes_of(version))
+        while not await self._send(body):
+            await asyncio.sleep(0.1)
+        self._ledger.acknowledged = version
+        self.acknowledged_s = time.monotonic()
+
+    async def _send(self, body: bytes) -> bool:
+        member = self._random.choice(self._site.members)
+        url = f"http://{HOST}:{member.registrations}/v1/routes"
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.put(url, data=body) as response,
+            ):
+                if 400 <= response.status < 500:
+                    self._ledger.broken(f"a valid version was refused: {response.status}")
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def run(self) -> None:
+        """Publish one version after the other."""
+        version = self._ledger.acknowledged
+        while True:
+            version += self._random.randint(1, 3)
+            await self.publish(version)
+            await asyncio.sleep(self._random.random() * LONGEST_PAUSE_S)
--- /dev/null
+++ b/src/crowsill_lab/soak/site.py
@@ -0,0 +1,121 @@
+"""The processes of a soak: control members behind relays, and gateways."""
+
+import json
+import signal
+from pathlib import Path
+
+from crowsill_lab.demo.processes import ManagedProcess, free_ports, module_command, wait_for_port
+from crowsill_lab.relay import SilencingRelay
+
+HOST = "127.0.0.1"
+GRACE_S = 3.0
+READINESS_LAG_S = 0.5
+START_TIMEOUT_S = 10.0
+
+
+def _address(port: int) -> str:
+    return f'{{ host = "{HOST}", port = {port} }}'
+
+
+class Member:
+    """A control member; others reach it through its relay.
+
+    Attributes:
+        registrations: Port for replicas and operators.
+    """
+
+    def __init__(self, number: int) -> None:
+        self.name = f"m{number}"
+        self.listen, self.peer, self.registrations = free_ports(3)
+        self.relay = SilencingRelay()
+        self.process: ManagedProcess | None = None
+
+    def settings(self, peers: list["Member"], folder: Path) -> str:
+        """Return the settings file's text."""
+        members = [
+            f'{{ name = "{peer.name}", host = "{HOST}", port = {peer.peer} }}' for peer in peers
+        ]
+        lines = [
+            f'node = "{self.name}"',
+            'zone = "z"',
+            "[control]",
+            f"data_folder = {json.dumps(str(folder / self.name))}",
+            f"listen = {_address(self.listen)}",
+            f"registrations = {_address(self.registrations)}",
+            f"initial_members = [{', '.join(members)}]",
+            "replica_heartbeat_s = 0.5",
+        ]
+        return "\n".join(lines) + "\n"
+
+
+class Gateway:
+    """A gateway.
+
+    Attributes:
+        callers: Port for callers.
+        lives: How often it was started.
+        cuts: Number of kills and pauses so far; a request that meets one may end without an answer.
+    """
+
+    def __init__(self, number: int) -> None:
+        self.name = f"g{number}"
+        self.callers, self.ready = free_ports(2)
+        self.process: ManagedProcess | None = None
+        self.lives = 0
+        self.cuts = 0
+
+    def settings(self, members: list[Member]) -> str:
+        """Return the settings file's text."""
+        seeds = ", ".join(_address(member.peer) for member in members)
+        lines = [
+            f'node = "{self.name}"',
+            'zone = "z"',
+            "[gateway]",
+            f"callers = {_address(self.callers)}",
+            f"ready = {_address(self.ready)}",
+            f"control_seeds = [{seeds}]",
+            f"grace_s = {GRACE_S}",
+            f"readiness_lag_s = {READINESS_LAG_S}",
+        ]
+        return "\n".join(lines) + "\n"
+
+
+class SoakSite:
+    """All processes of a soak."""
+
+    def __init__(self, folder: Path, members: int, gateways: int) -> None:
+        self._folder = folder
+        self.members = [Member(number) for number in range(members)]
+        self.gateways = [Gateway(number) for number in range(gateways)]
+
+    async def start(self) -> None:
+        """Start relays and processes."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        for member in self.members:
+            await member.relay.listen(member.peer, member.listen)
+            text = member.settings(self.members, self._folder)
+            member.process = self._start(member.name, text)
+        for gateway in self.gateways:
+            gateway.process = self._start(gateway.name, gateway.settings(self.members))
+            gateway.lives = 1
+        for member in self.members:
+            wait_for_port(member.registrations, START_TIMEOUT_S)
+
+    def _start(self, name: str, settings: str) -> ManagedProcess:
+        path = self._folder / f"{name}.toml"
+        path.write_text(settings, encoding="utf-8")
+        return ManagedProcess(name, module_command("crowsill.daemon", str(path)), self._folder)
+
+    def processes(self) -> list[ManagedProcess]:
+        """Return all processes that were started."""
+        found = [member.process for member in self.members]
+        found += [gateway.process for gateway in self.gateways]
+        return [process for process in found if process is not None]
+
+    def stop(self) -> None:
+        """End every process by its own id."""
+        for process in self.processes():
+            process.send(signal.SIGCONT)
+            process.end()
+        for member in self.members:
+            member.relay.close()
