--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,10 @@
 RUN := $(VENV)/bin
 MINUTES ?= 30
 SEED ?= random
+FIRST ?= 1
+SEEDS ?= 50
 
-.PHONY: setup demo test lint types unit model-check soak
+.PHONY: setup demo test lint types unit model-check soak fault-soak
 
 setup: $(VENV)/.ready
 
@@ -32,5 +34,8 @@
 model-check: setup
 	$(RUN)/python -m spec.check
 
+fault-soak: setup
+	$(RUN)/crowsill-lab soak --seed $(FIRST) --seeds $(SEEDS)
+
 soak: setup
 	$(RUN)/python -m tests.soak --minutes $(MINUTES) --seed $(SEED)
