--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -1,12 +1,15 @@
 """A gateway while replicas, models and its own process come and go."""
 
 import asyncio
+import socket
 
+from crowsill.gateway.caller_protocol import CallerConnection
 from crowsill.model.instances import ComingModel, HeldModel
 from tests.gateway_world import (
     ID,
     LATER,
     LOCAL,
+    Caller,
     answer,
     good,
     instance,
@@ -195,3 +198,21 @@
             assert b" 200 " in await ready()
 
     run(scenario())
+
+
+def test_a_connection_that_comes_up_as_the_process_ends_is_not_served():
+    # Found by a soak (seeds 34 and 37): a connection that was accepted as the listener closed came
+    # up when the last other one had ended. Its request was passed on and ran, and the process ended
+    # without its answer, 1 ms later.
+    async def scenario():
+        async with world(good) as here:
+            await here.role.drain()
+            ours, theirs = socket.socketpair()
+            loop = asyncio.get_running_loop()
+            await loop.connect_accepted_socket(lambda: CallerConnection(here.role), ours)
+            caller = Caller(*await asyncio.open_connection(sock=theirs))
+            caller.send("once")
+            assert await asyncio.wait_for(caller.reader.read(), 5) == b""
+            assert here._replicas[0].requests == []
+
+    run(scenario())
