--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -132,8 +132,11 @@
         """Place until cancelled."""
         try:
             while True:
+                # Not `wait_for`: it loses a cancellation that meets the end of what it waits for,
+                # and a placer that was cancelled then plans on for ever.
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._wake.wait(), PLAN_INTERVAL_S)
+                    async with asyncio.timeout(PLAN_INTERVAL_S):
+                        await self._wake.wait()
                 self._wake.clear()
                 self._count_demand()
                 if monotonic_s() >= self._starts_s and self._ports.engines.has_lease():
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -274,8 +274,11 @@
 
     async def changed(self, timeout_s: float) -> bool:
         """Wait for a change of the directory or the routes."""
+        # Not `wait_for`: it loses a cancellation that meets a change, and the request of a caller
+        # that left would go on.
         try:
-            await asyncio.wait_for(self._change.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._change.wait()
         except TimeoutError:
             return False
         return True
--- a/src/crowsill/transport/connection.py
+++ b/src/crowsill/transport/connection.py
@@ -110,7 +110,9 @@
         try:
             if not self._write(Frame(correlation, False, body)):
                 raise ConnectionLostError("stream closed")
-            return await asyncio.wait_for(future, timeout_s)
+            # Not `wait_for`: it loses a cancellation that meets the reply.
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError as error:
             raise ConnectionLostError("no reply in time") from error
         finally:
