Tests that show the lost cancellation

Change: it is replaced by 15 cases: placer, held request and question, each cancelled 0 to 4 steps of the event loop after what it waits for has come.

--- /dev/null
+++ b/tests/test_cancellation.py
@@ -0,0 +1,89 @@
+"""Tasks that are cancelled in the moment in which what they wait for comes.
+
+What happened: a run of all tests hung in a test of the placer, whose task had been cancelled and
+went on for ever. `asyncio.wait_for` of Python 3.11 returns the result, and loses the cancellation,
+where what it waits for has ended and its own task has not run since.
+"""
+
+import asyncio
+
+import pytest
+
+from crowsill.backends.engine_calls import OrderAnswer
+from crowsill.transport.connection import Connection
+from crowsill.transport.messages import Ping, Pong
+from tests.gateway_world import good, world
+from tests.test_model_placer import ScriptedEngines, World
+
+# Steps of the event loop between the end of the wait and the cancellation.
+STEPS = pytest.mark.parametrize("steps", range(5))
+
+
+async def ends_when_cancelled(task, end_of_wait, steps):
+    await asyncio.sleep(0.02)
+    end_of_wait()
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    task.cancel()
+    done, _ = await asyncio.wait([task], timeout=1.0)
+    return bool(done) and task.cancelled()
+
+
+@STEPS
+def test_a_placer_that_is_cancelled_as_it_is_woken_ends(steps):
+    async def body():
+        placer = World(ScriptedEngines(OrderAnswer.ACCEPTED)).placer
+        task = asyncio.create_task(placer.run())
+        return await ends_when_cancelled(task, placer._wake.set, steps)
+
+    assert asyncio.run(body())
+
+
+@STEPS
+def test_a_held_request_that_is_cancelled_as_something_changes_ends(steps):
+    async def body():
+        async with world(good) as here:
+
+            async def hold():
+                while True:
+                    await here.role.changed(5.0)
+
+            task = asyncio.create_task(hold())
+            return await ends_when_cancelled(task, here.role._wake, steps)
+
+    assert asyncio.run(body())
+
+
+class Swallowing:
+    """A writer that sends nothing."""
+
+    transport = None
+
+    def __init__(self):
+        self.transport = self
+
+    def is_closing(self):
+        return False
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def write(self, _data):
+        """Nothing goes out."""
+
+
+@STEPS
+def test_a_question_that_is_cancelled_as_its_reply_comes_ends(steps):
+    async def body():
+        connection = Connection(None, Swallowing(), None)
+
+        async def ask():
+            while True:
+                await connection.request(Ping(), 5.0)
+
+        def reply():
+            next(iter(connection._waiting.values())).set_result(Pong())
+
+        return await ends_when_cancelled(asyncio.create_task(ask()), reply, steps)
+
+    assert asyncio.run(body())
--- a/tests/test_model_placer.py
+++ b/tests/test_model_placer.py
@@ -251,21 +251,3 @@
     limits = EngineLimits(220.0, 4, 8, 1000, 1.4, with_adapters)
     world.routes = RouteConfiguration(1, [], [ServiceDefinition("s", 100, limits)], CallerLimits())
     play(world, script)
-
-
-def test_a_placer_that_is_cancelled_as_it_is_woken_ends():
-    # A run of all tests hung here: what waited for the wake-up lost a cancellation that came with
-    # it, and the placer planned on for ever.
-    async def body():
-        world = World(ScriptedEngines(OrderAnswer.ACCEPTED))
-        running = asyncio.create_task(world.placer.run())
-        await asyncio.sleep(0.01)
-        for _ in range(3):
-            world.placer._wake.set()
-            await asyncio.sleep(0)
-        world.placer._wake.set()
-        running.cancel()
-        done, _ = await asyncio.wait([running], timeout=2.0)
-        return bool(done)
-
-    assert asyncio.run(body())
