--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -55,6 +55,8 @@
         self.data = self.folder / "data"
         self.settings = self.folder / "boot.toml"
         self.log = self.folder / "log.txt"
+        # Machines that the settings name as seeds; None for the first ones of the site.
+        self.seeds = None
 
     @property
     def control(self):
@@ -67,7 +69,7 @@
     def write_settings(self, bootstrap, seeds=None):
         """Write the settings file as the platform would."""
         role = DEPLOY["roles"][self.role]
-        seeds = [machine.control for machine in seeds or self.site.core[:3]]
+        seeds = [machine.control for machine in seeds or self.seeds or self.site.core[:3]]
         listen = [f'control = "{self.control}"']
         if "front" in role["serves"]:
             ready = f"{self.ip}:{self.site.ready_port}"
