A leader tells where the group is to those that may know nobody who does

Cause: a process without a memory knows its seeds alone, and members wait to be asked; where all seeds are members that lost their disks or processes without one, nobody finds the group that stands. Change: the leader visits its seeds, silent members and every recorded control process that is out of touch; whoever cannot help passes on the members it knows; gateways, entries, joining members and processes without a disk keep what they are told beside their seeds (GroupContacts) and log it when nobody can tell them (E316, E317).

--- a/src/crowsill/control/joining.py
+++ b/src/crowsill/control/joining.py
@@ -8,7 +8,9 @@
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.settings import Address
-from crowsill.transport.messages import JoinReply, JoinRequest
+from crowsill.transport.group_contacts import GroupContacts
+from crowsill.transport.leader_client import parse_address
+from crowsill.transport.messages import JoinReply, JoinRequest, NotLeader
 from crowsill.transport.question import ask_leader
 from crowsill.transport.stream import LocalIdentity
 
@@ -18,18 +20,14 @@
 
 
 class Joiner:
-    """Keeps one member attached to the group.
-
-    Attributes:
-        seeds: Members to ask; may be replaced at any time.
-    """
+    """Keeps one member attached to the group."""
 
     def __init__(
         self,
         node: RaftNode,
         local: LocalIdentity,
         own: Address,
-        seeds: list[Address],
+        contacts: GroupContacts,
         random: Random,
     ) -> None:
         """Make a joiner.
@@ -38,13 +36,13 @@
             node: The member.
             local: Its identity.
             own: Where other members reach it.
-            seeds: Members to ask.
-            random: Source of the order.
+            contacts: Whom to ask beside the members that its log names.
+            random: Source of the pauses between questions.
         """
         self._node = node
         self._local = local
         self._own = own
-        self.seeds = seeds
+        self._contacts = contacts
         self._random = random
 
     def _is_attached(self) -> bool:
@@ -55,24 +53,29 @@
         return node.leader_id is not None and heard_s < ATTACHED_WITHIN_S
 
     def _targets(self) -> list[Address]:
-        known = [Address(item.host, item.port) for item in self._node.membership.members]
-        targets = [item for item in dict.fromkeys([*self.seeds, *known]) if item != self._own]
-        self._random.shuffle(targets)
-        return targets
+        self._contacts.learn(
+            [Address(item.host, item.port) for item in self._node.membership.members]
+        )
+        return [item for item in self._contacts.targets() if item != self._own]
 
     async def run(self) -> None:
         """Ask whenever no leader is heard, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_S * (0.5 + self._random.random()))
             if self._is_attached():
+                self._contacts.found()
                 continue
             for target in self._targets():
                 if await self._ask(target):
                     break
+            else:
+                self._contacts.missed(monotonic_s())
 
     async def _ask(self, target: Address) -> bool:
         request = JoinRequest(self._local.identity, self._own.host, self._own.port)
         _, reply = await ask_leader(target, request, self._local, REPLY_TIMEOUT_S)
+        if isinstance(reply, NotLeader):
+            self._contacts.refer([parse_address(member) for member in reply.members])
         if not isinstance(reply, JoinReply) or not reply.accepted:
             return False
         log_event(Event.JOIN_ASKED, accepted=True, identity=self._local.identity)
--- a/src/crowsill/control/members.py
+++ b/src/crowsill/control/members.py
@@ -14,7 +14,7 @@
 )
 from crowsill.control.bootstrap import ask_if_blank
 from crowsill.control.driver import ConsensusDriver
-from crowsill.settings import PeerSettings
+from crowsill.settings import Address, PeerSettings
 from crowsill.transport.messages import (
     JoinReply,
     JoinRequest,
@@ -133,6 +133,15 @@
         learner = Member(request.identity, name, request.host, request.port, False, replaces)
         return JoinReply(self._driver.propose_membership(membership.with_member(learner)))
 
+    def silent_addresses(self) -> list[Address]:
+        """Return the addresses of members that are not heard, former ones of blank members too."""
+        silent_s = self._health().silent_s
+        return [
+            Address(member.host, member.port)
+            for member in self._driver.node.membership.members
+            if silent_s.get(member.member_id, 0.0) > ALIVE_WITHIN_S
+        ]
+
     def is_full(self) -> bool:
         """Whether the group has all the voters that it is to have, and they are there."""
         if self._repair is None:
--- a/src/crowsill/control/redirector.py
+++ b/src/crowsill/control/redirector.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import secrets
 from random import Random
 from typing import Any
@@ -14,19 +15,21 @@
 
 from crowsill.api.common import answer_problem, new_application, request_id_of
 from crowsill.api.server import HttpServer
+from crowsill.clock import monotonic_s
+from crowsill.control.announcer import take_referral
 from crowsill.errors import ErrorKind, Problem
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.settings import Address, ControlSettings, HttpListener, Settings
 from crowsill.transport.connection import Connection, ConnectionServer
-from crowsill.transport.leader_client import parse_address
+from crowsill.transport.group_contacts import GroupContacts
+from crowsill.transport.leader_client import format_address, parse_address
 from crowsill.transport.messages import (
     BlankCheck,
     Body,
-    MemberAction,
+    FindGroup,
+    GroupReferral,
     MemberBlank,
-    MembersReport,
-    MembersRequest,
     NotLeader,
 )
 from crowsill.transport.question import ask_leader
@@ -44,38 +47,54 @@
     """Knows where the leader is.
 
     Attributes:
-        seeds: Members to ask first; may be replaced at any time.
+        contacts: Whom it asks.
         leader: Address of the leader for other crowsill processes, or None.
     """
 
-    def __init__(self, local: LocalIdentity, seeds: list[Address], random: Random) -> None:
+    def __init__(self, local: LocalIdentity, own: Address, contacts: GroupContacts) -> None:
         """Make a pointer that knows nothing yet.
 
         Args:
             local: Identity for the handshake.
-            seeds: Members to ask.
-            random: Source of the order.
+            own: Where this process can be told later.
+            contacts: Whom to ask.
         """
-        self.seeds = seeds
+        self.contacts = contacts
         self.leader: Address | None = None
         self._local = local
-        self._random = random
-        self._members: list[Address] = []
+        self._own = own
+        self._told = asyncio.Event()
 
     async def run(self) -> None:
         """Look for the leader until cancelled."""
         while True:
             known = self.leader
             self.leader = await self._find()
-            if self.leader is not None and self.leader != known:
-                log_event(Event.LEADER_FOUND, leader=f"{self.leader.host}:{self.leader.port}")
-            await asyncio.sleep(SEARCH_S if self.leader is None else REFRESH_S)
+            if self.leader is None:
+                self.contacts.missed(monotonic_s())
+                await self._pause(SEARCH_S)
+                continue
+            self.contacts.found()
+            if self.leader != known:
+                log_event(Event.LEADER_FOUND, leader=format_address(self.leader))
+            # A new leader tells at once that it leads, so that callers are not sent to the last
+            # one until the next question.
+            await self._pause(REFRESH_S)
+
+    async def _pause(self, pause_s: float) -> None:
+        """Wait, or until a leader says where the group is."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._told.wait()
+        self._told.clear()
+
+    def told(self) -> None:
+        """A leader has said where the group is."""
+        self._told.set()
 
     async def _find(self) -> Address | None:
-        others = list(dict.fromkeys([*self._members, *self.seeds]))
-        self._random.shuffle(others)
         first = [] if self.leader is None else [self.leader]
-        for target in dict.fromkeys([*first, *others]):
+        for target in dict.fromkeys([*first, *self.contacts.targets()]):
             found = await self._ask(target)
             if found is not None:
                 return found
@@ -83,11 +102,13 @@
 
     async def _ask(self, target: Address) -> Address | None:
         """Ask one process, and the one it names; return the leader's address."""
-        question = MembersRequest(MemberAction.LIST)
+        question = FindGroup(format_address(self._own))
         leader, reply = await ask_leader(target, question, self._local, REPLY_TIMEOUT_S)
-        if not isinstance(reply, MembersReport):
+        if isinstance(reply, NotLeader):
+            self.contacts.refer([parse_address(member) for member in reply.members])
+        if not isinstance(reply, GroupReferral):
             return None
-        self._members = [parse_address(member.address) for member in reply.members]
+        self.contacts.learn([parse_address(member) for member in reply.members])
         return leader
 
 
@@ -136,7 +157,8 @@
             random: Source of the order in which members are asked.
         """
         self._control = control
-        self._pointer = LeaderPointer(local, control.seeds, random)
+        contacts = GroupContacts(control.seeds, random)
+        self._pointer = LeaderPointer(local, control.listen, contacts)
         self._inner = ConnectionServer(
             local, self._on_request, lambda *_push: None, lambda _connection: None
         )
@@ -159,13 +181,18 @@
 
     def use_seeds(self, control: ControlSettings) -> None:
         """Take over seeds that have changed."""
-        self._pointer.seeds = control.seeds
+        self._pointer.contacts.seeds = control.seeds
 
-    async def _on_request(self, _connection: Connection, body: Body) -> Body:
+    async def _on_request(self, connection: Connection, body: Body) -> Body:
         if isinstance(body, BlankCheck):
             return MemberBlank(identity="", is_blank=True, may_vote=False)
-        leader = self._pointer.leader
-        return NotLeader(None if leader is None else f"{leader.host}:{leader.port}")
+        pointer = self._pointer
+        if isinstance(body, GroupReferral):
+            taken = take_referral(pointer.contacts, connection, body)
+            pointer.told()
+            return taken
+        leader = None if pointer.leader is None else format_address(pointer.leader)
+        return NotLeader(leader, [format_address(item) for item in pointer.contacts.known()])
 
     async def drain(self) -> None:
         """Nothing is to be handed over."""
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -17,6 +17,7 @@
 from crowsill.consensus.node import RaftNode
 from crowsill.consensus.types import MemberSetup, RaftConfig, Role, Snapshot
 from crowsill.control.abandonment import abandon_vanished
+from crowsill.control.announcer import AnnouncerPorts, GroupAnnouncer
 from crowsill.control.bootstrap import agree_on_members, agree_with_seeds, first_state
 from crowsill.control.driver import ConsensusDriver
 from crowsill.control.engine_jobs import EngineJobPorts
@@ -29,7 +30,7 @@
 from crowsill.control.placement_controller import PlacementController, PlacementPorts
 from crowsill.control.publisher import ChangePublisher
 from crowsill.control.registrations import Registrations
-from crowsill.control.service import MemberService
+from crowsill.control.service import MemberService, member_addresses
 from crowsill.control.subscribers import Subscribers
 from crowsill.events import Event
 from crowsill.logs import log_event
@@ -44,6 +45,7 @@
 from crowsill.storage.frames import DamagedFileError
 from crowsill.storage.journal import Journal, RecoveredState
 from crowsill.transport.connection import ConnectionServer
+from crowsill.transport.group_contacts import GroupContacts
 from crowsill.transport.member_links import MemberLinks
 from crowsill.transport.stream import LocalIdentity
 
@@ -91,7 +93,7 @@
             self._machine.directory,
         )
         self._publisher = ChangePublisher(self._machine, self._subscribers)
-        self._joiner: Joiner | None = None
+        self._contacts = GroupContacts(control.seeds, self._random)
         self._links = MemberLinks(self._local, self._random, self._receive)
         self._tasks: list[asyncio.Task[None]] = []
         self._leading: list[asyncio.Task[None]] = []
@@ -131,6 +133,7 @@
             recovered.is_blank,
             self._subscribers,
             self._links,
+            self._contacts,
             target_voters=self._control.target_voters,
             heartbeat_s=self._control.replica_heartbeat_s,
         )
@@ -174,17 +177,14 @@
             asyncio.create_task(link.run()),
         ]
         if self._control.seeds:
-            control = self._control
-            self._joiner = Joiner(
-                driver.node, self._local, control.listen, control.seeds, self._random
-            )
-            self._tasks.append(asyncio.create_task(self._joiner.run()))
+            own = self._control.listen
+            joiner = Joiner(driver.node, self._local, own, self._contacts, self._random)
+            self._tasks.append(asyncio.create_task(joiner.run()))
         await driver.run()
 
     def use_seeds(self, control: ControlSettings) -> None:
         """Take over seeds that have changed."""
-        if self._joiner is not None:
-            self._joiner.seeds = control.seeds
+        self._contacts.seeds = control.seeds
 
     async def _agree_on_group(self) -> Membership | None:
         control = self._control
@@ -252,16 +252,33 @@
         self._leading = []
         if self._service is not None:
             self._service.on_wanted = self._service.pass_on_wanted
+            self._service.announcer = None
         if role is not Role.LEADER or self._service is None:
             return
         driver = self._driver()
         changes = MemberChanges(driver, self._local, self._control.target_voters)
         self._leading = [asyncio.create_task(changes.reconcile())]
+        if self._control.seeds:
+            self._announce_group(self._service, changes, driver)
         if self._engine_calls is not None:
             self._lead_registered(self._service, self._engine_calls, driver)
         if self._backends is not None:
             self._lead_fleet(self._service, self._backends, driver)
 
+    def _announce_group(
+        self, service: MemberService, changes: MemberChanges, driver: ConsensusDriver
+    ) -> None:
+        """Tell those who may know nobody where the group is."""
+        ports = AnnouncerPorts(
+            members=lambda: member_addresses(driver),
+            silent_members=changes.silent_addresses,
+            seeds=lambda: self._contacts.seeds,
+            recorded=self._machine.control_addresses,
+            submit=driver.submit,
+        )
+        service.announcer = GroupAnnouncer(ports, self._local)
+        self._leading.append(asyncio.create_task(service.announcer.run()))
+
     def _lead_registered(
         self, service: MemberService, calls: EngineCalls, driver: ConsensusDriver
     ) -> None:
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from crowsill.clock import PROCESS_STARTED_S, monotonic_s
+from crowsill.control.announcer import GroupAnnouncer, take_referral
 from crowsill.control.driver import ConsensusDriver
 from crowsill.control.members import MemberChanges
 from crowsill.control.subscribers import (
@@ -14,8 +15,11 @@
 )
 from crowsill.events import Event
 from crowsill.logs import log_event
+from crowsill.settings import Address
 from crowsill.state.commands import PublishRoutes
 from crowsill.transport.connection import Connection, ConnectionLostError
+from crowsill.transport.group_contacts import GroupContacts
+from crowsill.transport.leader_client import format_address
 from crowsill.transport.member_links import MemberLinks
 from crowsill.transport.messages import (
     BlankCheck,
@@ -23,7 +27,10 @@
     ConsensusTraffic,
     Currency,
     DemandNotice,
+    FindGroup,
+    GroupReferral,
     Heartbeat,
+    JoinReply,
     JoinRequest,
     MemberBehind,
     MemberBlank,
@@ -69,6 +76,7 @@
         seen_s: Clock of the last heartbeat of each replica that this member knows of.
         leader_stream: Stream to the leader while this member follows.
         on_wanted: Called with what gateways wait for, on the leader.
+        announcer: Tells others where the group is while this member leads; None otherwise.
     """
 
     def __init__(
@@ -77,6 +85,7 @@
         is_blank: bool,
         subscribers: Subscribers,
         links: MemberLinks,
+        contacts: GroupContacts,
         *,
         target_voters: int | None = None,
         heartbeat_s: float = 1.0,
@@ -88,6 +97,7 @@
             is_blank: Whether the member had stored nothing when it started.
             subscribers: Streams that follow this member.
             links: Streams to the other members.
+            contacts: Where this member looks for the group while it belongs to none.
             target_voters: Voters that a group formed from seeds grows to.
             heartbeat_s: Time between two heartbeats of a replica that registers itself.
         """
@@ -95,7 +105,9 @@
         self._target_voters = target_voters
         self._has_been_full = False
         self.on_wanted: Callable[[dict[str, int]], None] = self.pass_on_wanted
+        self.announcer: GroupAnnouncer | None = None
         self._links = links
+        self._contacts = contacts
         self._local = local
         self._was_blank = is_blank
         self._subscribers = subscribers
@@ -111,21 +123,43 @@
 
     async def on_request(self, connection: Connection, body: Body) -> Body:
         """Answer a request."""
-        if isinstance(body, Ping | BlankCheck):
-            return self._answer_for_itself(body)
+        if isinstance(body, Ping | BlankCheck | GroupReferral):
+            return self._answer_for_itself(connection, body)
         driver = self.driver
         if driver is None:
-            return NotLeader(None)
+            return self._refer(None)
         if isinstance(body, SubmitCommand | MembersRequest):
             return await self.answer_as_leader(body, driver)
-        if isinstance(body, JoinRequest) and driver.is_leader:
-            return self._changes(driver).join(body)
         if isinstance(body, Heartbeat):
             return await self._on_heartbeat(connection, body, driver)
-        return NotLeader(driver.leader_address())
-
-    def _answer_for_itself(self, question: Ping | BlankCheck) -> Pong | MemberBlank:
+        if isinstance(body, JoinRequest | FindGroup) and driver.is_leader:
+            return self._answer_newcomer(body, driver)
+        return self._refer(driver)
+
+    def _refer(self, driver: ConsensusDriver | None) -> NotLeader:
+        """Send a caller on to whoever may lead, or may know who does."""
+        members = [] if driver is None else driver.node.membership.members
+        known = [f"{member.host}:{member.port}" for member in members]
+        if not known:
+            known = [format_address(address) for address in self._contacts.known()]
+        return NotLeader(None if driver is None else driver.leader_address(), known)
+
+    def _answer_newcomer(
+        self, question: JoinRequest | FindGroup, driver: ConsensusDriver
+    ) -> JoinReply | GroupReferral:
+        """Answer, as the leader, a process that looks for the group."""
+        if isinstance(question, JoinRequest):
+            return self._changes(driver).join(question)
+        if self.announcer is not None:
+            self.announcer.note_asked(question.address)
+        return GroupReferral([format_address(address) for address in member_addresses(driver)])
+
+    def _answer_for_itself(
+        self, connection: Connection, question: Ping | BlankCheck | GroupReferral
+    ) -> Pong | MemberBlank:
         """Answer what needs no group."""
+        if isinstance(question, GroupReferral):
+            return take_referral(self._contacts, connection, question)
         if isinstance(question, Ping):
             return Pong()
         return MemberBlank(self._local.identity, self._is_blank())
@@ -249,7 +283,7 @@
         await self._wait_for_first_leader(driver)
         currency = await self.confirmed_currency()
         if currency is None:
-            return NotLeader(driver.leader_address())
+            return self._refer(driver)
         # A member vouches only for what it has itself: one whose disk hangs goes on answering, and
         # its gateways would wait for what it cannot bring (a disk that hung for 8 s: five of six
         # gateways behind for 7.5 s before, for 0.7 s at most).
@@ -332,3 +366,10 @@
     async def refresh_from_leader(self) -> None:
         """Ask the leader once, so that this member follows the fleet without any entry."""
         await self._relay.confirm()
+
+
+def member_addresses(driver: ConsensusDriver) -> list[Address]:
+    """Return the addresses of all members, this one's own first."""
+    node = driver.node
+    own_first = sorted(node.membership.members, key=lambda item: item.member_id != node.member_id)
+    return [Address(member.host, member.port) for member in own_first]
--- a/src/crowsill/entry/follower.py
+++ b/src/crowsill/entry/follower.py
@@ -22,6 +22,7 @@
 from crowsill.settings import Address
 from crowsill.transport.backoff import Backoff
 from crowsill.transport.connection import Connection, ConnectionLostError, open_connection
+from crowsill.transport.group_contacts import GroupContacts
 from crowsill.transport.leader_client import parse_address
 from crowsill.transport.messages import (
     Body,
@@ -30,6 +31,7 @@
     EntryStatus,
     FleetUpdate,
     Heartbeat,
+    NotLeader,
 )
 from crowsill.transport.stream import LocalIdentity, ProtocolError
 
@@ -75,7 +77,7 @@
         self.fleet = FleetView()
         self.demand = DemandCounter()
         self._local = local
-        self._members = members
+        self._contacts = GroupContacts(members, random)
         self._hooks = hooks
         self._random = random
         self._required_revision = 0
@@ -91,9 +93,12 @@
         """Follow for as long as the entry runs, one member after the other."""
         backoff = Backoff(FIRST_RETRY_S, LARGEST_RETRY_S, self._random)
         while True:
-            for address in self._random.sample(self._members, len(self._members)):
+            for address in self._contacts.targets():
                 if await self._follow(address):
                     backoff.reset()
+                    break
+            else:
+                self._contacts.missed(monotonic_s())
             await asyncio.sleep(backoff.next_s())
 
     async def _follow(self, address: Address) -> bool:
@@ -129,15 +134,18 @@
         except ConnectionLostError:
             self.demand.add(demand)
             return False
+        if isinstance(reply, NotLeader):
+            self._contacts.refer([parse_address(member) for member in reply.members])
         if not isinstance(reply, Currency):
             self.demand.add(demand)
             return False
+        self._contacts.found()
         self._required_revision = max(self._required_revision, reply.revision)
         self._proven_s = max(self._proven_s, sent_s)
         self._hooks.on_entries(max(1, reply.entries))
         if reply.members:
-            self._members = [parse_address(member) for member in reply.members]
-            self._hooks.on_members(self._members)
+            self._contacts.learn([parse_address(member) for member in reply.members])
+            self._hooks.on_members(self._contacts.members)
         return True
 
     def _on_push(self, _connection: Connection, body: Body) -> None:
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -73,6 +73,12 @@
     MEMBER_BEHIND = EventDefinition(
         315, "WARNING", "This member lacks what the leader confirmed; its followers are sent on."
     )
+    GROUP_NOT_FOUND = EventDefinition(
+        316, "WARNING", "Nobody whom this process knows could tell it where the control group is."
+    )
+    GROUP_TOLD = EventDefinition(
+        317, "INFO", "A leader told this process, unasked, where the control group is."
+    )
 
     CONFIGURATION_ACCEPTED = EventDefinition(400, "INFO", "A configuration change was committed.")
     CONFIGURATION_REFUSED = EventDefinition(401, "INFO", "A configuration change was refused.")
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -18,6 +18,7 @@
 from crowsill.settings import Address
 from crowsill.state.route_store import RouteDocument
 from crowsill.transport.connection import Connection, ConnectionLostError, open_connection
+from crowsill.transport.group_contacts import GroupContacts
 from crowsill.transport.leader_client import parse_address
 from crowsill.transport.messages import (
     Body,
@@ -78,8 +79,7 @@
         self.urgent = DemandCounter()
         self.pressed = DemandCounter()
         self._local = local
-        self._seeds = seeds
-        self._members: list[Address] = []
+        self._contacts = GroupContacts(seeds, random)
         self._hooks = hooks
         self._random = random
         self._connection: Connection | None = None
@@ -89,13 +89,11 @@
 
     def use_seeds(self, seeds: list[Address]) -> None:
         """Use other seeds from now on."""
-        self._seeds = seeds
+        self._contacts.seeds = seeds
 
     def _targets(self) -> list[Address]:
-        """Known members in random order, then seeds; the last that failed comes last."""
-        members = self._random.sample(self._members, len(self._members))
-        seeds = [seed for seed in self._seeds if seed not in members]
-        targets = members + self._random.sample(seeds, len(seeds))
+        """Known members, then others to ask; the last that failed comes last."""
+        targets = self._contacts.targets()
         targets.sort(key=lambda address: address == self._failed)
         return targets
 
@@ -109,6 +107,8 @@
                     self._failed = address
                     break
                 self._failed = address
+            else:
+                self._contacts.missed(time.monotonic())
             await asyncio.sleep(pause_s * (0.5 + self._random.random()))
             pause_s = min(LONGEST_RETRY_S, pause_s * 1.5)
 
@@ -127,6 +127,7 @@
                 if not proved:
                     log_event(Event.PEER_CONNECTED, member=connection.peer.node)
                 proved = True
+                self._contacts.found()
                 self._connection = connection
                 await asyncio.wait([reader], timeout=HEARTBEAT_S)
             return proved
@@ -163,13 +164,15 @@
             reply = await connection.request(heartbeat, HEARTBEAT_TIMEOUT_S)
         except ConnectionLostError:
             reply = None
-        if isinstance(reply, NotLeader) and reply.leader is not None:
-            self._members = [parse_address(reply.leader)]
+        if isinstance(reply, NotLeader):
+            # Hearsay: a process that was restarted without a memory may know the group by it alone.
+            told = [*([] if reply.leader is None else [reply.leader]), *reply.members]
+            self._contacts.refer([parse_address(member) for member in told])
         if not isinstance(reply, Currency):
             # What was counted is dropped: kept, it would arrive later as if it had come at once.
             return False
         if reply.members:
-            self._members = [parse_address(member) for member in reply.members]
+            self._contacts.learn([parse_address(member) for member in reply.members])
         if self._awaited is not None:
             # A stream keeps its order, so that what one reply confirmed has come before the next
             # reply, however slow the link is. What has not come will not: ask another member.
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -159,6 +159,19 @@
     coming: list[ComingModel] = []
 
 
+class RecordControlAddress(
+    msgspec.Struct, frozen=True, array_like=True, tag="record-control-address"
+):
+    """Record where a control process is, so that any leader can find it.
+
+    Attributes:
+        address: Its `IP:port` for other crowsill processes.
+    """
+
+    address: str
+    at_s: float = 0.0
+
+
 Command = (
     ChangeConfiguration
     | OpenClaim
@@ -170,6 +183,7 @@
     | RecordBeat
     | RemoveInstance
     | OfferModels
+    | RecordControlAddress
 )
 
 
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -21,10 +21,12 @@
     PlaceOrder,
     PublishRoutes,
     RecordBeat,
+    RecordControlAddress,
     RemoveInstance,
     SettleClaim,
 )
 from crowsill.state.configuration_store import AcceptedChange, ConfigurationStore
+from crowsill.state.control_addresses import ControlAddresses
 from crowsill.state.directory import Directory, DirectorySnapshot
 from crowsill.state.orders import Order, OrderTable
 from crowsill.state.route_store import RouteDocument, RouteStore
@@ -40,6 +42,7 @@
     sizes: dict[str, int]
     routes: RouteDocument = RouteDocument()
     directory: DirectorySnapshot = DirectorySnapshot()
+    control_addresses: list[str] = []
 
 
 class StateMachine:
@@ -51,6 +54,7 @@
         orders: Unsettled orders to engines.
         routes: The route configuration in force.
         directory: Replicas that registered themselves.
+        control_addresses: Control processes that belonged to the group or asked for it.
     """
 
     def __init__(self, claim_retention_s: float = CLAIM_RETENTION_S) -> None:
@@ -59,6 +63,7 @@
         self.orders = OrderTable()
         self.routes = RouteStore()
         self.directory = Directory()
+        self.control_addresses = ControlAddresses()
 
     def apply(self, command: Command) -> CommandResult:
         """Apply one committed command and return its result."""
@@ -71,7 +76,13 @@
                 return self.configuration.submit(command.change, command.at_s)
             case PlaceOrder():
                 return OrderPlaced(self.orders.place(command))
-            case PublishRoutes() | RecordBeat() | RemoveInstance() | OfferModels():
+            case (
+                PublishRoutes()
+                | RecordBeat()
+                | RemoveInstance()
+                | OfferModels()
+                | RecordControlAddress()
+            ):
                 return Acknowledged(self._apply_registration(command))
             case _:
                 return Acknowledged(self.orders.settle(command.order_id))
@@ -83,14 +94,17 @@
         return self.claims.abandon(set(command.holders)) > 0
 
     def _apply_registration(
-        self, command: PublishRoutes | RecordBeat | RemoveInstance | OfferModels
+        self,
+        command: PublishRoutes | RecordBeat | RemoveInstance | OfferModels | RecordControlAddress,
     ) -> bool:
-        """Apply a change of routes or of the directory; return whether it changed anything."""
+        """Apply what processes and operators registered; return whether it changed anything."""
         match command:
             case PublishRoutes():
                 return self.routes.submit(command.document)
             case RecordBeat():
                 return self.directory.record(command.beat) is not None
+            case RecordControlAddress():
+                return self.control_addresses.record(command.address)
             case RemoveInstance():
                 return self.directory.remove(command.instance_id) is not None
             case OfferModels():
@@ -110,6 +124,7 @@
                 sizes=self.orders.sizes,
                 routes=self.routes.current,
                 directory=self.directory.dump(),
+                control_addresses=self.control_addresses.addresses,
             )
         )
 
@@ -121,6 +136,7 @@
         self.orders.load(snapshot.next_order_id, snapshot.orders, snapshot.sizes)
         self.routes.load(snapshot.routes)
         self.directory.load(snapshot.directory)
+        self.control_addresses.load(snapshot.control_addresses)
 
     def digest(self) -> str:
         """A hash of the state; equal on all members that applied the same entries."""
--- a/src/crowsill/transport/leader_client.py
+++ b/src/crowsill/transport/leader_client.py
@@ -32,6 +32,15 @@
     return Address(host, int(port))
 
 
+def format_address(address: Address) -> str:
+    """Write an address as `IP:port`.
+
+    >>> format_address(Address("127.0.0.1", 80))
+    '127.0.0.1:80'
+    """
+    return f"{address.host}:{address.port}"
+
+
 class LeaderClient:
     """Finds the leader and keeps one stream to it."""
 
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -197,12 +197,15 @@
 
 
 class NotLeader(msgspec.Struct, frozen=True, tag="not-leader"):
-    """This member does not lead; `leader` is the leader's `IP:port` if it is known.
+    """This process does not lead; the command that was asked for has not been proposed here.
 
-    The command that was asked for has not been proposed here.
+    Attributes:
+        leader: The leader's `IP:port` if it is known.
+        members: `IP:port` of members to ask instead, as far as this process knows any.
     """
 
     leader: str | None
+    members: list[str] = []
 
 
 class MemberBehind(msgspec.Struct, frozen=True, tag="member-behind"):
@@ -277,6 +280,28 @@
     port: int
 
 
+class FindGroup(msgspec.Struct, frozen=True, tag="find-group"):
+    """A control process without a disk asks where the group is; a leader answers.
+
+    Attributes:
+        address: `IP:port` at which the asking process can be told later.
+    """
+
+    address: str
+
+
+class GroupReferral(msgspec.Struct, frozen=True, tag="group-referral"):
+    """Where the members of the group are: a leader's answer to `FindGroup`, or told unasked.
+
+    Told unasked it is hearsay: the receiver asks at these addresses, and answers `Pong`.
+
+    Attributes:
+        members: `IP:port` of each member, the sender's own first.
+    """
+
+    members: list[str]
+
+
 class JoinReply(msgspec.Struct, frozen=True, tag="join-reply"):
     """Whether the asking member belongs to the group now, or will soon."""
 
@@ -326,6 +351,8 @@
     | DemandNotice
     | JoinRequest
     | JoinReply
+    | FindGroup
+    | GroupReferral
     | SeenInstances
     | SuspectInstances
 )
--- a/tests/test_finding_the_group.py
+++ b/tests/test_finding_the_group.py
@@ -16,8 +16,6 @@
 
 import asyncio
 
-import pytest
-
 from tests.platform_site import PlatformSite, StandInReplica, configuration
 
 SERVED_WITHIN_S = 12.0
