SIGHUP no longer ends a process that is still starting

Cause: the daemon took the signal over after its imports only. Change: the first import ignores it until the event loop takes it over; the settings are read after that.

--- a/src/crowsill/daemon.py
+++ b/src/crowsill/daemon.py
@@ -4,6 +4,8 @@
 cannot be used, 4 when an invariant broke or the process failed, 5 when the drain limit passed.
 """
 
+# First: until it is imported, SIGHUP ends the process.
+import crowsill.early_signals  # noqa: F401, I001
 import asyncio
 import gc
 import os
