Say why a model that is waited for is not loaded at a free engine

Change: the line gives what a load would win, lose and block, the copy that is waited for, the store's limit, or that another load came first.

--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -141,21 +141,29 @@
     def _candidate(
         self, engine: EngineView, model: ModelWeights, wait_s: float
     ) -> _Candidate | None:
+        weighed = self._weigh(engine, model, wait_s)
+        return weighed if isinstance(weighed, _Candidate) else None
+
+    def _weigh(self, engine: EngineView, model: ModelWeights, wait_s: float) -> _Candidate | str:
+        """Return the load of a model at a free engine, or why it is not worth it."""
         is_first = self._value.copies(model.name) == 0
         gain = self._value.gain(model.name, engine)
         if gain < (LEAST_GAIN if is_first else LEAST_FURTHER_GAIN):
-            return None
+            return f"gain {gain:.1f}"
         load_s, from_store = engine.load_time_s(model)
-        if load_s > wait_s or (from_store and not self._may_fetch(gain)):
-            return None
+        if load_s > wait_s:
+            return f"a copy is near in {wait_s:.1f} s"
+        if from_store and not self._may_fetch(gain):
+            return f"{self._store_loads} loads left, {self._fetching} under way"
         unload = self._room_for(engine, model, gain)
         if unload is None:
-            return None
+            return f"no room for gain {gain:.1f}"
         lost = sum(self._value.loss(engine, victim) for victim in unload)
         taken_s = load_s + max((self._unload_s(victim) for victim in unload), default=0.0)
-        won = (gain - lost) * STAY_S - self._blocked_cost(engine, from_store) * taken_s
+        blocked = self._blocked_cost(engine, from_store) * taken_s
+        won = (gain - lost) * STAY_S - blocked
         if won <= 0.0:
-            return None
+            return f"gain {gain:.1f}, lost {lost:.1f}, blocked {blocked:.0f} for {taken_s:.1f} s"
         reason = JobReason.WAITED_FOR if is_first else JobReason.MORE_LOAD
         job = Job(engine.instance_id, tuple(unload), model.name, "", from_store, load_s, reason)
         return _Candidate(won / (taken_s + ORDER_S), job)
@@ -248,12 +256,10 @@
                 reasons.append(f"busy for {engine.busy_for_s(self._view.now_s):.1f} s")
             elif engine.instance_id in self._taken:
                 reasons.append("taken")
-            elif (
-                self._room_for(engine, self._models[model], self._value.gain(model, engine)) is None
-            ):
-                reasons.append("no room")
             else:
-                reasons.append("store or copy near")
+                weighed = self._weigh(engine, self._models[model], self._wait_for_near_copy(model))
+                outranked = isinstance(weighed, _Candidate)
+                reasons.append("outranked" if outranked else str(weighed))
         return "; ".join(reasons)
 
     # Fetching ahead.
