Test that fails: the last log lines before a planned end are lost

Cause: the writer is closed while its thread writes a batch, and the thread looks no further. Seen in the fault soak: the log of a gateway that stopped by plan ended before E102.

--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -66,3 +66,25 @@
     started_s = time.monotonic()
     writer.close()
     assert time.monotonic() - started_s < 1.0
+
+
+def test_lines_that_come_as_the_writer_closes_are_written(monkeypatch):
+    # The last lines of a process that ended by plan were missing, drain_finished (E102) among them:
+    # the writer was closed while its thread wrote out a batch, and the thread looked no further.
+    reader, descriptor = os.pipe()
+    writer = LogWriter(descriptor)
+    write_out = writer._write_out
+
+    def closed_meanwhile(text):
+        write_out(text)
+        if text == "first\n":
+            writer.write("last\n")
+            writer._closing = True
+
+    monkeypatch.setattr(writer, "_write_out", closed_meanwhile)
+    writer.write("first\n")
+    writer._thread.join(5.0)
+    writer.close()
+    os.close(descriptor)
+    with os.fdopen(reader) as output:
+        assert output.read() == "first\nlast\n"
