--- a/src/crowsill/log_writer.py
+++ b/src/crowsill/log_writer.py
@@ -69,6 +69,8 @@
                 threading.Event().wait(BATCH_S)
             self._filled.clear()
             self._write_out(self._take())
+        # What came while the last batch was written: the last lines before a process ends tell why.
+        self._write_out(self._take())
 
     def _write_out(self, text: str) -> None:
         data = text.encode("utf-8", "replace")
