--- a/tests/test_redirector.py
+++ b/tests/test_redirector.py
@@ -7,6 +7,7 @@
 import pytest
 
 from crowsill.control import bootstrap
+from crowsill.control import redirector as redirector_module
 from crowsill.control.bootstrap import agree_with_seeds
 from crowsill.control.redirector import ControlRedirector
 from crowsill.settings import Address, ControlSettings, HttpListener, parse_settings
@@ -113,6 +114,31 @@
     asyncio.run(asyncio.wait_for(scenario(), 20))
 
 
+def test_a_new_leader_is_pointed_at_as_soon_as_it_says_so(monkeypatch):
+    # Callers were sent to the last leader until the next question, up to 2 s later.
+    monkeypatch.setattr(redirector_module, "REFRESH_S", 60.0)
+
+    async def scenario():
+        new, leading = await member(GroupReferral([f"{HOST}:1"]))
+        old, led = await member(GroupReferral([f"{HOST}:1"]))
+        made, inner, _ = await redirector([old])
+        try:
+            async with asyncio.timeout(5):
+                while made._pointer.leader != old:
+                    await asyncio.sleep(0.01)
+            await led.stop()
+            told = GroupReferral([f"{HOST}:{new.port}"])
+            assert await ask_once(Address(HOST, inner), told, local(), 1.0) == Pong()
+            async with asyncio.timeout(10):
+                while made._pointer.leader != new:
+                    await asyncio.sleep(0.01)
+        finally:
+            await made.stop()
+            await leading.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
 def test_other_processes_learn_that_it_never_votes():
     async def scenario():
         made, inner, _ = await redirector([])
