--- a/src/crowsill_lab/soak/losses.py
+++ b/src/crowsill_lab/soak/losses.py
@@ -19,6 +19,8 @@
 # Lost disks count as lost until the group is whole again; it must be so within this time.
 WHOLE_BOUND_S = 15.0
 POLL_S = 0.2
+# A leader notices within this time that a member is gone; until then it calls the group whole.
+NOTICED_S = 2.0
 
 
 class LossInjector:
@@ -110,6 +112,7 @@
                 process.send(signal.SIGHUP)
 
     async def _until_whole(self) -> None:
+        await asyncio.sleep(NOTICED_S)
         deadline_s = time.monotonic() + WHOLE_BOUND_S
         while not await self._is_whole():
             if time.monotonic() > deadline_s:
