--- a/tests/test_model_placer.py
+++ b/tests/test_model_placer.py
@@ -28,20 +28,21 @@
     def __init__(self, answer):
         self.answer = answer
         self.orders = []
+        self.is_busy = False
 
     async def order(self, instance, order):
         self.orders.append((instance.instance_id, order.kind.value, order.model))
         return self.answer
 
     async def report(self, instance):
-        return EngineReport(instance.models, [], False, 0)
+        return EngineReport(instance.models, [], self.is_busy, 0)
 
 
 class World:
     """A placer over a replicated state of its own."""
 
-    def __init__(self, engines, heartbeat_s=0.1):
-        self.machine = StateMachine()
+    def __init__(self, engines, heartbeat_s=0.1, machine=None):
+        self.machine = machine or StateMachine()
         self.engines = engines
         self.submitted = []
         self.demand = {}
@@ -251,3 +252,28 @@
     limits = EngineLimits(220.0, 4, 8, 1000, 1.4, with_adapters)
     world.routes = RouteConfiguration(1, [], [ServiceDefinition("s", 100, limits)], CallerLimits())
     play(world, script)
+
+
+def test_what_models_lacked_is_known_to_the_next_leader():
+    # Rare models were never loaded on days with several changes of leader: each leader began to
+    # count the requests that they lacked anew, and none of them lasted for long enough.
+    before = World(ScriptedEngines(OrderAnswer.ACCEPTED))
+    before.engines.is_busy = True
+    before.register("i-1", 1, "m0", "m1", "m2")
+
+    async def ask_for_long(world):
+        world.demand = {"s|m3": 2}
+        await asyncio.sleep(2.4)
+
+    play(before, ask_for_long)
+    assert before.engines.orders == []
+    after = World(ScriptedEngines(OrderAnswer.ACCEPTED), machine=before.machine)
+
+    async def ask_once(world):
+        world.demand = {"s|m0": 4, "s|m1": 4, "s|m2": 4, "s|m3": 1}
+        await asyncio.sleep(0.15)
+        world.demand = {"s|m0": 4, "s|m1": 4, "s|m2": 4}
+        await world.until(lambda: world.engines.orders)
+
+    play(after, ask_once)
+    assert after.engines.orders[0][1] == "unload"
