Rare models take turns at the engines, and what they lacked outlasts a leader

Cause: what a load blocks is weighed against what it wins; where adapters are asked for everywhere a rare model never wins enough, and each new leader began to count anew what it lacked. Change: the model that lacked most requests, six at least, gets the next engine, whatever it wins, at a third of the engines at most (RareModels); the only copy of a model is kept for 10 s until somebody asks for it; the counts are committed every 2 s (LackedModels) and taken over by the next leader; names that the routes do not know are not counted.

--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -21,6 +21,8 @@
 from crowsill.placement.copy_views import EngineView, Job, ServiceView
 from crowsill.placement.demand import DemandEstimate
 from crowsill.placement.load_window import LoadWindow
+from crowsill.state.commands import RecordLacked
+from crowsill.state.lacked_models import most_lacked
 
 PLAN_INTERVAL_S = 0.1
 # Pause after a step as a multiple of its own time: planning leaves most of the leader's time to
@@ -36,6 +38,8 @@
 WAITING_GAP_S = 3.0
 JOB_EXTRA_S = 0.3
 DEFERRED_INTERVAL_S = 1.0
+# What models lack is recorded so often, if it has changed: no more is lost with a leader.
+RECORD_LACKED_S = 2.0
 # Engines that register one after the other are all known when none has come for so many of their
 # heartbeat intervals.
 SETTLED_BEATS = 1.5
@@ -111,6 +115,7 @@
         self._waiting_s: dict[str, tuple[float, float]] = {}
         # Requests for each model since an engine held it last.
         self._missed: dict[str, float] = {}
+        self._knows_lacked = False
         self._deferred_s: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._jobs = EngineJobs(ports.engines, holder, term, self._wake.set)
@@ -130,6 +135,7 @@
 
     async def run(self) -> None:
         """Place until cancelled."""
+        recording = asyncio.create_task(self._record_lacked())
         try:
             while True:
                 # Not `wait_for`: it loses a cancellation that meets the end of what it waits for,
@@ -139,16 +145,35 @@
                         await self._wake.wait()
                 self._wake.clear()
                 self._count_demand()
+                if self._ports.engines.has_lease():
+                    self._take_over_lacked()
                 if monotonic_s() >= self._starts_s and self._ports.engines.has_lease():
                     began_s = monotonic_s()
                     self._step_contained()
                     await asyncio.sleep((monotonic_s() - began_s) * PLAN_PAUSE_FACTOR)
         finally:
+            recording.cancel()
             for engine in self._engines.values():
                 for job in (engine.job, engine.adapter_job):
                     if job is not None:
                         job.cancel()
 
+    def _take_over_lacked(self) -> None:
+        """Go on from what the last leader recorded, once it is certain that all is applied."""
+        if self._knows_lacked:
+            return
+        self._knows_lacked = True
+        for resource, count in self._ports.engines.machine.lacked.requests.items():
+            self._missed[resource] = self._missed.get(resource, 0.0) + count
+
+    async def _record_lacked(self) -> None:
+        """Record what models lack for the next leader: each alone would forget it."""
+        while True:
+            await asyncio.sleep(RECORD_LACKED_S)
+            lacked = most_lacked(self._missed)
+            if self._knows_lacked and lacked != self._ports.engines.machine.lacked.requests:
+                await self._ports.engines.submit(RecordLacked(lacked))
+
     def _step_contained(self) -> None:
         """Plan once; a fault in it must not end placement until the next change of leader."""
         try:
@@ -219,7 +244,7 @@
             store_loads=self._window(name, limits).left(now_s),
             now_s=now_s,
             is_settled=self._is_settled(name, now_s),
-            missed=self._missed_of(name, views),
+            missed=self._missed_of(name, limits, views),
         )
         by_id = {instance.instance_id: instance for instance in members}
         planner = CopyPlanner(view)
@@ -235,11 +260,21 @@
             self._joined_s[service] = now_s
         return known
 
-    def _missed_of(self, service: str, engines: list[EngineView]) -> dict[str, float]:
-        """Return the requests that models have missed; those that are held miss none."""
-        for engine in engines:
-            for model in engine.held:
-                self._missed.pop(f"{service}|{model}", None)
+    def _missed_of(
+        self, service: str, limits: EngineLimits, engines: list[EngineView]
+    ) -> dict[str, float]:
+        """Return the requests that models have missed; those that are held miss none.
+
+        Callers choose the names that they ask for: what the routes do not know is not counted.
+        """
+        held = {model for engine in engines for model in engine.held}
+        lacked = {model.name for model in limits.models} - held
+        prefix = f"{service}|"
+        self._missed = {
+            resource: count
+            for resource, count in self._missed.items()
+            if not resource.startswith(prefix) or resource.removeprefix(prefix) in lacked
+        }
         return _of_service(self._missed, service)
 
     def _is_settled(self, service: str, now_s: float) -> bool:
--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -12,9 +12,8 @@
 from crowsill.placement.adapter_jobs import AdapterJobs
 from crowsill.placement.copy_value import CopyValue
 from crowsill.placement.copy_views import EngineView, Job, JobReason, ServiceView
+from crowsill.placement.rare_models import RareModels
 
-# A copy is not taken away again so soon after its load, in seconds.
-YOUNG_S = 1.0
 # A load must win more than what makes way for it is worth, by this factor.
 GAIN_RATIO = 1.5
 # The least that a load must win, so that nothing is moved for next to nothing.
@@ -81,10 +80,12 @@
         self._store_loads = view.store_loads
         self._fetching = sum(1 for engine in view.engines if engine.is_fetching)
         self._adapters = AdapterJobs(view, self._models, self._taken)
+        self._rare = RareModels(view, self._value, self._models)
 
     def plan(self) -> list[Job]:
         """Return the jobs to start now, at most one for each engine."""
         view = self._view
+        self._give_turn()
         self._load_models()
         for resource in view.wanted:
             self._serve_waiting(resource)
@@ -96,6 +97,13 @@
 
     # Models.
 
+    def _give_turn(self) -> None:
+        """Load a rare model if it is its turn."""
+        job = self._rare.turn(self._free_engines(), self._store_loads)
+        if job is not None:
+            self._add(job)
+            self._value.add(job.model, job.instance_id)
+
     def _load_models(self) -> None:
         """Start loads, the one that wins most a second first, while any wins enough."""
         if not (self._view.asked_s or self._may_prepare()):
@@ -210,28 +218,20 @@
 
     def _room_for(self, engine: EngineView, model: ModelWeights, gain: float) -> list[str] | None:
         """Return models that make way for another one; None when none may."""
-        used_mb = self._used_mb(engine)
+        used_mb = engine.used_mb(self._models)
         unload: list[str] = []
         lost = 0.0
         for victim in sorted(engine.held, key=lambda item: self._value.loss(engine, item)):
             if used_mb + model.memory_mb <= engine.limits.memory_mb:
                 break
             with_victim = lost + self._value.loss(engine, victim)
-            if self._is_kept(engine, victim) or gain <= GAIN_RATIO * with_victim:
+            if self._value.is_kept(engine, victim) or gain <= GAIN_RATIO * with_victim:
                 continue
             lost = with_victim
             unload.append(victim)
             used_mb -= engine.model_mb(victim, self._models.get(victim))
         return unload if used_mb + model.memory_mb <= engine.limits.memory_mb else None
 
-    def _is_kept(self, engine: EngineView, victim: str) -> bool:
-        loaded_s = engine.loaded_s.get(victim, float("-inf"))
-        return victim in self._view.wanted or self._view.now_s - loaded_s < YOUNG_S
-
-    def _used_mb(self, engine: EngineView) -> float:
-        held_mb = (engine.model_mb(name, self._models.get(name)) for name in engine.held)
-        return engine.pending_mb + sum(held_mb)
-
     # What requests wait for.
 
     def _serve_waiting(self, resource: str) -> None:
@@ -283,7 +283,7 @@
             victims.sort(key=lambda name: self._value.loss(engine, name))
             unload = tuple(victims[:1])
             freed_mb = sum(engine.model_mb(name, self._models.get(name)) for name in unload)
-            if self._used_mb(engine) - freed_mb + model.memory_mb <= engine.limits.memory_mb:
+            if engine.used_mb(self._models) - freed_mb + model.memory_mb <= engine.limits.memory_mb:
                 reason = JobReason.AHEAD
                 return Job(engine.instance_id, unload, model.name, "", True, model.load_s, reason)
         return None
--- a/src/crowsill/placement/copy_views.py
+++ b/src/crowsill/placement/copy_views.py
@@ -18,6 +18,7 @@
     AHEAD = "fetched ahead"
     ADAPTER = "adapter"
     FREE_PLACE = "place free"
+    LACKED = "lacked by several requests"
 
 
 @dataclass(slots=True)
@@ -97,6 +98,11 @@
             return self.limits.memory_mb
         return model.memory_mb + len(self.held.get(name, ())) * model.adapter_memory_mb
 
+    def used_mb(self, models: dict[str, ModelWeights]) -> float:
+        """Memory that is taken, what is on its way included."""
+        held_mb = (self.model_mb(name, models.get(name)) for name in self.held)
+        return self.pending_mb + sum(held_mb)
+
 
 @dataclass(frozen=True, slots=True)
 class Job:
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -159,6 +159,17 @@
     coming: list[ComingModel] = []
 
 
+class RecordLacked(msgspec.Struct, frozen=True, array_like=True, tag="record-lacked"):
+    """Record how many requests models have lacked since they were held last.
+
+    Attributes:
+        requests: Their number by `service|model`; replaces what was recorded before.
+    """
+
+    requests: dict[str, float]
+    at_s: float = 0.0
+
+
 class RecordControlAddress(
     msgspec.Struct, frozen=True, array_like=True, tag="record-control-address"
 ):
@@ -172,6 +183,9 @@
     at_s: float = 0.0
 
 
+# What a leader notes for its successors.
+LeaderNote = RecordControlAddress | RecordLacked
+Registration = PublishRoutes | RecordBeat | RemoveInstance | OfferModels | LeaderNote
 Command = (
     ChangeConfiguration
     | OpenClaim
@@ -184,6 +198,7 @@
     | RemoveInstance
     | OfferModels
     | RecordControlAddress
+    | RecordLacked
 )
 
 
--- /dev/null
+++ b/src/crowsill/state/lacked_models.py
@@ -0,0 +1,37 @@
+"""How many requests each model has lacked since an engine held it last, replicated.
+
+Rare models are loaded when they have lacked enough requests. Each leader counts; where leaders
+change often, none of them alone would ever see enough.
+"""
+
+# Beyond so many the models that lacked fewest are left out: one record of all stays below 4 KB.
+MOST_MODELS = 100
+
+
+class LackedModels:
+    """Requests lacked by `service|model`, as the leader recorded them last.
+
+    >>> lacked = LackedModels()
+    >>> lacked.record({"s|m": 3.0}), lacked.record({"s|m": 3.0}), lacked.requests
+    (True, False, {'s|m': 3.0})
+    """
+
+    def __init__(self) -> None:
+        self.requests: dict[str, float] = {}
+
+    def record(self, requests: dict[str, float]) -> bool:
+        """Replace what was recorded; return whether that changed anything."""
+        most = most_lacked(requests)
+        if most == self.requests:
+            return False
+        self.requests = most
+        return True
+
+
+def most_lacked(requests: dict[str, float]) -> dict[str, float]:
+    """Return what is recorded of a count: the models that lacked most.
+
+    >>> most_lacked({"s|m": 1.0, "s|n": 2.0})
+    {'s|n': 2.0, 's|m': 1.0}
+    """
+    return dict(sorted(requests.items(), key=lambda item: (-item[1], item[0]))[:MOST_MODELS])
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -22,12 +22,15 @@
     PublishRoutes,
     RecordBeat,
     RecordControlAddress,
+    RecordLacked,
+    Registration,
     RemoveInstance,
     SettleClaim,
 )
 from crowsill.state.configuration_store import AcceptedChange, ConfigurationStore
 from crowsill.state.control_addresses import ControlAddresses
 from crowsill.state.directory import Directory, DirectorySnapshot
+from crowsill.state.lacked_models import LackedModels
 from crowsill.state.orders import Order, OrderTable
 from crowsill.state.route_store import RouteDocument, RouteStore
 
@@ -43,6 +46,7 @@
     routes: RouteDocument = RouteDocument()
     directory: DirectorySnapshot = DirectorySnapshot()
     control_addresses: list[str] = []
+    lacked: dict[str, float] = {}
 
 
 class StateMachine:
@@ -55,6 +59,7 @@
         routes: The route configuration in force.
         directory: Replicas that registered themselves.
         control_addresses: Control processes that belonged to the group or asked for it.
+        lacked: Requests that models have lacked.
     """
 
     def __init__(self, claim_retention_s: float = CLAIM_RETENTION_S) -> None:
@@ -64,9 +69,12 @@
         self.routes = RouteStore()
         self.directory = Directory()
         self.control_addresses = ControlAddresses()
+        self.lacked = LackedModels()
 
     def apply(self, command: Command) -> CommandResult:
         """Apply one committed command and return its result."""
+        if isinstance(command, Registration):
+            return Acknowledged(self._apply_registration(command))
         match command:
             case OpenClaim():
                 return self.claims.open(command)
@@ -76,14 +84,6 @@
                 return self.configuration.submit(command.change, command.at_s)
             case PlaceOrder():
                 return OrderPlaced(self.orders.place(command))
-            case (
-                PublishRoutes()
-                | RecordBeat()
-                | RemoveInstance()
-                | OfferModels()
-                | RecordControlAddress()
-            ):
-                return Acknowledged(self._apply_registration(command))
             case _:
                 return Acknowledged(self.orders.settle(command.order_id))
 
@@ -93,11 +93,8 @@
             return self.claims.settle(command)
         return self.claims.abandon(set(command.holders)) > 0
 
-    def _apply_registration(
-        self,
-        command: PublishRoutes | RecordBeat | RemoveInstance | OfferModels | RecordControlAddress,
-    ) -> bool:
-        """Apply what processes and operators registered; return whether it changed anything."""
+    def _apply_registration(self, command: Registration) -> bool:
+        """Apply what was registered or noted; return whether it changed anything."""
         match command:
             case PublishRoutes():
                 return self.routes.submit(command.document)
@@ -105,6 +102,8 @@
                 return self.directory.record(command.beat) is not None
             case RecordControlAddress():
                 return self.control_addresses.record(command.address)
+            case RecordLacked():
+                return self.lacked.record(command.requests)
             case RemoveInstance():
                 return self.directory.remove(command.instance_id) is not None
             case OfferModels():
@@ -125,6 +124,7 @@
                 routes=self.routes.current,
                 directory=self.directory.dump(),
                 control_addresses=self.control_addresses.addresses,
+                lacked=self.lacked.requests,
             )
         )
 
@@ -137,6 +137,7 @@
         self.routes.load(snapshot.routes)
         self.directory.load(snapshot.directory)
         self.control_addresses.load(snapshot.control_addresses)
+        self.lacked.record(snapshot.lacked)
 
     def digest(self) -> str:
         """A hash of the state; equal on all members that applied the same entries."""
--- a/tests/test_model_placer.py
+++ b/tests/test_model_placer.py
@@ -28,14 +28,14 @@
     def __init__(self, answer):
         self.answer = answer
         self.orders = []
-        self.is_busy = False
+        self.says_busy = False
 
     async def order(self, instance, order):
         self.orders.append((instance.instance_id, order.kind.value, order.model))
         return self.answer
 
     async def report(self, instance):
-        return EngineReport(instance.models, [], self.is_busy, 0)
+        return EngineReport(instance.models, [], self.says_busy, 0)
 
 
 class World:
@@ -258,7 +258,7 @@
     # Rare models were never loaded on days with several changes of leader: each leader began to
     # count the requests that they lacked anew, and none of them lasted for long enough.
     before = World(ScriptedEngines(OrderAnswer.ACCEPTED))
-    before.engines.is_busy = True
+    before.engines.says_busy = True
     before.register("i-1", 1, "m0", "m1", "m2")
 
     async def ask_for_long(world):
