--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -1,14 +1,21 @@
 """Connections that go silent for good, without a reset, while new ones work."""
 
 import asyncio
+import json
+import sys
 
 import pytest
 
+from crowsill.backends.engine_calls import EngineOrder, OrderAnswer
 from crowsill.model.instances import Instance
+from crowsill.state.commands import OrderKind
 from crowsill_lab.relay import SilencingRelay
 from tests.control_group import ControlGroup, FollowingGateway, until
-from tests.gateway_world import LOCAL, good, world
-from tests.platform_site import free_ports
+from tests.gateway_world import LOCAL, Caller, good, silent, world
+from tests.platform_site import ROOT, free_ports
+
+sys.path.insert(0, str(ROOT / "platform"))
+from crowsill_platform.engine_calls import PlatformEngineCalls
 
 DIRECTIONS = pytest.mark.parametrize(
     ("to_target", "to_caller"), [(True, False), (False, True), (True, True)]
@@ -72,3 +79,86 @@
             relay.close()
 
     run(scenario())
+
+
+class StandInEngine:
+    """Answers reports and orders, and counts the orders that it accepted."""
+
+    def __init__(self):
+        self.accepted = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, LOCAL, 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                size = next(
+                    (int(line.split(":")[1]) for line in head.split("\r\n") if "Length" in line), 0
+                )
+                order = json.loads(await reader.readexactly(size)) if size else None
+                writer.write(self._answer(order))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def _answer(self, order):
+        if order is None:
+            body = json.dumps({"models": [], "busy": False, "seq": self.accepted}).encode()
+            return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        status = 202 if order["expect"] == self.accepted else 409
+        self.accepted += status == 202
+        return b"HTTP/1.1 %d S\r\nContent-Length: 0\r\n\r\n" % status
+
+    def stop(self):
+        self._server.close()
+
+
+@DIRECTIONS
+def test_an_engine_whose_open_connections_went_silent_is_ordered_on_new_ones(to_target, to_caller):
+    async def scenario():
+        engine, relay = StandInEngine(), SilencingRelay()
+        target = await engine.start()
+        (port,) = free_ports(1)
+        await relay.listen(port, target)
+        instance = Instance("i-1", "s", f"{LOCAL}:{port}", "z", 8)
+        calls = PlatformEngineCalls()
+        # Two connections are open by then.
+        reports = await asyncio.gather(calls.report(instance), calls.report(instance))
+        assert [report.sequence for report in reports] == [0, 0]
+        relay.silence(to_target, to_caller)
+        order = EngineOrder(OrderKind.LOAD, "m0", "", 0, "n", 1)
+        answers = [await calls.order(instance, order) for _ in range(4)]
+        # Nothing says whether the first copies arrived; a report on a new connection does.
+        assert answers[0] is OrderAnswer.UNKNOWN
+        assert answers[-1] in (OrderAnswer.ACCEPTED, OrderAnswer.NOT_NOW)
+        assert (await calls.report(instance)).sequence == engine.accepted == 1
+        relay.close()
+        engine.stop()
+
+    run(scenario())
+
+
+@DIRECTIONS
+def test_a_request_of_a_caller_that_went_silent_ends_with_its_deadline(to_target, to_caller):
+    # Behind a relay that keeps acknowledging nothing tells that the caller is gone: its deadline
+    # ends the request, and the gateway goes on serving others.
+    async def scenario():
+        async with world(silent) as here:
+            relay = SilencingRelay()
+            (port,) = free_ports(1)
+            await relay.listen(port, here.role.port())
+            caller = Caller(*await asyncio.open_connection(LOCAL, port))
+            caller.send("once", headers=["crowsill-deadline-ms: 800"])
+            await until(lambda: here.role._exchanges)
+            relay.silence(to_target, to_caller)
+            await until(lambda: not here.role._exchanges)
+            record = here.role.book.find("i-1")
+            await until(lambda: record.in_flight == 0)
+            other = await here.caller()
+            status, _, _ = await other.ask("unknown-route")
+            assert status == 404
+            relay.close()
+
+    run(scenario())
