--- a/src/crowsill_lab/soak/faults.py
+++ b/src/crowsill_lab/soak/faults.py
@@ -116,16 +116,22 @@
 
     async def _kill_member(self, member: Member) -> None:
         async with self._member_lock:
+            if member not in self._site.members:
+                return  # Replaced while this fault waited for its turn.
             self._note(f"kill {member.name}")
             await self._kill(member.process)
 
     async def _pause_member(self, member: Member) -> None:
         async with self._member_lock:
+            if member not in self._site.members:
+                return  # Replaced while this fault waited for its turn.
             self._note(f"pause {member.name}")
             await self._pause(member.process)
 
     async def _stop_member(self, member: Member) -> None:
         async with self._member_lock:
+            if member not in self._site.members:
+                return  # Replaced while this fault waited for its turn.
             self._note(f"stop {member.name}")
             await self._stop(member.process)
 
--- a/src/crowsill_lab/soak/seeded_site.py
+++ b/src/crowsill_lab/soak/seeded_site.py
@@ -6,6 +6,7 @@
 
 import json
 import shutil
+import signal
 from pathlib import Path
 
 from crowsill_lab.demo.processes import ManagedProcess, free_ports, module_command, wait_for_port
@@ -51,6 +52,7 @@
         self._folder = folder
         self._ports = free_ports(4)
         self._machines = 0
+        self._started: list[ManagedProcess] = []
         self.tolerated_losses = (members - 1) // 2
         self.members = [self._new_member(has_disk=True) for _ in range(members)]
         self.members += [self._new_member(has_disk=False) for _ in range(pointers)]
@@ -92,7 +94,9 @@
 
     def _start(self, name: str) -> ManagedProcess:
         command = module_command("crowsill.daemon", str(self._folder / f"{name}.toml"))
-        return ManagedProcess(name, command, self._folder)
+        process = ManagedProcess(name, command, self._folder)
+        self._started.append(process)
+        return process
 
     def write_settings(self) -> None:
         """Write every settings file anew."""
@@ -159,6 +163,7 @@
         return [machine.process for machine in machines if machine.process is not None]
 
     def stop(self) -> None:
-        """End every process by its own id."""
-        for process in self.processes():
+        """End every process that was ever started, by its own id."""
+        for process in self._started:
+            process.send(signal.SIGCONT)
             process.end()
