--- a/tests/test_finding_the_group.py
+++ b/tests/test_finding_the_group.py
@@ -105,3 +105,26 @@
         return site.core[:3] if machine in site.core else site.redirectors
 
     play(tmp_path, 3, seeds_of)
+
+
+def test_a_process_without_a_disk_that_restarts_alone_is_told(tmp_path):
+    # It was in touch until then, and knows nobody but itself: members have other seeds.
+    site = PlatformSite(tmp_path, core=3, fronts=1, redirectors=1)
+    site.start()
+    beside = site.redirectors[0]
+
+    async def answers():
+        return await site.call("GET", "/config", machine=beside) == 200
+
+    async def scenario():
+        assert await site.publish(configuration(1)) == 200
+        await site.until(answers)
+        beside.kill()
+        beside.seeds = [beside]
+        beside.start()
+        await site.until(answers, SERVED_WITHIN_S)
+
+    try:
+        run(scenario())
+    finally:
+        site.stop()
