--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -101,6 +101,9 @@
     broken = 0
     for number in range(seed, seed + seeds):
         run_folder = folder / str(number)
+        if run_folder.exists() and any(run_folder.iterdir()):
+            # A former run's disks hold a group at other addresses, which never forms again.
+            raise typer.BadParameter(f"{run_folder} is not empty")
         plan = SoakPlan(number, minutes * 60.0, members, gateways, run_folder, pointers)
         report = run_soak(plan)
         typer.echo(report.text())
