Log lines of failed sendings name the request by what stays the same when it is sent again

Cause: the ids of a request are new each time it is sent, so that no log could tell which of the requests that were cut as a replica ended had been at the end of the one before. Change: E208 carries a keyed digest of host, path, method, caller and body.

--- a/src/crowsill/gateway/context.py
+++ b/src/crowsill/gateway/context.py
@@ -5,6 +5,7 @@
 
 from crowsill.gateway.demand import DemandReporter
 from crowsill.gateway.dialect import HeaderNames
+from crowsill.gateway.fingerprint import Fingerprints
 from crowsill.gateway.pool import ConnectionPool
 from crowsill.gateway.quota import GrantClient
 from crowsill.gateway.replica_book import ReplicaBook, ReplicaRecord
@@ -22,6 +23,7 @@
     random: Random
     grants: GrantClient
     demand: DemandReporter
+    fingerprints: Fingerprints
 
     @property
     def revocation_s(self) -> float:
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -64,7 +64,7 @@
         self._loop = asyncio.get_running_loop()
         self._progress = Progress()
         self._service = ""
-        self._log = ExchangeLog(request)
+        self._log = ExchangeLog(request, context.fingerprints)
         self._admission = Admission(context, request)
         self._feedback = ReplicaFeedback(context, request, self._progress, self._log)
         self._outcome = Outcome(context, caller, request, self._progress, self._log)
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -4,6 +4,7 @@
 
 from crowsill.events import Event
 from crowsill.gateway.attempt import Attempt
+from crowsill.gateway.fingerprint import Fingerprints
 from crowsill.gateway.holding import patience_of
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.replica_book import ReplicaRecord
@@ -24,12 +25,13 @@
         units: What it counts to the tenant's rate; 0 where that is not limited.
     """
 
-    def __init__(self, request: CallerRequest) -> None:
+    def __init__(self, request: CallerRequest, fingerprints: Fingerprints) -> None:
         self.service = ""
         self.route: Route | None = None
         self.tenant = ""
         self.units = 0.0
         self._request = request
+        self._fingerprints = fingerprints
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -37,6 +39,11 @@
         """The caller's id of the request."""
         return self._request.request_id.decode("latin-1")
 
+    @property
+    def fingerprint(self) -> bytes:
+        """What it has in common with other sendings of the same request."""
+        return self._fingerprints.of(self._request, self.tenant)
+
     @property
     def _kind(self) -> str:
         return "unknown" if self.route is None else self.route.kind.value
@@ -96,6 +103,7 @@
             result=result,
             detail=detail,
             failures=record.failures,
+            fingerprint=self.fingerprint.hex(),
             ms=self._age_ms(),
         )
 
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -13,6 +13,7 @@
 from crowsill.gateway.demand import DemandReporter
 from crowsill.gateway.dialect import HeaderNames
 from crowsill.gateway.exchange import Exchange
+from crowsill.gateway.fingerprint import Fingerprints
 from crowsill.gateway.follower import GatewayFollower, GatewayHooks
 from crowsill.gateway.gateway_count import GatewayCount
 from crowsill.gateway.pool import ConnectError, ConnectionPool
@@ -69,6 +70,7 @@
         self.zone = settings.zone
         self.random = Random(secrets.randbits(64))
         self.book = ReplicaBook()
+        self.fingerprints = Fingerprints(key)
         self._table: GatewayTable | None = None
         self._gateway_count = GatewayCount()
         self._settings = gateway
