A request under which three replicas ended is sent to no fourth, at any gateway

Cause: a request was known by its id only, which is new each time it comes, so that its ends were nobody's: a break was held against the replica. Class: what outlasts one exchange was kept of replicas, never of requests. Change: gateways find out whether a replica that broke an answer off has ended (its port refuses, all its connections are closed) and report what ran there by a keyed fingerprint; the group records the lives that ended under each fingerprint and pushes them with the versions that gateways prove to be current; a whole answer clears. At two ends a gateway repeats it no more by itself, at three it is refused as not run, before it counts as demand. Runs under way side by side wait for each other at one gateway.

--- a/src/crowsill/control/publisher.py
+++ b/src/crowsill/control/publisher.py
@@ -5,11 +5,13 @@
 from crowsill.control.subscribers import Subscribers
 from crowsill.events import Event
 from crowsill.logs import log_event
-from crowsill.metrics import DIRECTORY_VERSION, REVISION, ROUTES_VERSION
+from crowsill.metrics import DIRECTORY_VERSION, QUARANTINED, REVISION, ROUTES_VERSION
 from crowsill.model.configuration import ConfigurationDelta
+from crowsill.model.suspects import CRASH_LIMIT
 from crowsill.state.commands import (
     Acknowledged,
     ChangeConfiguration,
+    ClearSuspects,
     Command,
     CommandResult,
     ConfigurationDecision,
@@ -17,6 +19,7 @@
     OfferModels,
     PublishRoutes,
     RecordBeat,
+    RecordCrash,
     RemoveInstance,
 )
 from crowsill.state.machine import StateMachine
@@ -53,6 +56,9 @@
 
     def _publish_change(self, command: Command) -> None:
         """Tell gateways what a command changed for them."""
+        if isinstance(command, RecordCrash | ClearSuspects):
+            self._publish_suspects(command)
+            return
         directory = self._machine.directory
         match command:
             case PublishRoutes():
@@ -87,6 +93,39 @@
         if isinstance(command, RecordBeat | RemoveInstance | OfferModels):
             self._subscribers.push_directory(directory.last_change)
 
+    def _publish_suspects(self, command: RecordCrash | ClearSuspects) -> None:
+        """Tell gateways under which requests replicas have ended."""
+        record = self._machine.crashes
+        change = record.last_change
+        if change is None:
+            return
+        QUARANTINED.set(sum(suspect.is_quarantined for suspect in record.suspects))
+        if isinstance(command, ClearSuspects):
+            log_event(
+                Event.SUSPECTS_CLEARED,
+                requests=",".join(item.fingerprint.hex() for item in change.changed),
+                why=command.why,
+            )
+        else:
+            log_event(Event.CRASH_RECORDED, replica=command.life, requests=len(command.requests))
+            self._log_quarantined(command)
+        self._subscribers.push_suspects(change)
+
+    def _log_quarantined(self, command: RecordCrash) -> None:
+        """Name each request that this end of a replica has put into quarantine."""
+        for request in command.requests:
+            suspect = self._machine.crashes.find(request.fingerprint)
+            if suspect is None or len(suspect.ends) != CRASH_LIMIT:
+                continue
+            log_event(
+                Event.REQUEST_QUARANTINED,
+                fingerprint=request.fingerprint.hex(),
+                request=request.request_id,
+                place=request.place,
+                service=request.service,
+                replicas=",".join(suspect.ends),
+            )
+
     def _push_routes_soon(self) -> None:
         """Send the routes once for all versions that are applied in one go.
 
--- /dev/null
+++ b/src/crowsill/control/quarantine_expiry.py
@@ -0,0 +1,28 @@
+"""Ends what replicas' ends count against requests, after a time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from crowsill.clock import wall_s
+from crowsill.state.commands import ClearSuspects
+from crowsill.state.crash_record import CrashRecord
+from crowsill.transport.messages import Body
+
+EXPIRY_INTERVAL_S = 5.0
+
+
+async def expire_suspects(
+    record: CrashRecord, submit: Callable[[ClearSuspects], Awaitable[Body]], quarantine_s: float
+) -> None:
+    """Have suspects forgotten whose last end is long ago, while this member leads.
+
+    Args:
+        record: What is recorded, as far as it is applied here.
+        submit: Has a command committed.
+        quarantine_s: Time after which an end counts no more.
+    """
+    while True:
+        await asyncio.sleep(EXPIRY_INTERVAL_S)
+        due = record.older_than(wall_s() - quarantine_s)
+        if due:
+            await submit(ClearSuspects(due, "too old"))
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -27,6 +27,7 @@
 from crowsill.control.operations import Operations
 from crowsill.control.placers import LeadingMember, polled_placer, registered_placer
 from crowsill.control.publisher import ChangePublisher
+from crowsill.control.quarantine_expiry import expire_suspects
 from crowsill.control.quota_grants import QuotaGrants
 from crowsill.control.registrations import Registrations
 from crowsill.control.service import MemberService, member_addresses
@@ -91,6 +92,7 @@
             self._fleet,
             self._machine.routes,
             self._machine.directory,
+            self._machine.crashes,
         )
         self._publisher = ChangePublisher(self._machine, self._subscribers)
         self._contacts = GroupContacts(control.seeds, self._random)
@@ -275,6 +277,9 @@
         self._leading = [
             asyncio.create_task(changes.reconcile()),
             asyncio.create_task(self._quota.keep_recording(driver)),
+            asyncio.create_task(
+                expire_suspects(self._machine.crashes, driver.submit, self._control.quarantine_s)
+            ),
         ]
         if self._control.seeds:
             self._announce_group(self._service, changes, driver)
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -17,7 +17,7 @@
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.settings import Address
-from crowsill.state.commands import PublishRoutes
+from crowsill.state.commands import ClearSuspects, CrashNote, PublishRoutes, RecordCrash
 from crowsill.transport.connection import Connection, ConnectionLostError
 from crowsill.transport.group_contacts import GroupContacts
 from crowsill.transport.leader_client import format_address
@@ -25,6 +25,7 @@
 from crowsill.transport.messages import (
     BlankCheck,
     Body,
+    ClearRequests,
     ConsensusTraffic,
     Currency,
     DemandNotice,
@@ -40,6 +41,7 @@
     NotLeader,
     Ping,
     Pong,
+    ReportCrash,
     SeenInstances,
     SubmitCommand,
     SuspectInstances,
@@ -136,7 +138,7 @@
             return self._refer(None)
         if isinstance(body, SubmitCommand | MembersRequest):
             return await self.answer_as_leader(body, driver)
-        if isinstance(body, Heartbeat | GrantRequest):
+        if isinstance(body, Heartbeat | GrantRequest | ReportCrash | ClearRequests):
             return await self._answer_gateway(connection, body, driver)
         if isinstance(body, JoinRequest | FindGroup) and driver.is_leader:
             return self._answer_newcomer(body, driver)
@@ -279,12 +281,28 @@
         return self.driver is None or self.driver.node.term == 0
 
     async def _answer_gateway(
-        self, connection: Connection, question: Heartbeat | GrantRequest, driver: ConsensusDriver
+        self,
+        connection: Connection,
+        question: Heartbeat | GrantRequest | ReportCrash | ClearRequests,
+        driver: ConsensusDriver,
     ) -> Body:
         """Answer an entry or gateway that follows this member, or a follower on its behalf."""
-        if isinstance(question, GrantRequest):
-            return await self.quota.answer(question, driver, self.leader_stream)
-        return await self._on_heartbeat(connection, question, driver)
+        match question:
+            case GrantRequest():
+                return await self.quota.answer(question, driver, self.leader_stream)
+            case ReportCrash():
+                return await self._record(RecordCrash(question.life, question.requests))
+            case ClearRequests():
+                return await self._record(ClearSuspects(question.fingerprints, "answered whole"))
+            case _:
+                return await self._on_heartbeat(connection, question, driver)
+
+    async def _record(self, note: CrashNote) -> Body:
+        """Have what a gateway saw committed; recorded twice it changes nothing more."""
+        try:
+            return await self.submit_anywhere(SubmitCommand(note))
+        except ConnectionLostError:
+            return NotLeader(None)
 
     async def _on_heartbeat(
         self, connection: Connection, heartbeat: Heartbeat, driver: ConsensusDriver
@@ -327,6 +345,7 @@
             machine.configuration.current.revision >= currency.revision
             and machine.routes.current.version >= currency.routes_version
             and machine.directory.version >= currency.directory_version
+            and machine.crashes.version >= currency.suspects_version
         )
 
     async def _wait_for_first_leader(self, driver: ConsensusDriver) -> None:
@@ -354,7 +373,11 @@
         members = [f"{member.host}:{member.port}" for member in driver.node.membership.members]
         # Read the lease again after the state, so that what is returned was current then.
         machine = driver.machine
-        versions = (machine.routes.current.version, machine.directory.version)
+        versions = (
+            machine.routes.current.version,
+            machine.directory.version,
+            machine.crashes.version,
+        )
         currency = Currency(revision, entries, members, *versions)
         return currency if driver.has_lease() else None
 
--- a/src/crowsill/control/subscribers.py
+++ b/src/crowsill/control/subscribers.py
@@ -10,7 +10,9 @@
 
 from crowsill.model.configuration import ConfigurationDelta
 from crowsill.model.fleet import FleetDelta, FleetView
+from crowsill.model.suspects import SuspectChange
 from crowsill.state.configuration_store import ConfigurationStore
+from crowsill.state.crash_record import CrashRecord
 from crowsill.state.directory import Directory, DirectoryChange
 from crowsill.state.route_store import RouteStore
 from crowsill.transport.connection import Connection, encode_push
@@ -22,6 +24,7 @@
     FleetUpdate,
     Heartbeat,
     RoutesUpdate,
+    SuspectsUpdate,
 )
 
 ENTRY_EXPIRY_S = 4.0
@@ -81,11 +84,13 @@
         fleet: FleetView,
         routes: RouteStore | None = None,
         directory: Directory | None = None,
+        crashes: CrashRecord | None = None,
     ) -> None:
         self._configuration = configuration
         self._fleet = fleet
         self._routes = RouteStore() if routes is None else routes
         self._directory = Directory() if directory is None else directory
+        self._crashes = CrashRecord() if crashes is None else crashes
         self._gateway_streams: set[Connection] = set()
         self._configuration_streams: set[Connection] = set()
         self._fleet_streams: set[Connection] = set()
@@ -124,6 +129,8 @@
         # Versions of the directory are numbers of one history, so equal ones mean equal content.
         if heartbeat.directory_version < self._directory.version:
             connection.push(DirectoryUpdate(self._directory.whole(), True))
+        if heartbeat.suspects_version < self._crashes.version:
+            connection.push(SuspectsUpdate(self._crashes.whole(), True))
 
     def push_routes(self) -> None:
         """Send the routes in force."""
@@ -133,10 +140,15 @@
         """Send a change of the directory of replicas."""
         self._push_to_gateways(encode_push(DirectoryUpdate(change, False)))
 
+    def push_suspects(self, change: SuspectChange) -> None:
+        """Send a change of the crash record."""
+        self._push_to_gateways(encode_push(SuspectsUpdate(change, False)))
+
     def push_everything(self) -> None:
         """Send all that gateways follow, after a snapshot has replaced it."""
         self.push_routes()
         self._push_to_gateways(encode_push(DirectoryUpdate(self._directory.whole(), True)))
+        self._push_to_gateways(encode_push(SuspectsUpdate(self._crashes.whole(), True)))
 
     def _push_to_gateways(self, payload: bytes) -> None:
         for connection in list(self._gateway_streams):
--- a/src/crowsill/errors.py
+++ b/src/crowsill/errors.py
@@ -45,6 +45,7 @@
     BACKEND_FAILED = "backend_failed"
     ANSWER_TRUNCATED = "answer_truncated"
     NOT_READY = "not_ready"
+    QUARANTINED = "quarantined"
     CONFIGURATION_INVALID = "configuration_invalid"
     CONFIGURATION_CONFLICT = "configuration_conflict"
     NO_LEADER = "no_leader"
@@ -97,6 +98,9 @@
     ErrorKind.BACKEND_FAILED: ErrorAnswer(502, _UNKNOWN, False),
     ErrorKind.ANSWER_TRUNCATED: ErrorAnswer(502, _UNKNOWN, False),
     ErrorKind.NOT_READY: ErrorAnswer(503, _NOT_RUN, True, 2),
+    # No status that blames the caller: what is held back may be a victim that shares path, caller
+    # and body with the culprit.
+    ErrorKind.QUARANTINED: ErrorAnswer(503, _NOT_RUN, True, 300),
     ErrorKind.CONFIGURATION_INVALID: ErrorAnswer(422, _NOT_RUN, False),
     ErrorKind.CONFIGURATION_CONFLICT: ErrorAnswer(409, _NOT_RUN, False),
     ErrorKind.NO_LEADER: ErrorAnswer(503, _UNKNOWN, True, 1),
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -45,6 +45,10 @@
     ATTEMPT_FAILED = EventDefinition(208, "INFO", "A sending to a replica brought no answer.")
     CALLER_LEFT = EventDefinition(209, "INFO", "A caller left before its answer was whole.")
 
+    REPLICA_ENDED = EventDefinition(
+        210, "WARNING", "A replica ended while it ran requests; they are suspects from now on."
+    )
+
     ROLE_CHANGED = EventDefinition(300, "INFO", "This control member changed its role.")
     LOG_TAIL_CUT = EventDefinition(301, "WARNING", "An unsynced torn tail of the log was cut.")
     LOG_DAMAGED = EventDefinition(302, "ERROR", "The log is damaged before its end; refused.")
@@ -107,4 +111,14 @@
         507, "INFO", "What requests wait for is not loaded, and why."
     )
 
+    CRASH_RECORDED = EventDefinition(
+        508, "WARNING", "The group counted the end of a replica against the requests it ran."
+    )
+    REQUEST_QUARANTINED = EventDefinition(
+        509, "ERROR", "Replicas ended under one request too often; gateways hold it back."
+    )
+    SUSPECTS_CLEARED = EventDefinition(
+        510, "INFO", "Requests are no longer suspects: answered whole, lifted, or too old."
+    )
+
     CLAIM_ABANDONED = EventDefinition(600, "WARNING", "The outcome of a claimed request is lost.")
--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -44,6 +44,7 @@
         body: Its body, unless that was passed on as it came.
         relayed: Whether the caller has received it already.
         detail: What went wrong, for the log.
+        is_broken: Whether the replica closed the connection before its answer was whole.
     """
 
     result: Result
@@ -53,6 +54,7 @@
     body: bytes = b""
     relayed: bool = False
     detail: str = ""
+    is_broken: bool = False
 
 
 class Attempt:
@@ -194,7 +196,9 @@
     def on_break(self, why: Break) -> None:
         """The answer will not come whole."""
         result = Result.CUT if self._relaying else Result.FAILED
-        self._end(AttemptEnd(result, self._status, relayed=self._relaying, detail=why))
+        broken = why in (Break.CLOSED, Break.RESET)
+        relayed = self._relaying
+        self._end(AttemptEnd(result, self._status, relayed=relayed, detail=why, is_broken=broken))
 
     def _end(self, end: AttemptEnd) -> None:
         if not self.ended.done():
--- a/src/crowsill/gateway/context.py
+++ b/src/crowsill/gateway/context.py
@@ -3,6 +3,8 @@
 from random import Random
 from typing import Protocol
 
+from crowsill.gateway.crash_guard import CrashGuard
+from crowsill.gateway.crash_watch import CrashWatch
 from crowsill.gateway.demand import DemandReporter
 from crowsill.gateway.dialect import HeaderNames
 from crowsill.gateway.fingerprint import Fingerprints
@@ -24,6 +26,8 @@
     grants: GrantClient
     demand: DemandReporter
     fingerprints: Fingerprints
+    crash_guard: CrashGuard
+    crash_watch: CrashWatch
 
     @property
     def revocation_s(self) -> float:
--- /dev/null
+++ b/src/crowsill/gateway/crash_watch.py
@@ -0,0 +1,156 @@
+"""Finds out whether a replica that broke an answer off has ended, and tells the group.
+
+A broken answer alone says little: connections are reset, links are cut, answers are garbled. A
+replica that has ended has closed all of its connections, and its machine refuses new ones.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+
+from crowsill.clock import monotonic_s
+from crowsill.events import Event
+from crowsill.gateway.crash_guard import CrashGuard
+from crowsill.gateway.pool import ConnectError, ConnectionPool
+from crowsill.logs import log_event
+from crowsill.model.instances import Instance
+from crowsill.model.suspects import SuspectRequest
+from crowsill.transport.messages import Body, ClearRequests, ReportCrash, Submitted
+
+# Pauses before each question whether a port is still open. The end of one connection may be heard
+# before that of the others.
+CHECK_PAUSES_S = (0.0, 0.05, 0.2)
+CHECK_TIMEOUT_S = 0.5
+# A caller's request waits so long for the answer: one round trip, and a second question.
+VERDICT_WAIT_S = 0.3
+ANSWER_TIMEOUT_S = 0.8
+TELL_AGAIN_S = 0.05
+# A report that nobody took for so long is given up: without a leader nobody else could learn of it,
+# and the next end under the same request makes another one.
+LONGEST_TELLING_S = 15.0
+# Whole answers are told together.
+CLEAR_PAUSE_S = 0.1
+MOST_IN_ONE_REPORT = 64
+REMEMBERED_ENDS = 1000
+
+Question = ReportCrash | ClearRequests
+
+
+class CrashWatch:
+    """Watches replicas that broke answers off."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        guard: CrashGuard,
+        ask: Callable[[Question, float], Awaitable[Body | None]],
+        on_ended: Callable[[str], None],
+    ) -> None:
+        """Make it.
+
+        Args:
+            pool: Connections to replicas.
+            guard: Told what ended under which request.
+            ask: Sends a question to the group; the reply, or None when there was none within the
+                time given.
+            on_ended: Receives the id of each instance that has ended.
+        """
+        self._pool = pool
+        self._guard = guard
+        self._ask = ask
+        self._on_ended = on_ended
+        self._broken: dict[str, list[SuspectRequest]] = {}
+        self._checks: dict[str, asyncio.Task[bool]] = {}
+        self._ended: OrderedDict[str, None] = OrderedDict()
+        self._cleared: list[bytes] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def note_break(self, instance: Instance, request: SuspectRequest) -> None:
+        """A replica broke the answer to a request off."""
+        # A replica that leaves ends with whatever it runs: a stop is no crash.
+        if not instance.accepts_work:
+            return
+        life = instance.instance_id
+        self._broken.setdefault(life, []).append(request)
+        if life in self._ended:
+            self._conclude(instance)
+        elif life not in self._checks:
+            check = asyncio.create_task(self._check(instance))
+            self._checks[life] = check
+            check.add_done_callback(lambda _done: self._checks.pop(life, None))
+
+    async def has_ended(self, instance_id: str) -> bool:
+        """Whether a replica that broke an answer off has ended, as soon as that is known."""
+        check = self._checks.get(instance_id)
+        if check is not None:
+            await asyncio.wait([check], timeout=VERDICT_WAIT_S)
+        return instance_id in self._ended
+
+    async def _check(self, instance: Instance) -> bool:
+        for pause_s in CHECK_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            if not await self._is_refused(instance):
+                break
+            # A replica that refuses because it has too many connections still answers on others.
+            if not self._pool.has_open(instance.instance_id):
+                self._conclude(instance)
+                return True
+        self._broken.pop(instance.instance_id, None)
+        return False
+
+    async def _is_refused(self, instance: Instance) -> bool:
+        """Whether its machine says that nobody listens there; silence is no proof."""
+        try:
+            connection = await self._pool.open_new(instance, CHECK_TIMEOUT_S)
+        except ConnectError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self._pool.release(instance.instance_id, connection, True)
+        return False
+
+    def _conclude(self, instance: Instance) -> None:
+        """A replica has ended: count that for all that broke off there."""
+        life = instance.instance_id
+        if life not in self._ended:
+            self._ended[life] = None
+            if len(self._ended) > REMEMBERED_ENDS:
+                self._ended.popitem(last=False)
+            self._on_ended(life)
+        requests = self._broken.pop(life, [])
+        for request in requests:
+            self._guard.note_end(request.fingerprint, life)
+        log_event(Event.REPLICA_ENDED, replica=life, requests=len(requests))
+        for start in range(0, len(requests), MOST_IN_ONE_REPORT):
+            part = requests[start : start + MOST_IN_ONE_REPORT]
+            self._start(self._tell(ReportCrash(life, part)))
+
+    def note_success(self, fingerprint: bytes) -> None:
+        """A request ended whole: it is not what ends replicas."""
+        if not self._guard.note_success(fingerprint):
+            return
+        if not self._cleared:
+            self._start(self._tell_cleared())
+        self._cleared.append(fingerprint)
+
+    async def _tell_cleared(self) -> None:
+        await asyncio.sleep(CLEAR_PAUSE_S)
+        cleared, self._cleared = self._cleared, []
+        await self._tell(ClearRequests(cleared))
+
+    async def _tell(self, question: Question) -> None:
+        until_s = monotonic_s() + LONGEST_TELLING_S
+        while monotonic_s() < until_s:
+            if isinstance(await self._ask(question, ANSWER_TIMEOUT_S), Submitted):
+                return
+            await asyncio.sleep(TELL_AGAIN_S)
+
+    def _start(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def stop(self) -> None:
+        """Give up what is not told yet."""
+        tasks = [*self._tasks, *self._checks.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -21,6 +21,7 @@
 from crowsill.gateway.progress import PendingPrompt, Progress
 from crowsill.gateway.prospects import prospect_of
 from crowsill.gateway.refusal import Refusal
+from crowsill.gateway.repeat_guard import RepeatGuard
 from crowsill.gateway.replica_feedback import FAILED_STATUS, ReplicaFeedback
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayTable, pick_service
@@ -66,6 +67,7 @@
         self._service = ""
         self._log = ExchangeLog(request, context.fingerprints)
         self._admission = Admission(context, request)
+        self._repeats = RepeatGuard(context, request, self._log)
         self._feedback = ReplicaFeedback(context, request, self._progress, self._log)
         self._outcome = Outcome(context, caller, request, self._progress, self._log)
 
@@ -96,7 +98,10 @@
         refusal = await self._admission.admit(route, until_monotonic_s(deadline_s))
         self._log.tenant = "" if self._admission.tenant is None else self._admission.tenant.name
         self._log.units = self._admission.units
+        # Before it counts as demand: what is held back must not bring its model to further engines.
+        refusal = refusal or self._repeats.quarantine()
         if refusal is not None:
+            self._admission.not_run()
             self._refuse(refusal)
             return
         await self._serve_admitted(route, deadline_s)
@@ -150,7 +155,7 @@
             self._outcome.refuse(ErrorKind.OVERLOADED, detail, STOPPING_RETRY_S)
             return
         while True:
-            refusal = self._admission.recheck()
+            refusal = await self._repeats.admit_copy() or self._admission.recheck()
             if refusal is not None:
                 self._refuse(refusal)
                 return
@@ -174,7 +179,7 @@
             end = await self._send(route, choice, deadline_s)
             if end is None:
                 continue
-            if not self._goes_on_after(route, end):
+            if not await self._goes_on_after(route, choice, end):
                 self._outcome.conclude(end)
                 return
 
@@ -293,6 +298,7 @@
         prompt = PendingPrompt(record, unread, self._loop.time())
         reusable = False
         connection = None
+        is_begun = self._repeats.begin()
         try:
             connection = await context.pool.acquire(record.instance, deadline_s - self._loop.time())
             is_stream = route.kind is RouteKind.STREAM
@@ -316,6 +322,7 @@
             end = await attempt.ended
             reusable = end.result in (Result.WHOLE, Result.NOT_RUN)
             self._feedback.learn(choice, attempt, end, sent_s)
+            self._repeats.learn(record.instance, end)
             self._feedback.note_pressure(route, attempt, sent_s)
             return end
         except ConnectError as error:
@@ -328,6 +335,8 @@
         finally:
             record.in_flight -= 1
             prompt.read()
+            if is_begun:
+                self._repeats.finish()
             if self._progress.attempt is not None:
                 self._feedback.notice_silence(record, self._progress.attempt)
                 self._progress.attempt.connection = None
@@ -340,7 +349,7 @@
         rank = admission.rank(route)
         return SendingTerms(instance_id, rank, left_s, admission.is_keyed, tenant)
 
-    def _goes_on_after(self, route: Route, end: AttemptEnd) -> bool:
+    async def _goes_on_after(self, route: Route, choice: Choice, end: AttemptEnd) -> bool:
         """Whether the request may go to another replica."""
         progress = self._progress
         if end.result is Result.NOT_RUN:
@@ -355,4 +364,6 @@
             return False
         budget = self._context.budget(self._service)
         left = budget.left(self._loop.time(), self._context.gateways)
-        return left >= 1.0 and not isinstance(self._choose(route), NoChoice)
+        if left < 1.0 or isinstance(self._choose(route), NoChoice):
+            return False
+        return await self._repeats.may_repeat(choice.record.instance, end)
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -14,6 +14,7 @@
 from crowsill.clock import monotonic_s
 from crowsill.control.subscribers import DemandCounter
 from crowsill.events import Event
+from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.replica_book import ReplicaBook
 from crowsill.logs import log_event
 from crowsill.settings import Address
@@ -23,6 +24,7 @@
 from crowsill.transport.leader_client import parse_address
 from crowsill.transport.messages import (
     Body,
+    ClearRequests,
     Currency,
     DemandNotice,
     DirectoryUpdate,
@@ -30,8 +32,10 @@
     GrantRequest,
     Heartbeat,
     NotLeader,
+    ReportCrash,
     RoutesUpdate,
     SuspectInstances,
+    SuspectsUpdate,
 )
 from crowsill.transport.stream import LocalIdentity, ProtocolError
 
@@ -73,10 +77,13 @@
         local: LocalIdentity,
         seeds: list[Address],
         book: ReplicaBook,
+        guard: CrashGuard,
+        *,
         hooks: GatewayHooks,
         random: Random,
     ) -> None:
         self.book = book
+        self._guard = guard
         self.routes_version = 0
         self.demand = DemandCounter()
         self.urgent = DemandCounter()
@@ -161,6 +168,7 @@
             follows_routes=True,
             routes_version=self.routes_version,
             directory_version=self.book.version,
+            suspects_version=self._guard.version,
             urgent=urgent,
             pressed=pressed,
         )
@@ -206,6 +214,8 @@
             return
         if self.book.version < awaited.directory_version:
             return
+        if self._guard.version < awaited.suspects_version:
+            return
         self._awaited = None
         self._hooks.on_current(max(1, awaited.entries), self._asked_s)
 
@@ -214,7 +224,9 @@
         connection = self._connection
         return connection is not None and connection.push(notice)
 
-    async def ask(self, question: GrantRequest, timeout_s: float) -> Body | None:
+    async def ask(
+        self, question: GrantRequest | ReportCrash | ClearRequests, timeout_s: float
+    ) -> Body | None:
         """Ask the group through the member that is followed; None when no reply came."""
         connection = self._connection
         if connection is None:
@@ -232,4 +244,6 @@
             # The clock of the event loop, by which requests are timed.
             ended = self.book.adopt(body.change, body.whole, time.monotonic())
             self._hooks.on_directory(ended)
+        elif isinstance(body, SuspectsUpdate):
+            self._guard.adopt(body.change, body.whole)
         self._prove_current()
--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -43,6 +43,13 @@
         pool = self._pools.get(instance_id)
         return pool is not None and bool(pool.idle)
 
+    def has_open(self, instance_id: str) -> bool:
+        """Whether any connection to an instance has not ended, as far as is known here."""
+        pool = self._pools.get(instance_id)
+        if pool is None:
+            return False
+        return pool.in_use > 0 or any(connection.is_open for connection in pool.idle)
+
     def _take_idle(self, pool: _InstancePool, now_s: float) -> ReplicaConnection | None:
         while pool.idle:
             connection = pool.idle.pop()
@@ -59,9 +66,19 @@
         """
         pool = self._pools.setdefault(instance.instance_id, _InstancePool())
         connection = self._take_idle(pool, self._loop.time())
+        if connection is None:
+            return await self.open_new(instance, timeout_s)
+        pool.in_use += 1
+        return connection
+
+    async def open_new(self, instance: Instance, timeout_s: float) -> ReplicaConnection:
+        """Return a connection that is made now, whatever idle ones there are.
+
+        Raises:
+            ConnectError: None could be made in time; its cause tells whether it was refused.
+        """
+        pool = self._pools.setdefault(instance.instance_id, _InstancePool())
         pool.in_use += 1
-        if connection is not None:
-            return connection
         try:
             return await self._open(instance, timeout_s)
         except (OSError, TimeoutError) as error:
--- /dev/null
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -0,0 +1,105 @@
+"""What one exchange asks before each sending: has its request ended replicas before?"""
+
+import asyncio
+
+from crowsill.errors import ErrorKind
+from crowsill.gateway.attempt import AttemptEnd, Result
+from crowsill.gateway.context import ExchangeContext
+from crowsill.gateway.exchange_log import ExchangeLog
+from crowsill.gateway.refusal import Refusal
+from crowsill.gateway.request import CallerRequest
+from crowsill.model.instances import Instance
+from crowsill.model.suspects import LONGEST_PLACE, SuspectRequest
+
+# What is held back stays so for an hour (`ControlSettings.quarantine_s`) or until an operator lifts
+# it: no caller gains by coming back within minutes.
+QUARANTINE_RETRY_S = 300.0
+# A suspect waits so long for another sending of it that is under way here: most answers take less.
+COPY_WAIT_S = 1.0
+COPY_POLL_S = 0.05
+COPY_RETRY_S = 1.0
+_QUARANTINED = Refusal(
+    ErrorKind.QUARANTINED,
+    "held back: replicas ended while they ran a request like this one",
+    QUARANTINE_RETRY_S,
+)
+_COPY_UNDER_WAY = Refusal(
+    ErrorKind.OVERLOADED,
+    "the same request is under way, and a replica ended while it ran before",
+    COPY_RETRY_S,
+)
+
+
+class RepeatGuard:
+    """The guard of one request."""
+
+    def __init__(self, context: ExchangeContext, request: CallerRequest, log: ExchangeLog) -> None:
+        self._context = context
+        self._request = request
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._known: bytes | None = None
+
+    @property
+    def _fingerprint(self) -> bytes:
+        if self._known is None:
+            self._known = self._log.fingerprint
+        return self._known
+
+    def quarantine(self) -> Refusal | None:
+        """Return why the request may be sent to no replica, or None."""
+        guard = self._context.crash_guard
+        if guard.has_suspects and guard.is_quarantined(self._fingerprint):
+            return _QUARANTINED
+        return None
+
+    async def admit_copy(self) -> Refusal | None:
+        """Wait while another sending of a suspect is under way here; return why not to send it.
+
+        Before the count is known everywhere, copies sent side by side would end a replica each.
+        """
+        guard = self._context.crash_guard
+        until_s = self._loop.time() + COPY_WAIT_S
+        while (
+            guard.has_suspects
+            and guard.is_suspect(self._fingerprint)
+            and guard.is_under_way(self._fingerprint)
+        ):
+            if self._loop.time() >= until_s or self._context.is_stopping():
+                return _COPY_UNDER_WAY
+            await self._context.changed(COPY_POLL_S)
+        return self.quarantine()
+
+    def begin(self) -> bool:
+        """A sending begins; return whether `finish` is to be called as it ends."""
+        if not self._context.crash_guard.has_suspects:
+            return False
+        self._context.crash_guard.begin(self._fingerprint)
+        return True
+
+    def finish(self) -> None:
+        """A sending that was begun has ended."""
+        self._context.crash_guard.finish(self._fingerprint)
+
+    def learn(self, instance: Instance, end: AttemptEnd) -> None:
+        """Take in how a sending ended."""
+        watch, guard = self._context.crash_watch, self._context.crash_guard
+        if end.is_broken:
+            place = f"{self._request.host}{self._request.path}"[:LONGEST_PLACE]
+            suspect = SuspectRequest(
+                self._fingerprint, self._log.request_id, place, self._log.service
+            )
+            watch.note_break(instance, suspect)
+        elif end.result is Result.WHOLE and end.status < 500 and guard.has_suspects:
+            watch.note_success(self._fingerprint)
+
+    async def may_repeat(self, instance: Instance, end: AttemptEnd) -> bool:
+        """Whether the request may go to another replica after such an end.
+
+        A request that may be repeated three times would else end three replicas by itself.
+        """
+        if not end.is_broken:
+            return True
+        if not await self._context.crash_watch.has_ended(instance.instance_id):
+            return True
+        return self._context.crash_guard.may_repeat(self._fingerprint)
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -10,6 +10,8 @@
 from crowsill.clock import monotonic_s
 from crowsill.events import Event
 from crowsill.gateway.caller_protocol import CallerConnection
+from crowsill.gateway.crash_guard import CrashGuard
+from crowsill.gateway.crash_watch import CrashWatch
 from crowsill.gateway.demand import DemandReporter
 from crowsill.gateway.dialect import HeaderNames
 from crowsill.gateway.exchange import Exchange
@@ -71,6 +73,7 @@
         self.random = Random(secrets.randbits(64))
         self.book = ReplicaBook()
         self.fingerprints = Fingerprints(key)
+        self.crash_guard = CrashGuard()
         self._table: GatewayTable | None = None
         self._gateway_count = GatewayCount()
         self._settings = gateway
@@ -93,7 +96,12 @@
         local = LocalIdentity(settings.node, identity, settings.zone, key)
         hooks = GatewayHooks(self._on_routes, self._on_directory, self._on_current)
         self._follower = GatewayFollower(
-            local, gateway.control_seeds, self.book, hooks, self.random
+            local,
+            gateway.control_seeds,
+            self.book,
+            self.crash_guard,
+            hooks=hooks,
+            random=self.random,
         )
         self.grants = GrantClient(self._follower.ask)
         self.demand = DemandReporter(self._follower, gateway.keep_asking_s)
@@ -102,6 +110,9 @@
         """Open the listeners and begin to follow the control group."""
         loop = asyncio.get_running_loop()
         self.pool = ConnectionPool(self.names)
+        self.crash_watch = CrashWatch(
+            self.pool, self.crash_guard, self._follower.ask, self._on_ended
+        )
         listen = self._settings.callers
         self._server = await loop.create_server(
             lambda: CallerConnection(self), listen.host, listen.port, backlog=BACKLOG
@@ -164,6 +175,11 @@
             self.pool.forget(instance_id)
         self._wake()
 
+    def _on_ended(self, instance_id: str) -> None:
+        record = self.book.find(instance_id)
+        if record is not None:
+            self.unreachable(record)
+
     def _on_current(self, gateways: int, proved_s: float) -> None:
         self._proved_s = proved_s
         now_s = asyncio.get_running_loop().time()
@@ -356,6 +372,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.crash_watch.stop()
         if self._server is not None:
             self._server.close()
         for connection in list(self._callers):
--- /dev/null
+++ b/src/crowsill/model/suspects.py
@@ -0,0 +1,62 @@
+"""Requests that were running where replicas ended, and what is counted of them."""
+
+import msgspec
+
+# So many replicas may end while they run a request; then it is held back. One end says nothing: up
+# to a hundred other requests ran there. Two can meet by chance while a request that ends replicas
+# is about, and its victims are sent again. The users allow three.
+CRASH_LIMIT = 3
+# A request under which so many replicas have ended is not repeated by a gateway of its own accord.
+REPEAT_LIMIT = 2
+LONGEST_PLACE = 120
+
+
+class SuspectRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was running at a replica as that ended.
+
+    Attributes:
+        fingerprint: What it has in common with other sendings of the same request.
+        request_id: The caller's id of this sending, for whoever looks into it.
+        place: Host and path, cut to `LONGEST_PLACE` characters.
+        service: Its service.
+    """
+
+    fingerprint: bytes
+    request_id: str
+    place: str
+    service: str
+
+
+class Suspect(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of one request that was running where replicas ended.
+
+    Attributes:
+        request: The sending under which a replica ended last.
+        ends: The lives of replicas that ended while they ran it.
+        first_s: Wall clock when the first end was recorded.
+        last_s: Wall clock when the last end was recorded.
+    """
+
+    request: SuspectRequest
+    ends: list[str]
+    first_s: float
+    last_s: float
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether it is held back."""
+        return len(self.ends) >= CRASH_LIMIT
+
+
+class SuspectEnds(msgspec.Struct, frozen=True, array_like=True):
+    """The lives of replicas that ended under one request; none when it is no longer suspect."""
+
+    fingerprint: bytes
+    ends: list[str]
+
+
+class SuspectChange(msgspec.Struct, frozen=True, array_like=True):
+    """What one version of the crash record changed."""
+
+    version: int
+    changed: list[SuspectEnds]
--- a/src/crowsill/settings.py
+++ b/src/crowsill/settings.py
@@ -85,6 +85,8 @@
         quota_window_s: Sliding window in which what a tenant uses is counted.
         quota_tolerance: Share by which a tenant may exceed its rate and burst in a window.
         quota_slack: Units that it may use beyond that.
+        quarantine_s: Time after the last end of a replica under a request after which that counts
+            no more. Each time, three more replicas may end under a request that still does it.
     """
 
     data_folder: str
@@ -112,6 +114,7 @@
     quota_window_s: PositiveSeconds = 10.0
     quota_tolerance: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    quarantine_s: PositiveSeconds = 3600.0
 
     @property
     def target_voters(self) -> int | None:
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -9,6 +9,7 @@
 
 from crowsill.model.configuration import ConfigurationChange
 from crowsill.model.instances import Beat, ComingModel, HeldModel
+from crowsill.model.suspects import SuspectRequest
 from crowsill.state.route_store import RouteDocument
 
 
@@ -194,9 +195,36 @@
     at_s: float = 0.0
 
 
+class RecordCrash(msgspec.Struct, frozen=True, array_like=True, tag="record-crash"):
+    """Record that a replica ended while it ran requests.
+
+    Attributes:
+        life: The replica's life that ended.
+        requests: What was running there.
+    """
+
+    life: str
+    requests: list[SuspectRequest]
+    at_s: float = 0.0
+
+
+class ClearSuspects(msgspec.Struct, frozen=True, array_like=True, tag="clear-suspects"):
+    """Record that requests are no longer suspects.
+
+    Attributes:
+        fingerprints: Which.
+        why: Why not, for the log.
+    """
+
+    fingerprints: list[bytes]
+    why: str
+    at_s: float = 0.0
+
+
+CrashNote = RecordCrash | ClearSuspects
 # What a leader notes for its successors.
 LeaderNote = RecordControlAddress | RecordLacked | RecordQuotaUse
-Registration = PublishRoutes | RecordBeat | RemoveInstance | OfferModels | LeaderNote
+Registration = PublishRoutes | RecordBeat | RemoveInstance | OfferModels | CrashNote | LeaderNote
 Command = (
     ChangeConfiguration
     | OpenClaim
@@ -211,6 +239,8 @@
     | RecordControlAddress
     | RecordLacked
     | RecordQuotaUse
+    | RecordCrash
+    | ClearSuspects
 )
 
 
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -13,8 +13,10 @@
     Acknowledged,
     ChangeConfiguration,
     ClaimKey,
+    ClearSuspects,
     Command,
     CommandResult,
+    CrashNote,
     LeaderNote,
     OfferModels,
     OpenClaim,
@@ -23,6 +25,7 @@
     PublishRoutes,
     RecordBeat,
     RecordControlAddress,
+    RecordCrash,
     RecordLacked,
     RecordQuotaUse,
     Registration,
@@ -31,6 +34,7 @@
 )
 from crowsill.state.configuration_store import AcceptedChange, ConfigurationStore
 from crowsill.state.control_addresses import ControlAddresses
+from crowsill.state.crash_record import CrashRecord, CrashRecordSnapshot
 from crowsill.state.directory import Directory, DirectorySnapshot
 from crowsill.state.lacked_models import LackedModels
 from crowsill.state.orders import Order, OrderTable
@@ -51,6 +55,7 @@
     control_addresses: list[str] = []
     lacked: dict[str, float] = {}
     quota_use: dict[str, list[float]] = {}
+    crashes: CrashRecordSnapshot = CrashRecordSnapshot()
 
 
 class StateMachine:
@@ -65,6 +70,7 @@
         control_addresses: Control processes that belonged to the group or asked for it.
         lacked: Requests that models have lacked.
         quota_use: What tenants may have been granted lately.
+        crashes: Requests under which replicas ended.
     """
 
     def __init__(self, claim_retention_s: float = CLAIM_RETENTION_S) -> None:
@@ -76,6 +82,7 @@
         self.control_addresses = ControlAddresses()
         self.lacked = LackedModels()
         self.quota_use = QuotaUse()
+        self.crashes = CrashRecord()
 
     def apply(self, command: Command) -> CommandResult:
         """Apply one committed command and return its result."""
@@ -111,9 +118,17 @@
             case OfferModels():
                 change = self.directory.offer(command.instance_id, command.models, command.coming)
                 return change is not None
+            case RecordCrash() | ClearSuspects():
+                return self._apply_crash(command)
             case _:
                 return self._apply_note(command)
 
+    def _apply_crash(self, note: CrashNote) -> bool:
+        """Apply what was seen of requests under which replicas ended; return whether it is new."""
+        if isinstance(note, ClearSuspects):
+            return self.crashes.clear(note.fingerprints) is not None
+        return self.crashes.record(note.life, note.requests, note.at_s) is not None
+
     def _apply_note(self, note: LeaderNote) -> bool:
         """Apply what a leader noted for its successors; return whether it changed anything."""
         match note:
@@ -140,6 +155,7 @@
                 control_addresses=self.control_addresses.addresses,
                 lacked=self.lacked.requests,
                 quota_use=self.quota_use.units,
+                crashes=self.crashes.dump(),
             )
         )
 
@@ -154,6 +170,7 @@
         self.control_addresses.load(snapshot.control_addresses)
         self.lacked.record(snapshot.lacked)
         self.quota_use.load(snapshot.quota_use)
+        self.crashes.load(snapshot.crashes)
 
     def digest(self) -> str:
         """A hash of the state; equal on all members that applied the same entries."""
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -10,6 +10,7 @@
 from crowsill.consensus.messages import Envelope
 from crowsill.model.configuration import Configuration, ConfigurationDelta
 from crowsill.model.fleet import FleetDelta
+from crowsill.model.suspects import SuspectChange, SuspectRequest
 from crowsill.state.commands import Command, CommandResult
 from crowsill.state.directory import DirectoryChange
 from crowsill.state.route_store import RouteDocument
@@ -83,6 +84,7 @@
         follows_routes: Whether it wants pushes of routes and of the directory of replicas.
         routes_version: Version of the routes that it has.
         directory_version: Version of the directory that it has.
+        suspects_version: Version of the crash record that it has.
         urgent: Those requests of `demand` that have a short target.
         pressed: Those whose first event took most of their target, or that found no place.
     """
@@ -97,6 +99,7 @@
     directory_version: int = 0
     urgent: dict[str, int] = {}
     pressed: dict[str, int] = {}
+    suspects_version: int = 0
 
 
 class BlankCheck(msgspec.Struct, frozen=True, tag="blank-check"):
@@ -225,6 +228,7 @@
         members: `IP:port` of each control member.
         routes_version: Version of the routes in force.
         directory_version: Version of the directory of replicas.
+        suspects_version: Version of the crash record.
     """
 
     revision: int
@@ -232,6 +236,7 @@
     members: list[str] = []
     routes_version: int = 0
     directory_version: int = 0
+    suspects_version: int = 0
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration-update"):
@@ -260,6 +265,31 @@
     whole: bool
 
 
+class SuspectsUpdate(msgspec.Struct, frozen=True, tag="suspects-update"):
+    """A change of the crash record; `whole` when it holds everything."""
+
+    change: SuspectChange
+    whole: bool
+
+
+class ReportCrash(msgspec.Struct, frozen=True, tag="report-crash"):
+    """A gateway saw a replica end while it ran requests; a follower passes it to the leader.
+
+    Attributes:
+        life: The replica's life that ended.
+        requests: What was running there for this gateway.
+    """
+
+    life: str
+    requests: list[SuspectRequest]
+
+
+class ClearRequests(msgspec.Struct, frozen=True, tag="clear-requests"):
+    """Requests that were suspects ended whole; a follower passes it to the leader."""
+
+    fingerprints: list[bytes]
+
+
 class DemandNotice(msgspec.Struct, frozen=True, tag="demand-notice"):
     """Resources that requests wait for and no replica holds, with their number."""
 
@@ -383,6 +413,9 @@
     | SuspectInstances
     | GrantRequest
     | GrantReply
+    | SuspectsUpdate
+    | ReportCrash
+    | ClearRequests
 )
 
 
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from crowsill.control.role import open_control_role
+from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.follower import GatewayFollower, GatewayHooks
 from crowsill.gateway.replica_book import ReplicaBook
 from crowsill.model.route_codec import pack
@@ -110,7 +111,9 @@
         self.current = 0
         hooks = GatewayHooks(lambda document: None, lambda ended: None, self._on_current)
         local = LocalIdentity("g1", "g1.1", "z", KEY)
-        self.follower = GatewayFollower(local, [first], ReplicaBook(), hooks, Random(1))
+        self.follower = GatewayFollower(
+            local, [first], ReplicaBook(), CrashGuard(), hooks=hooks, random=Random(1)
+        )
         self._task = None
 
     def _on_current(self, gateways, proved_s):
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -4,6 +4,7 @@
 from random import Random
 from types import SimpleNamespace
 
+from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.follower import GatewayFollower, GatewayHooks
 from crowsill.gateway.replica_book import ReplicaBook
 from crowsill.logs import configure_logs
@@ -31,7 +32,7 @@
 
     hooks = GatewayHooks(lambda document: None, lambda ended: None, note_current)
     local = LocalIdentity("g1", "g1.1", "z", b"k" * 32)
-    return GatewayFollower(local, [], ReplicaBook(), hooks, Random(1))
+    return GatewayFollower(local, [], ReplicaBook(), CrashGuard(), hooks=hooks, random=Random(1))
 
 
 def routes(version):
