--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -291,7 +291,9 @@
             case GrantRequest():
                 return await self.quota.answer(question, driver, self.leader_stream)
             case ReportCrash():
-                return await self._record(RecordCrash(question.life, question.requests))
+                return await self._record(
+                    RecordCrash(question.life, question.requests, question.ago_s)
+                )
             case ClearRequests():
                 return await self._record(ClearSuspects(question.fingerprints, "answered whole"))
             case _:
--- a/src/crowsill/gateway/crash_guard.py
+++ b/src/crowsill/gateway/crash_guard.py
@@ -4,13 +4,22 @@
 """
 
 from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
 
-from crowsill.model.suspects import CRASH_LIMIT, REPEAT_LIMIT, SuspectChange
+from crowsill.model.suspects import CRASH_LIMIT, REPEAT_LIMIT, SuspectChange, is_another_end
 
 # Own observations that the group has not confirmed yet; a bound for a gateway without contact.
 MOST_OWN = 1000
 
 
+@dataclass(slots=True)
+class _OwnEnds:
+    """Ends that this gateway saw under one request, until the group has counted them."""
+
+    lives: set[str] = field(default_factory=set)
+    last_s: float = float("-inf")
+
+
 class CrashGuard:
     """Decides what may be sent, by fingerprint.
 
@@ -18,10 +27,12 @@
         version: Version of the group's record that was taken in last.
 
     >>> guard = CrashGuard()
-    >>> guard.note_end(b"f", "a"), guard.note_end(b"f", "b"), guard.may_repeat(b"f")
-    (None, None, False)
-    >>> guard.is_quarantined(b"f"), guard.note_end(b"f", "c"), guard.is_quarantined(b"f")
-    (False, None, True)
+    >>> for life, sent_s in (("a", 1), ("b", 2), ("c", 3)):
+    ...     guard.note_end(b"f", life, sent_s, sent_s + 0.1)
+    ...     print(guard.may_repeat(b"f"), guard.is_quarantined(b"f"))
+    True False
+    False False
+    False True
     >>> guard.note_success(b"f"), guard.is_quarantined(b"f")
     (False, False)
     """
@@ -29,7 +40,7 @@
     def __init__(self) -> None:
         self.version = 0
         self._recorded: dict[bytes, set[str]] = {}
-        self._own: OrderedDict[bytes, set[str]] = OrderedDict()
+        self._own: OrderedDict[bytes, _OwnEnds] = OrderedDict()
         self._under_way: Counter[bytes] = Counter()
 
     @property
@@ -39,7 +50,8 @@
 
     def _ends(self, fingerprint: bytes) -> int:
         recorded = self._recorded.get(fingerprint, set())
-        return len(recorded | self._own.get(fingerprint, set()))
+        own = self._own.get(fingerprint)
+        return len(recorded if own is None else recorded | own.lives)
 
     def is_suspect(self, fingerprint: bytes) -> bool:
         """Whether a replica has ended while it ran the request."""
@@ -50,8 +62,14 @@
         return self._ends(fingerprint) < REPEAT_LIMIT
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Whether the request is to be sent to no replica."""
-        return self._ends(fingerprint) >= CRASH_LIMIT
+        """Whether the request is to be sent to no replica.
+
+        By the group's count, or by what this gateway saw alone while it is out of touch: the sum of
+        both may hold two ends of one moment, which are not to be counted twice.
+        """
+        own = self._own.get(fingerprint)
+        most = max(len(self._recorded.get(fingerprint, ())), 0 if own is None else len(own.lives))
+        return most >= CRASH_LIMIT
 
     def adopt(self, change: SuspectChange, whole: bool) -> None:
         """Take in a change of the group's record.
@@ -74,19 +92,33 @@
             self._own.pop(fingerprint, None)
             return
         self._recorded[fingerprint] = ends
-        left = self._own.get(fingerprint, set()) - ends
-        if left:
-            self._own[fingerprint] = left
-        else:
-            self._own.pop(fingerprint, None)
 
-    def note_end(self, fingerprint: bytes, life: str) -> None:
-        """A replica ended while it ran the request, by this gateway's own observation."""
-        self._own.setdefault(fingerprint, set()).add(life)
+    def note_end(self, fingerprint: bytes, life: str, sent_s: float, ended_s: float) -> None:
+        """A replica ended while it ran the request, by this gateway's own observation.
+
+        Args:
+            fingerprint: The request.
+            life: The replica's life that ended.
+            sent_s: Clock when the request was sent there.
+            ended_s: Clock when the replica ended.
+        """
+        own = self._own.setdefault(fingerprint, _OwnEnds())
         self._own.move_to_end(fingerprint)
+        if is_another_end(own.last_s, sent_s, ended_s):
+            own.lives.add(life)
+            own.last_s = ended_s
         if len(self._own) > MOST_OWN:
             self._own.popitem(last=False)
 
+    def forget_own(self, fingerprint: bytes, life: str) -> None:
+        """The group has decided whether it counts an end that this gateway saw."""
+        own = self._own.get(fingerprint)
+        if own is None:
+            return
+        own.lives.discard(life)
+        if not own.lives:
+            del self._own[fingerprint]
+
     def note_success(self, fingerprint: bytes) -> bool:
         """The request ended whole; return whether the group's record has to be told."""
         self._own.pop(fingerprint, None)
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -59,7 +59,9 @@
         self._guard = guard
         self._ask = ask
         self._on_ended = on_ended
+        self._loop = asyncio.get_running_loop()
         self._broken: dict[str, list[SuspectRequest]] = {}
+        self._broke_s: dict[str, float] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._ended: OrderedDict[str, None] = OrderedDict()
         self._cleared: list[bytes] = []
@@ -72,6 +74,7 @@
             return
         life = instance.instance_id
         self._broken.setdefault(life, []).append(request)
+        self._broke_s.setdefault(life, self._loop.time())
         if life in self._ended:
             self._conclude(instance)
         elif life not in self._checks:
@@ -96,6 +99,7 @@
                 self._conclude(instance)
                 return True
         self._broken.pop(instance.instance_id, None)
+        self._broke_s.pop(instance.instance_id, None)
         return False
 
     async def _is_refused(self, instance: Instance) -> bool:
@@ -116,12 +120,19 @@
                 self._ended.popitem(last=False)
             self._on_ended(life)
         requests = self._broken.pop(life, [])
+        ended_s = self._broke_s.pop(life, self._loop.time())
         for request in requests:
-            self._guard.note_end(request.fingerprint, life)
+            self._guard.note_end(request.fingerprint, life, ended_s - request.ran_s, ended_s)
         log_event(Event.REPLICA_ENDED, replica=life, requests=len(requests))
         for start in range(0, len(requests), MOST_IN_ONE_REPORT):
             part = requests[start : start + MOST_IN_ONE_REPORT]
-            self._start(self._tell(ReportCrash(life, part)))
+            self._start(self._tell_crash(life, part, ended_s))
+
+    async def _tell_crash(self, life: str, requests: list[SuspectRequest], ended_s: float) -> None:
+        await self._tell(lambda: ReportCrash(life, requests, self._loop.time() - ended_s))
+        # Told or given up: from now on what the group has recorded counts.
+        for request in requests:
+            self._guard.forget_own(request.fingerprint, life)
 
     def note_success(self, fingerprint: bytes) -> None:
         """A request ended whole: it is not what ends replicas."""
@@ -134,12 +145,12 @@
     async def _tell_cleared(self) -> None:
         await asyncio.sleep(CLEAR_PAUSE_S)
         cleared, self._cleared = self._cleared, []
-        await self._tell(ClearRequests(cleared))
+        await self._tell(lambda: ClearRequests(cleared))
 
-    async def _tell(self, question: Question) -> None:
+    async def _tell(self, question: Callable[[], Question]) -> None:
         until_s = monotonic_s() + LONGEST_TELLING_S
         while monotonic_s() < until_s:
-            if isinstance(await self._ask(question, ANSWER_TIMEOUT_S), Submitted):
+            if isinstance(await self._ask(question(), ANSWER_TIMEOUT_S), Submitted):
                 return
             await asyncio.sleep(TELL_AGAIN_S)
 
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -322,7 +322,7 @@
             end = await attempt.ended
             reusable = end.result in (Result.WHOLE, Result.NOT_RUN)
             self._feedback.learn(choice, attempt, end, sent_s)
-            self._repeats.learn(record.instance, end)
+            self._repeats.learn(record.instance, end, sent_s)
             self._feedback.note_pressure(route, attempt, sent_s)
             return end
         except ConnectError as error:
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -81,13 +81,17 @@
         """A sending that was begun has ended."""
         self._context.crash_guard.finish(self._fingerprint)
 
-    def learn(self, instance: Instance, end: AttemptEnd) -> None:
-        """Take in how a sending ended."""
+    def learn(self, instance: Instance, end: AttemptEnd, sent_s: float) -> None:
+        """Take in how a sending ended that was sent at a clock."""
         watch, guard = self._context.crash_watch, self._context.crash_guard
         if end.is_broken:
             place = f"{self._request.host}{self._request.path}"[:LONGEST_PLACE]
             suspect = SuspectRequest(
-                self._fingerprint, self._log.request_id, place, self._log.service
+                self._fingerprint,
+                self._log.request_id,
+                place,
+                self._log.service,
+                ran_s=self._loop.time() - sent_s,
             )
             watch.note_break(instance, suspect)
         elif end.result is Result.WHOLE and end.status < 500 and guard.has_suspects:
--- a/src/crowsill/model/suspects.py
+++ b/src/crowsill/model/suspects.py
@@ -9,6 +9,26 @@
 # A request under which so many replicas have ended is not repeated by a gateway of its own accord.
 REPEAT_LIMIT = 2
 LONGEST_PLACE = 120
+# A rack or a zone takes its replicas within milliseconds, and what is heard of it lies within
+# 0.25 s, the longest check of a port.
+SAME_MOMENT_S = 0.3
+
+
+def is_another_end(last_end_s: float, sent_s: float, ended_s: float) -> bool:
+    """Whether the end of a replica counts beside the last one that was counted against a request.
+
+    Requests that many callers send alike run at several replicas at once; where these end together,
+    that says nothing against the request. Times are of one clock.
+
+    Args:
+        last_end_s: When the last replica ended that was counted.
+        sent_s: When the request was sent to this replica.
+        ended_s: When this replica ended.
+
+    >>> is_another_end(5.0, 4.9, 5.1), is_another_end(5.0, 5.01, 5.1), is_another_end(5.0, 4, 6)
+    (False, True, True)
+    """
+    return sent_s >= last_end_s or abs(ended_s - last_end_s) >= SAME_MOMENT_S
 
 
 class SuspectRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -19,12 +39,14 @@
         request_id: The caller's id of this sending, for whoever looks into it.
         place: Host and path, cut to `LONGEST_PLACE` characters.
         service: Its service.
+        ran_s: Time from its sending to the end of the replica.
     """
 
     fingerprint: bytes
     request_id: str
     place: str
     service: str
+    ran_s: float
 
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
@@ -34,7 +56,7 @@
         request: The sending under which a replica ended last.
         ends: The lives of replicas that ended while they ran it.
         first_s: Wall clock when the first end was recorded.
-        last_s: Wall clock when the last end was recorded.
+        last_s: Wall clock of the last end that was counted.
     """
 
     request: SuspectRequest
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -201,10 +201,12 @@
     Attributes:
         life: The replica's life that ended.
         requests: What was running there.
+        ago_s: How long before the command was proposed it ended.
     """
 
     life: str
     requests: list[SuspectRequest]
+    ago_s: float
     at_s: float = 0.0
 
 
--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -9,7 +9,13 @@
 
 import msgspec
 
-from crowsill.model.suspects import Suspect, SuspectChange, SuspectEnds, SuspectRequest
+from crowsill.model.suspects import (
+    Suspect,
+    SuspectChange,
+    SuspectEnds,
+    SuspectRequest,
+    is_another_end,
+)
 
 # About 200 bytes each in a snapshot. An end makes up to 100 suspects, and nearly all of them are
 # cleared within seconds.
@@ -32,9 +38,11 @@
         version: Rises with every change.
         last_change: What the newest version changed, or None.
 
-    >>> record, seen = CrashRecord(), SuspectRequest(b"f", "r1", "h/a", "s")
-    >>> [record.record(life, [seen], 1.0) is not None for life in ("a", "b", "b")]
-    [True, True, False]
+    >>> record, seen = CrashRecord(), SuspectRequest(b"f", "r1", "h/a", "s", ran_s=0.1)
+    >>> [record.record(life, [seen], at_s) is not None for life, at_s in (("a", 1), ("b", 2))]
+    [True, True]
+    >>> record.record("b", [seen], 3), record.record("c", [seen], 2.05)
+    (None, None)
     >>> record.clear([b"f"]).changed[0].ends, record.suspects
     ([], [])
     """
@@ -54,28 +62,38 @@
         return self._suspects.get(fingerprint)
 
     def record(
-        self, life: str, requests: list[SuspectRequest], at_s: float
+        self, life: str, requests: list[SuspectRequest], ended_s: float
     ) -> SuspectChange | None:
         """Take in that a replica ended while it ran requests; return what changed, or None.
 
         Args:
             life: The replica's life that ended.
             requests: What was running there.
-            at_s: Wall clock.
+            ended_s: Wall clock when it ended.
         """
         changed: dict[bytes, list[str]] = {}
         for request in requests:
-            known = self._suspects.pop(request.fingerprint, None)
-            ends = [] if known is None else known.ends
-            first_s = at_s if known is None else known.first_s
-            if life not in ends and len(ends) < MOST_ENDS:
-                ends = [*ends, life]
-                changed[request.fingerprint] = ends
-            self._suspects[request.fingerprint] = Suspect(request, ends, first_s, at_s)
+            counted = self._count(life, request, ended_s)
+            if counted is None:
+                continue
+            self._suspects[request.fingerprint] = counted
+            self._suspects.move_to_end(request.fingerprint)
+            changed[request.fingerprint] = counted.ends
         while len(self._suspects) > MOST_SUSPECTS:
             changed[self._forget_one()] = []
         return self._changed(changed)
 
+    def _count(self, life: str, request: SuspectRequest, ended_s: float) -> Suspect | None:
+        """Count an end against a request; None where it says nothing new."""
+        known = self._suspects.get(request.fingerprint)
+        if known is None:
+            return Suspect(request, [life], ended_s, ended_s)
+        if life in known.ends or len(known.ends) >= MOST_ENDS:
+            return None
+        if not is_another_end(known.last_s, ended_s - request.ran_s, ended_s):
+            return None
+        return Suspect(request, [*known.ends, life], known.first_s, ended_s)
+
     def _forget_one(self) -> bytes:
         """Forget the oldest one of those under which the fewest replicas ended."""
         fingerprint = min(self._suspects, key=lambda item: len(self._suspects[item].ends))
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -127,7 +127,7 @@
         """Apply what was seen of requests under which replicas ended; return whether it is new."""
         if isinstance(note, ClearSuspects):
             return self.crashes.clear(note.fingerprints) is not None
-        return self.crashes.record(note.life, note.requests, note.at_s) is not None
+        return self.crashes.record(note.life, note.requests, note.at_s - note.ago_s) is not None
 
     def _apply_note(self, note: LeaderNote) -> bool:
         """Apply what a leader noted for its successors; return whether it changed anything."""
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -278,10 +278,12 @@
     Attributes:
         life: The replica's life that ended.
         requests: What was running there for this gateway.
+        ago_s: How long before this message it ended.
     """
 
     life: str
     requests: list[SuspectRequest]
+    ago_s: float
 
 
 class ClearRequests(msgspec.Struct, frozen=True, tag="clear-requests"):
