Test that fails: the request that ends replicas comes from several addresses

The three requests that had got no byte as the first three engines of the record ended came from gateways of two sites, so from other addresses; the fingerprint held the address.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -95,14 +95,23 @@
         return 0, None
 
 
-async def _keep_sending(fronts, path, bodies, pause_s, until_s):
+async def _keep_sending(fronts, path, bodies, pause_s, until_s, addresses=("127.0.0.1",)):
     """Send bodies in turn to gateways in turn; return each status with its Retry-After and time."""
     seen = []
     timeout = aiohttp.ClientTimeout(total=5.0)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with contextlib.AsyncExitStack() as stack:
+        sessions = [
+            await stack.enter_async_context(
+                aiohttp.ClientSession(
+                    timeout=timeout, connector=aiohttp.TCPConnector(local_addr=(address, 0))
+                )
+            )
+            for address in addresses
+        ]
         number = 0
         while time.monotonic() < until_s:
             front, body = fronts[number % len(fronts)], bodies[number % len(bodies)]
+            session = sessions[number % len(sessions)]
             status, back_s = await _send(session, front, path, body)
             seen.append((time.monotonic(), status, back_s))
             number += 1
@@ -116,7 +125,7 @@
     return document
 
 
-async def _play(site, kind, attempts):
+async def _play(site, kind, attempts, addresses=("127.0.0.1",)):
     record = Record(site)
     assert await site.publish(_routes(kind, attempts)) == 200
     for _ in range(REPLICAS):
@@ -129,7 +138,7 @@
     until_s = time.monotonic() + PLAYED_S
     # Ordinary callers share path and address with the crashing one, and some of them one body.
     crashing, *ordinary = await asyncio.gather(
-        _keep_sending(site.fronts, "/pay/a", [CRASH], 0.1, until_s),
+        _keep_sending(site.fronts, "/pay/a", [CRASH], 0.1, until_s, addresses),
         _keep_sending(site.fronts, "/pay/a", [b"x"], 0.02, until_s),
         _keep_sending(site.fronts, "/pay/a", [b"%d" % n for n in range(997)], 0.02, until_s),
     )
@@ -146,6 +155,29 @@
         record, crashing, ordinary = asyncio.run(_play(site, kind, attempts))
     finally:
         site.stop()
+    _check(record, crashing, ordinary)
+
+
+def test_it_is_known_wherever_it_comes_from(tmp_path):
+    """The same request came from three sites, so from several addresses.
+
+    The three requests that had got no byte as the first three engines ended were sent by gateways
+    of two sites ("replica=i-dd859edd9f result=failed detail=closed ... front-nbo-westlands-2",
+    "i-be7633eb1b ... front-nbo-mombasa-rd-1", "i-fbf3afc9be ... front-nbo-westlands-2"). As long as
+    the address was part of what marks a request, each address was counted for itself, and nine to
+    eleven engines ended.
+    """
+    site = PlatformSite(tmp_path, fronts=3)
+    site.start()
+    addresses = [f"127.0.3.{number}" for number in range(1, 5)]
+    try:
+        played = asyncio.run(_play(site, "non_idempotent", 1, addresses))
+    finally:
+        site.stop()
+    _check(*played)
+
+
+def _check(record, crashing, ordinary):
     ends_s = sorted(record.ended_s.values())
     assert len(ends_s) == MOST_ENDS, f"{len(ends_s)} replicas ended"
     assert record.late_arrivals() == 0
