The address a request comes from does not mark its caller

Cause: the fingerprint of a request held the address it came from; the request that ends replicas came from several sites, so that each address was counted for itself and three more replicas ended for each. Change: host, path, method, tenant and body make the fingerprint; without tenants nothing else marks a caller. Whole answers are told after 0.05 s (0.1 s), since more callers share a fingerprint now.

--- a/src/crowsill/gateway/caller_protocol.py
+++ b/src/crowsill/gateway/caller_protocol.py
@@ -58,7 +58,6 @@
         self._waiting: list[CallerRequest] = []
         self._timer: asyncio.TimerHandle | None = None
         self._reset_message()
-        self._caller_host = ""
         self.is_busy = False
         self.is_closed = False
         self.received_s = 0.0
@@ -77,8 +76,6 @@
         """The connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        peer = transport.get_extra_info("peername")
-        self._caller_host = peer[0] if peer else ""
         self._handler.opened(self)
         self._arm(self._handler.limits().idle_timeout_ms)
 
@@ -165,7 +162,6 @@
             body=b"".join(self._body),
             keep_alive=self._parser.should_keep_alive(),
             arrived_s=self.received_s,
-            caller_host=self._caller_host,
         )
         self._reset_message()
         self._waiting.append(interpret(request, self._handler.names))
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -29,7 +29,7 @@
 # and the next end under the same request makes another one.
 LONGEST_TELLING_S = 15.0
 # Whole answers are told together.
-CLEAR_PAUSE_S = 0.1
+CLEAR_PAUSE_S = 0.05
 MOST_IN_ONE_REPORT = 64
 REMEMBERED_ENDS = 1000
 
--- a/src/crowsill/gateway/fingerprint.py
+++ b/src/crowsill/gateway/fingerprint.py
@@ -1,7 +1,7 @@
 """What stays the same when a caller sends a request again: a keyed digest of it. Pure.
 
 Ids, deadlines, the order and case of headers and the framing of a body change from one sending to
-the next; host, path with query, method, caller and body do not.
+the next; host, path with query, method, tenant and body do not.
 """
 
 import hashlib
@@ -29,10 +29,12 @@
         """Return the fingerprint of a request.
 
         Args:
-            request: The request; its caller is part of the digest, so that no other caller can make
-                a request that has the same one.
-            tenant: Whose it is where callers show keys; else empty, and the address it came from
-                marks its caller.
+            request: The request.
+            tenant: Whose it is where callers show keys, so that no other tenant can make a request
+                that has the same fingerprint; else empty.
+
+        The address that a request came from is no part of it: one caller may come from several
+        sites. With it, a request from four addresses ended 12 replicas in place of 3.
 
         >>> first = CallerRequest(b"POST", b"/a", [], b"x", True, 0.0, request_id=b"1")
         >>> again = CallerRequest(b"POST", b"/a", [(b"N", b"1")], b"x", True, 9.0, request_id=b"2")
@@ -40,9 +42,8 @@
         >>> made.of(first, "") == made.of(again, ""), made.of(first, "") == made.of(first, "t")
         (True, False)
         """
-        caller = f"tenant {tenant}" if tenant else f"address {request.caller_host}"
         digest = hashlib.blake2b(key=self._key, digest_size=FINGERPRINT_BYTES)
-        for part in (caller.encode(), request.host.encode(), request.method, request.target):
+        for part in (tenant.encode(), request.host.encode(), request.method, request.target):
             # The length first: no two different rows of parts give the same bytes.
             digest.update(b"%d:" % len(part))
             digest.update(part)
--- a/src/crowsill/gateway/request.py
+++ b/src/crowsill/gateway/request.py
@@ -33,7 +33,6 @@
         prompt_tokens: Tokens of its prompt.
         output_tokens: Most tokens out.
         parts: Parts of its prompt, in order.
-        caller_host: IP number from which it came.
     """
 
     method: bytes
@@ -51,7 +50,6 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: list[PromptPart] = field(default_factory=list)
-    caller_host: str = ""
 
     @property
     def resource(self) -> str:
