--- a/src/crowsill/api/operators.py
+++ b/src/crowsill/api/operators.py
@@ -16,7 +16,7 @@
     request_id_of,
 )
 from crowsill.constants import MAX_BODY_BYTES
-from crowsill.control.operations import Operations
+from crowsill.control.operations import LiftRequest, Operations
 from crowsill.errors import ErrorKind, Problem
 from crowsill.model.configuration import ConfigurationChange, ConfigurationContent
 from crowsill.tokens import bearer_digest
@@ -161,6 +161,30 @@
         _answer(response, result.unwrap())
 
 
+class QuarantineResource(_Resource):
+    """`GET /v1/quarantine`."""
+
+    async def on_get(self, _request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Return the requests under which replicas ended."""
+        _answer(response, self._operations.quarantine())
+
+
+class LiftResource(_Resource):
+    """`POST /v1/quarantine/lift`."""
+
+    _decoder = msgspec.json.Decoder(LiftRequest)
+
+    async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Let one request be sent to replicas again."""
+        result = await _decode(request, self._decoder)
+        if isinstance(result, Success):
+            result = await self._operations.lift(result.unwrap())
+        if not isinstance(result, Success):
+            answer_problem(response, result.failure(), request_id_of(request))
+            return
+        _answer(response, result.unwrap())
+
+
 def operator_application(operations: Operations, token_sha256: list[str]) -> Any:  # noqa: ANN401
     """Return the ASGI application for operators.
 
@@ -176,4 +200,6 @@
     application.add_route("/v1/plan", PlanResource(operations))
     application.add_route("/v1/changes", ChangesResource(operations))
     application.add_route("/v1/members", MembersResource(operations))
+    application.add_route("/v1/quarantine", QuarantineResource(operations))
+    application.add_route("/v1/quarantine/lift", LiftResource(operations))
     return application
--- /dev/null
+++ b/src/crowsill/cli/common.py
@@ -0,0 +1,29 @@
+"""What all commands of `crowsill` share: the settings option, the client, and how they fail."""
+
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+import typer
+from returns.result import Success
+
+from crowsill.cli.client import OperatorClient, load_operator_settings
+
+SettingsOption = Annotated[
+    Path, typer.Option("--settings", "-s", help="The operator's settings file (TOML).")
+]
+DEFAULT_SETTINGS = Path("crowsill.toml")
+
+
+def fail(*lines: str) -> NoReturn:
+    """Print what went wrong and exit with 1."""
+    for line in lines:
+        typer.echo(f"crowsill: {line}", err=True)
+    raise typer.Exit(1)
+
+
+def client_of(settings: Path) -> OperatorClient:
+    """Return a client with the operator's settings."""
+    loaded = load_operator_settings(settings)
+    if not isinstance(loaded, Success):
+        fail(loaded.failure())
+    return OperatorClient(loaded.unwrap())
--- a/src/crowsill/cli/main.py
+++ b/src/crowsill/cli/main.py
@@ -5,13 +5,15 @@
 
 import uuid
 from pathlib import Path
-from typing import Annotated, NoReturn
+from typing import Annotated
 
 import msgspec
 import typer
 from returns.result import Success
 
-from crowsill.cli.client import OperatorClient, load_operator_settings
+from crowsill.cli import quarantine
+from crowsill.cli.client import OperatorClient
+from crowsill.cli.common import DEFAULT_SETTINGS, SettingsOption, client_of, fail
 from crowsill.cli.files import load_content
 from crowsill.cli.trace import LogLine, parse_line, story
 from crowsill.control.operations import PlanAnswer, Status
@@ -30,31 +32,15 @@
 
 members_application = typer.Typer(no_args_is_help=True, help="Look at or change the control group.")
 application.add_typer(members_application, name="members")
+application.add_typer(quarantine.application, name="quarantine")
 
-SettingsOption = Annotated[
-    Path, typer.Option("--settings", "-s", help="The operator's settings file (TOML).")
-]
 FilesArgument = Annotated[list[Path], typer.Argument(help="TOML files, or folders of them.")]
-DEFAULT_SETTINGS = Path("crowsill.toml")
-
-
-def _fail(*lines: str) -> NoReturn:
-    for line in lines:
-        typer.echo(f"crowsill: {line}", err=True)
-    raise typer.Exit(1)
-
-
-def _client(settings: Path) -> OperatorClient:
-    loaded = load_operator_settings(settings)
-    if not isinstance(loaded, Success):
-        _fail(loaded.failure())
-    return OperatorClient(loaded.unwrap())
 
 
 def _content(files: list[Path]) -> ConfigurationContent:
     loaded = load_content(files)
     if not isinstance(loaded, Success):
-        _fail(*loaded.failure())
+        fail(*loaded.failure())
     content: ConfigurationContent = loaded.unwrap()
     return content
 
@@ -62,7 +48,7 @@
 def _plan(client: OperatorClient, content: ConfigurationContent) -> PlanAnswer:
     answered = client.post("/v1/plan", content, PlanAnswer)
     if not isinstance(answered, Success):
-        _fail(answered.failure())
+        fail(answered.failure())
     answer: PlanAnswer = answered.unwrap()
     return answer
 
@@ -78,7 +64,7 @@
 @application.command()
 def plan(files: FilesArgument, settings: SettingsOption = DEFAULT_SETTINGS) -> None:
     """Show what applying the files would change, and whether it would be accepted."""
-    answer = _plan(_client(settings), _content(files))
+    answer = _plan(client_of(settings), _content(files))
     _show_plan(answer)
     if answer.faults:
         raise typer.Exit(1)
@@ -96,7 +82,7 @@
     ] = None,
 ) -> None:
     """Apply the files as one change, which is in force everywhere within seconds."""
-    client = _client(settings)
+    client = client_of(settings)
     content = _content(files)
     planned = _plan(client, content)
     if not planned.differences:
@@ -108,7 +94,7 @@
     answered = client.post("/v1/changes", change, ConfigurationResult)
     if not isinstance(answered, Success):
         hint = f"send it again with --base {revision} --change-id {identifier}"
-        _fail(answered.failure(), f"if the outcome is not clear, {hint}")
+        fail(answered.failure(), f"if the outcome is not clear, {hint}")
     result = answered.unwrap()
     typer.echo(f"{result.decision}: revision {result.revision} (change {identifier})")
 
@@ -116,9 +102,9 @@
 @application.command()
 def status(settings: SettingsOption = DEFAULT_SETTINGS) -> None:
     """Show control members, the revision in force by site and entry, and back ends."""
-    answered = _client(settings).get("/v1/status", Status)
+    answered = client_of(settings).get("/v1/status", Status)
     if not isinstance(answered, Success):
-        _fail(answered.failure())
+        fail(answered.failure())
     found = answered.unwrap()
     vouched = "confirmed by this member's lease" if found.confirmed else "as this member knows"
     typer.echo(f"revision {found.revision}, {vouched} ({found.node}, {found.role})")
@@ -142,9 +128,9 @@
 @application.command()
 def history(settings: SettingsOption = DEFAULT_SETTINGS) -> None:
     """Show accepted changes, oldest first."""
-    answered = _client(settings).get("/v1/history", list[AcceptedChange])
+    answered = client_of(settings).get("/v1/history", list[AcceptedChange])
     if not isinstance(answered, Success):
-        _fail(answered.failure())
+        fail(answered.failure())
     for change in answered.unwrap():
         names = [item.name for item in change.content.templates]
         names += [item.tenant for item in change.content.parameters]
@@ -159,18 +145,18 @@
     settings: SettingsOption = DEFAULT_SETTINGS,
 ) -> None:
     """Print the configuration at a revision as JSON."""
-    client = _client(settings)
+    client = client_of(settings)
     current = client.get("/v1/configuration", Configuration)
     if not isinstance(current, Success):
-        _fail(current.failure())
+        fail(current.failure())
     found: Configuration | None = current.unwrap()
     if revision is not None and revision != current.unwrap().revision:
         past = client.get("/v1/history", list[AcceptedChange])
         if not isinstance(past, Success):
-            _fail(past.failure())
+            fail(past.failure())
         found = configuration_at(past.unwrap(), revision)
     if found is None:
-        _fail(f"revision {revision} is not in the history that is kept")
+        fail(f"revision {revision} is not in the history that is kept")
     typer.echo(msgspec.json.format(msgspec.json.encode(found), indent=2).decode())
 
 
@@ -180,16 +166,16 @@
     settings: SettingsOption = DEFAULT_SETTINGS,
 ) -> None:
     """Show where a model lives and what its replicas are doing."""
-    answered = _client(settings).get("/v1/status", Status)
+    answered = client_of(settings).get("/v1/status", Status)
     if not isinstance(answered, Success):
-        _fail(answered.failure())
+        fail(answered.failure())
     holders = [item for item in answered.unwrap().replicas if model in item.resident]
     for replica in holders:
         state = "serving" if replica.accepts_work else "leaving or unreachable"
         load = f"running {replica.running}, waiting {replica.waiting}"
         typer.echo(f"{replica.replica_id:16} {replica.zone:16} {state}, {load}")
     if not holders:
-        _fail(f"no back end holds {model!r}; decisions are in the leader's log as E501")
+        fail(f"no back end holds {model!r}; decisions are in the leader's log as E501")
 
 
 @application.command()
@@ -203,11 +189,11 @@
         try:
             text = path.read_text(encoding="utf-8", errors="replace")
         except OSError as error:
-            _fail(f"{path}: {error.strerror}")
+            fail(f"{path}: {error.strerror}")
         lines.extend(line for line in map(parse_line, text.splitlines()) if line is not None)
     told = story(lines, request_id)
     if not told:
-        _fail(f"no line names the request {request_id!r}")
+        fail(f"no line names the request {request_id!r}")
     for line in told:
         typer.echo(line)
 
@@ -218,22 +204,22 @@
     settings: SettingsOption = DEFAULT_SETTINGS,
 ) -> None:
     """Make the content of an older revision current again, as a new and higher revision."""
-    client = _client(settings)
+    client = client_of(settings)
     current = client.get("/v1/configuration", Configuration)
     past = client.get("/v1/history", list[AcceptedChange])
     if not isinstance(current, Success):
-        _fail(current.failure())
+        fail(current.failure())
     if not isinstance(past, Success):
-        _fail(past.failure())
+        fail(past.failure())
     content = _rollback_content(current.unwrap(), past.unwrap(), revision)
     if content is None:
-        _fail(f"revision {revision} is not in the history that is kept")
+        fail(f"revision {revision} is not in the history that is kept")
     now = current.unwrap().revision
     identifier = f"rollback-{now}-to-{revision}"
     change = ConfigurationChange(identifier, now, content, client.settings.author)
     answered = client.post("/v1/changes", change, ConfigurationResult)
     if not isinstance(answered, Success):
-        _fail(answered.failure())
+        fail(answered.failure())
     typer.echo(f"{answered.unwrap().decision}: revision {answered.unwrap().revision}")
 
 
@@ -248,18 +234,18 @@
 
 
 def _change_members(settings: Path, request: MembersRequest) -> None:
-    answered = _client(settings).post("/v1/members", request, MembersReport)
+    answered = client_of(settings).post("/v1/members", request, MembersReport)
     if not isinstance(answered, Success):
-        _fail(answered.failure())
+        fail(answered.failure())
     _show_members(answered.unwrap())
 
 
 @members_application.command("list")
 def members_list(settings: SettingsOption = DEFAULT_SETTINGS) -> None:
     """Show the control members, and whether the group is whole; exits with 1 if it is not."""
-    answered = _client(settings).get("/v1/members", MembersReport)
+    answered = client_of(settings).get("/v1/members", MembersReport)
     if not isinstance(answered, Success):
-        _fail(answered.failure())
+        fail(answered.failure())
     report = answered.unwrap()
     _show_members(report)
     if not report.whole:
--- a/src/crowsill/cli/trace.py
+++ b/src/crowsill/cli/trace.py
@@ -15,6 +15,7 @@
 
 _LINE = re.compile(r"(\d{4}-\d\d-\d\dT[\d:.]+)Z (\w+) E(\d+) (\w+) (.*)")
 _FIELD = re.compile(r'(\w+)=("[^"]*"|\S*)')
+_FINGERPRINT = re.compile(r"fingerprint ([0-9a-f]+)")
 _MEANINGS = {event.value.number: event.value.meaning for event in Event}
 _REPLICA_EVENTS = frozenset((205, 206, 208, 502, 504, 505, 506))
 _MODEL_EVENTS = frozenset((501, 502, 506, 507))
@@ -66,8 +67,12 @@
     replicas = {line.fields["replica"] for line in own if line.fields.get("replica")}
     resources = {line.fields["resource"] for line in own if line.fields.get("resource")}
     models = {resource.partition("/")[0] for resource in resources}
-    near = [line for line in lines if begin <= line.at <= end and line not in own]
+    others = [line for line in lines if line not in own]
+    near = [line for line in others if begin <= line.at <= end]
     related = [line for line in near if _belongs(line, replicas, models)]
+    # What a request was held back for lies any time before.
+    held_back = _FINGERPRINT.findall(" ".join(line.fields.get("detail", "") for line in own))
+    related += [line for line in others if line.fields.get("fingerprint") in held_back]
     unique = {line.text(): line for line in [*own, *related]}
     shown = [
         f"{'*' if line in own else ' '} {text}"
--- a/src/crowsill/control/operations.py
+++ b/src/crowsill/control/operations.py
@@ -17,7 +17,9 @@
 from crowsill.model.validation import ConfigurationFault, configuration_faults
 from crowsill.settings import Settings
 from crowsill.state.commands import (
+    Acknowledged,
     ChangeConfiguration,
+    ClearSuspects,
     ConfigurationDecision,
     ConfigurationResult,
 )
@@ -98,6 +100,46 @@
     applied_index: int
 
 
+class QuarantineLine(msgspec.Struct, frozen=True):
+    """One request under which replicas ended.
+
+    Attributes:
+        fingerprint: What it has in common with other sendings of it, as hex.
+        held_back: Whether gateways send it to no replica.
+        replicas: The lives of replicas that ended while they ran it.
+        first_s: Wall clock of the first end.
+        last_s: Wall clock of the last end.
+        service: Its service.
+        place: Its host and path.
+        request_id: The caller's id of the sending under which a replica ended last.
+    """
+
+    fingerprint: str
+    held_back: bool
+    replicas: list[str]
+    first_s: float
+    last_s: float
+    service: str
+    place: str
+    request_id: str
+
+
+class LiftRequest(msgspec.Struct, frozen=True):
+    """The body of `POST /v1/quarantine/lift`.
+
+    Attributes:
+        fingerprint: The request that is to be sent to replicas again, as hex.
+    """
+
+    fingerprint: str
+
+
+class LiftAnswer(msgspec.Struct, frozen=True):
+    """Whether anything was known of the request; lifted twice, it is not."""
+
+    lifted: bool
+
+
 class PlanAnswer(msgspec.Struct, frozen=True):
     """The answer to `POST /v1/plan`.
 
@@ -166,6 +208,36 @@
             return Failure(Problem(ErrorKind.INVALID_REQUEST, reply.refusal))
         return Success(reply)
 
+    def quarantine(self) -> list[QuarantineLine]:
+        """Requests under which replicas ended, as this member knows; those held back first."""
+        suspects = self._machine.crashes.suspects
+        suspects.sort(key=lambda suspect: (not suspect.is_quarantined, suspect.last_s))
+        return [
+            QuarantineLine(
+                fingerprint=suspect.request.fingerprint.hex(),
+                held_back=suspect.is_quarantined,
+                replicas=suspect.ends,
+                first_s=suspect.first_s,
+                last_s=suspect.last_s,
+                service=suspect.request.service,
+                place=suspect.request.place,
+                request_id=suspect.request.request_id,
+            )
+            for suspect in suspects
+        ]
+
+    async def lift(self, request: LiftRequest) -> Result[LiftAnswer, Problem]:
+        """Forget the ends counted against one request, here or through the leader."""
+        try:
+            fingerprint = bytes.fromhex(request.fingerprint)
+        except ValueError:
+            return Failure(Problem(ErrorKind.INVALID_REQUEST, "the fingerprint is not hex"))
+        reply = await self._ask_leader(SubmitCommand(ClearSuspects([fingerprint], "lifted")))
+        if not isinstance(reply, Submitted) or not isinstance(reply.result, Acknowledged):
+            detail = "no leader answered; it may or may not be lifted: send it again"
+            return Failure(Problem(ErrorKind.NO_LEADER, detail))
+        return Success(LiftAnswer(reply.result.accepted))
+
     def plan(self, content: ConfigurationContent) -> PlanAnswer:
         """Compare a change with the configuration applied here."""
         current = self.configuration
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -18,11 +18,6 @@
 COPY_WAIT_S = 1.0
 COPY_POLL_S = 0.05
 COPY_RETRY_S = 1.0
-_QUARANTINED = Refusal(
-    ErrorKind.QUARANTINED,
-    "held back: replicas ended while they ran a request like this one",
-    QUARANTINE_RETRY_S,
-)
 _COPY_UNDER_WAY = Refusal(
     ErrorKind.OVERLOADED,
     "the same request is under way, and a replica ended while it ran before",
@@ -49,9 +44,11 @@
     def quarantine(self) -> Refusal | None:
         """Return why the request may be sent to no replica, or None."""
         guard = self._context.crash_guard
-        if guard.has_suspects and guard.is_quarantined(self._fingerprint):
-            return _QUARANTINED
-        return None
+        if not guard.has_suspects or not guard.is_quarantined(self._fingerprint):
+            return None
+        # The fingerprint leads from here to the lines that tell why, and to the lifting of it.
+        detail = f"replicas ended while they ran it; fingerprint {self._fingerprint.hex()}"
+        return Refusal(ErrorKind.QUARANTINED, detail, QUARANTINE_RETRY_S)
 
     async def admit_copy(self) -> Refusal | None:
         """Wait while another sending of a suspect is under way here; return why not to send it.
--- /dev/null
+++ b/tests/test_quarantine_commands.py
@@ -0,0 +1,106 @@
+"""What operators see of requests that are held back, and how they lift it."""
+
+import asyncio
+import hashlib
+import threading
+from types import SimpleNamespace
+
+import pytest
+from typer.testing import CliRunner
+
+from crowsill.api.operators import operator_application
+from crowsill.api.server import HttpServer
+from crowsill.cli.main import application
+from crowsill.control.operations import Operations
+from crowsill.model.fleet import FleetView
+from crowsill.model.suspects import SuspectRequest
+from crowsill.settings import HttpListener, Settings
+from crowsill.state.commands import RecordCrash
+from crowsill.state.machine import StateMachine
+from crowsill.transport.messages import Submitted
+
+TOKEN = "operator"
+CULPRIT = SuspectRequest(b"\x0c" * 16, "r7", "shop.example/pay/a", "till", 0.1)
+VICTIM = SuspectRequest(b"\x0d" * 16, "r8", "shop.example/pay/b", "till", 0.1)
+
+
+def machine():
+    made = StateMachine()
+    for life, requests in (("i-1", [CULPRIT, VICTIM]), ("i-2", [CULPRIT]), ("i-3", [CULPRIT])):
+        made.apply(RecordCrash(life, requests, 0.0, 1000.0 + int(life[-1])))
+    return made
+
+
+class Leader:
+    """A member that leads: its service applies at once."""
+
+    def __init__(self, state):
+        self._state = state
+        self.driver = SimpleNamespace(is_leader=True)
+        self.leader_stream = None
+
+    async def answer_as_leader(self, request, _driver):
+        return Submitted(self._state.apply(request.command))
+
+
+@pytest.fixture
+def settings(tmp_path):
+    """The settings file of an operator whose member runs beside this test."""
+    started, loop = threading.Event(), asyncio.new_event_loop()
+    state = machine()
+    operations = Operations(Settings("c1", "z", "key"), Leader(state), state, FleetView())
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    server = HttpServer(operator_application(operations, [digest]), HttpListener("127.0.0.1", 0))
+
+    def serve():
+        asyncio.set_event_loop(loop)
+        loop.run_until_complete(server.start())
+        started.set()
+        loop.run_forever()
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    assert started.wait(10)
+    path = tmp_path / "crowsill.toml"
+    path.write_text(f'members = ["http://127.0.0.1:{server.port}"]\ntoken = "{TOKEN}"\n')
+    yield str(path)
+    asyncio.run_coroutine_threadsafe(server.stop(), loop).result(10)
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join(10)
+
+
+def command(*words):
+    return CliRunner().invoke(application, ["quarantine", *words])
+
+
+def test_what_is_held_back_is_shown_with_its_reason_and_can_be_lifted(settings):
+    shown = command("list", "-s", settings).output
+    assert f"{CULPRIT.fingerprint.hex()} held back since 1970-01-01T00:16:43Z till" in shown
+    assert "shop.example/pay/a (last id r7)" in shown
+    assert "ended: i-1 i-2 i-3, the first at 1970-01-01T00:16:41Z" in shown
+    assert VICTIM.fingerprint.hex() not in shown
+    assert (
+        f"{VICTIM.fingerprint.hex()} suspect"
+        in command("list", "--suspects", "-s", settings).output
+    )
+    assert command("lift", CULPRIT.fingerprint.hex(), "-s", settings).output == "lifted\n"
+    again = command("lift", CULPRIT.fingerprint.hex(), "-s", settings)
+    assert again.output == "nothing was counted against it\n"
+    assert command("list", "-s", settings).output == "nothing is held back\n"
+
+
+def test_a_fingerprint_that_is_none_is_refused(settings):
+    refused = command("lift", "none", "-s", settings)
+    assert refused.exit_code == 1 and "not hex" in refused.output
+
+
+def test_a_trace_leads_from_a_refusal_to_the_ends_of_replicas(tmp_path):
+    log = tmp_path / "log"
+    log.write_text(
+        "2026-01-02T03:00:00.000Z ERROR E509 quarantined fingerprint=0c0d request=r1 node=c\n"
+        "2026-01-02T03:00:00.000Z ERROR E509 quarantined fingerprint=ffff request=r2 node=c\n"
+        "2026-01-02T03:59:00.000Z INFO E201 request_refused request=r9 kind=quarantined "
+        'detail="replicas ended while they ran it; fingerprint 0c0d" node=g\n'
+    )
+    shown = CliRunner().invoke(application, ["trace", "r9", str(log)]).output
+    assert "fingerprint=0c0d request=r1" in shown and "request=r2" not in shown
