--- a/src/crowsill_lab/bench/commands.py
+++ b/src/crowsill_lab/bench/commands.py
@@ -148,3 +148,12 @@
 
     for figures in run_admission_bench():
         _print(figures)
+
+
+@application.command()
+def fingerprints() -> None:
+    """Processor time of looking a request up among those under which replicas ended."""
+    from crowsill_lab.bench.fingerprints import run_fingerprint_bench
+
+    for figures in run_fingerprint_bench():
+        _print(figures)
