--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -147,7 +147,10 @@
         self.sequence = 0
         self._beat_sequence = 0
         self._tasks = []
+        self._writers = set()
         self.delay_s = 0.0
+        # Unix milliseconds of the start of this life; None where replicas do not tell.
+        self.born = None
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -167,6 +170,8 @@
             "coldLeftMs": 0,
             "seq": self._beat_sequence,
         }
+        if self.born is not None:
+            document["born"] = self.born
         if self.models is not None:
             document["models"] = self._held()
         return document
@@ -188,6 +193,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -207,6 +213,8 @@
         method, path, _ = first.split(" ")
         if (method, path) == ("GET", "/report"):
             report = {"models": self._held(), "busy": False, "seq": self.sequence, "coming": []}
+            if self.born is not None:
+                report["born"] = self.born
             return 200, [], json.dumps(report).encode()
         if (method, path) == ("POST", "/order"):
             return self._order(json.loads(body)), [], b""
@@ -243,6 +251,11 @@
             task.cancel()
         self._server.close()
 
+    def end_connections(self):
+        """Close all connections, as an end does."""
+        for writer in self._writers:
+            writer.transport.abort()
+
 
 class PlatformSite:
     """All machines of a small site."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -36,14 +36,11 @@
         super().__init__(site, f"life-{MortalReplica.lives}", service)
         MortalReplica.lives += 1
         self._record = record
-        self._writers = set()
         self.delay_s = 0.02
 
     async def _serve(self, reader, writer):
-        self._writers.add(writer)
         with contextlib.suppress(asyncio.CancelledError):
             await super()._serve(reader, writer)
-        self._writers.discard(writer)
 
     async def _answer(self, first, headers, body):
         if body == CRASH:
@@ -52,8 +49,7 @@
             if self.instance_id not in self._record.ended_s:
                 self._record.ended_s[self.instance_id] = time.monotonic()
                 await self.stop()
-                for writer in self._writers:
-                    writer.transport.abort()
+                self.end_connections()
                 asyncio.get_running_loop().call_later(RESTART_S, self._record.restart)
             raise ConnectionResetError
         return await super()._answer(first, headers, body)
