What registers itself is a life of a replica, and is read strictly

Cause: all that is known was kept by a replica's name, with heartbeats ordered by their count alone, so that a replica that started again under its name looked like late heartbeats for good; and a heartbeat was believed field by field, an address that is none ending the exchange that chose it. Change: the platform's boundary makes one id of name and start; records, accounts, breaks, parts and removals are by that id, calls carry the name. An error of the gateway's own is answered with 500 instead of a closed connection; an engine that is no longer known gets no order.

--- a/src/crowsill/control/engine_jobs.py
+++ b/src/crowsill/control/engine_jobs.py
@@ -173,7 +173,10 @@
         for _ in range(ORDER_TRIES):
             if engine.sequence is None or not self._ports.has_lease():
                 raise JobFailedError("no lease")
-            if self._ports.is_lost(instance.instance_id):
+            # An engine that has started again under its name would carry out what was meant for the
+            # life before.
+            is_known = self._ports.machine.directory.find_reported(instance.instance_id) is not None
+            if not is_known or self._ports.is_lost(instance.instance_id):
                 raise JobFailedError("the engine is gone")
             order = EngineOrder(kind, model, adapter, engine.sequence, self._holder, self._term)
             answer = await self._ports.calls.order(instance, order)
--- a/src/crowsill/control/registrations.py
+++ b/src/crowsill/control/registrations.py
@@ -58,6 +58,9 @@
         self._machine = machine
         self._codec = codec
         self._newest_sequence: dict[str, int] = {}
+        # Services that the routes name, and the version of the routes they were read from.
+        self._named: frozenset[str] = frozenset()
+        self._named_by = 0
 
     async def _commit(self, command: Command, timeout_s: float) -> bool:
         """Have a command committed through the leader; return whether it is known to be."""
@@ -81,24 +84,48 @@
             text; or a problem, after which the heartbeat may still have been taken in.
         """
         instance_id = beat.instance.instance_id
+        directory = self._machine.directory
+        known = directory.find_reported(instance_id)
+        # Taken in, it would end whoever has its address, and serve nobody. A replica whose service
+        # the routes no longer name may still say that it leaves.
+        if known is None and not self.is_named(beat.instance.service):
+            return Failure(Problem(ErrorKind.UNKNOWN_SERVICE, "no route names its service"))
+        if known is not None and known.service != beat.instance.service:
+            return Failure(Problem(ErrorKind.UNKNOWN_SERVICE, "it belongs to another service"))
         self._service.note_seen([instance_id])
         late = beat.sequence < self._newest_sequence.get(instance_id, -1)
         if not late:
             self._newest_sequence[instance_id] = beat.sequence
-        if late or not self._machine.directory.changes(beat):
+        if late or not directory.changes(beat):
             return Success(self._service.leader_host())
         if not await self._commit(RecordBeat(beat), BEAT_TIMEOUT_S):
             return Failure(Problem(ErrorKind.NO_LEADER, "no majority took the heartbeat in"))
         return Success(self._service.leader_host())
 
-    async def leave(self, instance_id: str) -> Result[None, Problem]:
-        """Record that a replica is gone."""
-        if not await self._commit(RemoveInstance(instance_id), BEAT_TIMEOUT_S):
-            return Failure(Problem(ErrorKind.NO_LEADER, "no majority recorded the end"))
-        self._newest_sequence.pop(instance_id, None)
-        self._service.seen_s.pop(instance_id, None)
+    async def leave(self, replica: str) -> Result[None, Problem]:
+        """Record that a replica is gone: the life of it that is known here, by its name.
+
+        What is gone is a life, so that the replica may start again under its name.
+        """
+        lives = self._machine.directory.lives_of(replica) or [replica]
+        for instance_id in lives:
+            if not await self._commit(RemoveInstance(instance_id), BEAT_TIMEOUT_S):
+                return Failure(Problem(ErrorKind.NO_LEADER, "no majority recorded the end"))
+            self._newest_sequence.pop(instance_id, None)
+            self._service.seen_s.pop(instance_id, None)
         return Success(None)
 
+    def is_named(self, service: str) -> bool:
+        """Whether the routes in force name a service; any may be named while there are none."""
+        document = self._machine.routes.current
+        if document.version == 0:
+            return True
+        if self._named_by != document.version:
+            decoded = self._codec.decode(unpack(document)).value_or(None)
+            found = [] if decoded is None else [item.name for item in decoded.services]
+            self._named_by, self._named = document.version, frozenset(found)
+        return service in self._named
+
     async def publish(self, content: bytes) -> Result[int, Problem]:
         """Put a route document in force; return its version once it is committed.
 
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -121,4 +121,8 @@
         510, "INFO", "Requests are no longer suspects: answered whole, lifted, or too old."
     )
 
+    HEARTBEAT_REFUSED = EventDefinition(
+        511, "WARNING", "What came as a heartbeat describes no replica to use; nothing changed."
+    )
+
     CLAIM_ABANDONED = EventDefinition(600, "WARNING", "The outcome of a claimed request is lost.")
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -84,6 +84,10 @@
         """Answer at once what can be answered, because the process ends."""
         self._outcome.time_out()
 
+    def fail(self) -> bool:
+        """Answer after an error of the gateway's own; return False when it is too late for that."""
+        return self._outcome.fail()
+
     async def run(self) -> None:
         """Serve the request; ends early when it is cancelled, because the caller left."""
         table = await self._wait_for_routes()
@@ -313,7 +317,9 @@
                 return None
             sent_s = self._loop.time()
             message = encode_forwarded(
-                request, context.names, self._terms(route, instance_id, deadline_s - sent_s)
+                request,
+                context.names,
+                self._terms(route, record.instance.replica_name, deadline_s - sent_s),
             )
             self._progress.sendings += 1
             self._progress.may_have_run = True
@@ -343,11 +349,11 @@
             if connection is not None:
                 context.pool.release(instance_id, connection, reusable)
 
-    def _terms(self, route: Route, instance_id: str, left_s: float) -> SendingTerms:
+    def _terms(self, route: Route, replica: str, left_s: float) -> SendingTerms:
         admission = self._admission
         tenant = "" if admission.tenant is None else admission.tenant.name
         rank = admission.rank(route)
-        return SendingTerms(instance_id, rank, left_s, admission.is_keyed, tenant)
+        return SendingTerms(replica, rank, left_s, admission.is_keyed, tenant)
 
     async def _goes_on_after(self, route: Route, choice: Choice, end: AttemptEnd) -> bool:
         """Whether the request may go to another replica."""
--- a/src/crowsill/gateway/forwarded.py
+++ b/src/crowsill/gateway/forwarded.py
@@ -14,7 +14,7 @@
     """What the gateway tells a replica of a request.
 
     Attributes:
-        instance_id: The instance that is to run it, and no other.
+        replica: The replica that is to run it, and no other.
         rank: Its rank; 0 is the most urgent.
         left_s: Time that is left for it.
         is_keyed: Whether callers show keys: then neither the key nor the tenant that a caller names
@@ -22,7 +22,7 @@
         tenant: Tenant that it counts to; empty for none.
     """
 
-    instance_id: str
+    replica: str
     rank: int
     left_s: float
     is_keyed: bool = False
@@ -44,7 +44,7 @@
     if terms.tenant:
         headers.append((names.tenant, terms.tenant.encode()))
     headers.append((names.deadline, b"%d" % max(1, int(terms.left_s * 1000))))
-    headers.append((names.expect_instance, terms.instance_id.encode()))
+    headers.append((names.expect_instance, terms.replica.encode()))
     if request.model:
         headers.append((names.priority, b"%d" % min(MOST_PATIENT_RANK, terms.rank)))
     if request.body or request.method in METHODS_WITH_BODY:
--- a/src/crowsill/gateway/outcome.py
+++ b/src/crowsill/gateway/outcome.py
@@ -90,6 +90,19 @@
         else:
             self.refuse(ErrorKind.OVERLOADED, "not sent in time", FULL_RETRY_S)
 
+    def fail(self) -> bool:
+        """Answer that the gateway failed; return False where part of an answer has gone out.
+
+        The answer promises nothing about the run: what failed is not known.
+        """
+        attempt: Attempt | None = self._progress.attempt
+        if self._caller.is_closed or not self._caller.is_busy:
+            return False
+        if attempt is not None and attempt.is_relaying:
+            return False
+        self.refuse(ErrorKind.INTERNAL, "the gateway failed while it served the request")
+        return True
+
     def refuse(self, kind: ErrorKind, detail: str, retry_after_s: float | None = None) -> None:
         """Answer with an error of the closed list."""
         self._log_refused(kind, detail, retry_after_s)
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -312,8 +312,14 @@
             return
         error = task.exception()
         if error is not None:
-            log_event(Event.INTERNAL_ERROR, where="exchange", error=repr(error))
-            connection.abort()
+            log_event(
+                Event.INTERNAL_ERROR,
+                where="exchange",
+                request="" if running is None else running[0].request_id(),
+                error=repr(error),
+            )
+            if running is None or not running[0].fail():
+                connection.abort()
 
     def writable(self, connection: CallerConnection, writable: bool) -> None:
         """Hold the replica back while its caller does not read."""
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -70,6 +70,11 @@
 DIRECTORY_VERSION = Gauge(
     "crowsill_directory_version", "Version of the directory of replicas here.", registry=REGISTRY
 )
+HEARTBEATS_REFUSED = Counter(
+    "crowsill_heartbeats_refused",
+    "Heartbeats and ends that describe no replica to use.",
+    registry=REGISTRY,
+)
 QUARANTINED = Gauge(
     "crowsill_quarantined_requests",
     "Requests held back because replicas ended while they ran them, as this member knows.",
--- a/src/crowsill/model/instances.py
+++ b/src/crowsill/model/instances.py
@@ -36,8 +36,11 @@
 class Instance(msgspec.Struct, frozen=True, array_like=True):
     """One life of one replica, as it describes itself.
 
+    A replica may start again under its own name; then it holds and knows nothing of before. So all
+    that is known is kept by the id of a life.
+
     Attributes:
-        instance_id: Changes at each start of the replica.
+        instance_id: Changes at each start of the replica; see `life_of`.
         service: Service it belongs to.
         address: `IP:port`.
         zone: Site it stands in.
@@ -47,6 +50,8 @@
         in_memory: Models with a copy in the machine's memory.
         on_disk: Models with a copy on the machine's disk.
         coming: Models whose load is under way, by the word of whoever places models.
+        replica: What it calls itself, if that outlasts a start; else empty.
+        born_ms: Unix milliseconds of its start; 0 where it does not tell.
     """
 
     instance_id: str
@@ -59,6 +64,13 @@
     in_memory: list[str] = []
     on_disk: list[str] = []
     coming: list[ComingModel] = []
+    replica: str = ""
+    born_ms: int = 0
+
+    @property
+    def replica_name(self) -> str:
+        """What it calls itself, in calls to it and from it."""
+        return self.replica or self.instance_id
 
     @property
     def accepts_work(self) -> bool:
@@ -73,6 +85,15 @@
         return False
 
 
+def life_of(replica: str, born_ms: int | None) -> str:
+    """Return the id of one life of a replica.
+
+    >>> life_of("i-7", None), life_of("i-7", 1700000000000)
+    ('i-7', 'i-7@1700000000000')
+    """
+    return replica if born_ms is None else f"{replica}@{born_ms}"
+
+
 class Beat(msgspec.Struct, frozen=True):
     """A heartbeat of a replica: its description and the number that orders its heartbeats."""
 
--- a/src/crowsill/state/directory.py
+++ b/src/crowsill/state/directory.py
@@ -1,7 +1,8 @@
 """The replicated directory of registered replicas.
 
-Every change has a rising version. What has gone is remembered for a while by its id, so that a
-heartbeat that was held up on its way cannot bring a dead instance back.
+Every change has a rising version. What has gone is remembered for a while by the id of its life,
+and of each replica the newest start is, so that a heartbeat that was held up on its way brings no
+dead instance back and ends no newer one.
 """
 
 from collections import OrderedDict
@@ -42,6 +43,7 @@
     version: int = 0
     entries: list[DirectoryEntry] = []
     gone: list[str] = []
+    newest_born_ms: list[tuple[str, int]] = []
 
 
 class DirectoryChange(msgspec.Struct, frozen=True, array_like=True):
@@ -65,6 +67,7 @@
         self.last_change: DirectoryChange | None = None
         self._entries: dict[str, DirectoryEntry] = {}
         self._gone: OrderedDict[str, None] = OrderedDict()
+        self._newest_born_ms: OrderedDict[str, int] = OrderedDict()
 
     @property
     def instances(self) -> list[Instance]:
@@ -98,18 +101,40 @@
             return False
         known = self._entries.get(instance.instance_id)
         if known is None:
-            return True
+            return not self._is_outlived(instance)
         if beat.sequence <= known.beat.sequence:
             return False
         reported = known.beat.instance
         return _sticky_state(reported, instance) != reported
 
+    def lives_of(self, replica: str) -> list[str]:
+        """Return the ids of the lives of a replica that are not gone."""
+        return [item.instance_id for item in self.reported if item.replica_name == replica]
+
+    def _is_outlived(self, instance: Instance) -> bool:
+        """Whether a later life of the replica is known, or of whoever has its address now."""
+        if instance.born_ms < self._newest_born_ms.get(instance.replica_name, 0):
+            return True
+        return any(
+            known.address == instance.address and 0 < instance.born_ms < known.born_ms
+            for known in self.reported
+        )
+
+    def _note_born(self, instance: Instance) -> None:
+        if not instance.born_ms:
+            return
+        self._newest_born_ms[instance.replica_name] = instance.born_ms
+        self._newest_born_ms.move_to_end(instance.replica_name)
+        while len(self._newest_born_ms) > REMEMBERED_GONE:
+            self._newest_born_ms.popitem(last=False)
+
     def record(self, beat: Beat) -> DirectoryChange | None:
         """Take in a heartbeat; return what changed, or None."""
         if not self.changes(beat):
             return None
         instance = beat.instance
         removed = self._displace(instance)
+        self._note_born(instance)
         known = self._entries.get(instance.instance_id)
         offered: list[HeldModel] | None = None
         coming: list[ComingModel] = []
@@ -147,11 +172,12 @@
         return self.last_change
 
     def _displace(self, instance: Instance) -> list[str]:
-        """Whoever had this address before is gone."""
+        """Whoever had this address before is gone, and so are earlier lives of the replica."""
         former = [
             known.instance_id
             for known in self.reported
-            if known.address == instance.address and known.instance_id != instance.instance_id
+            if known.instance_id != instance.instance_id
+            and (known.address == instance.address or known.replica_name == instance.replica_name)
         ]
         for instance_id in former:
             self._forget(instance_id)
@@ -175,13 +201,15 @@
 
     def dump(self) -> DirectorySnapshot:
         """Return the state for a snapshot."""
-        return DirectorySnapshot(self.version, list(self._entries.values()), list(self._gone))
+        entries, born = list(self._entries.values()), list(self._newest_born_ms.items())
+        return DirectorySnapshot(self.version, entries, list(self._gone), born)
 
     def load(self, snapshot: DirectorySnapshot) -> None:
         """Replace the state by that of a snapshot."""
         self.version = snapshot.version
         self._entries = {entry.beat.instance.instance_id: entry for entry in snapshot.entries}
         self._gone = OrderedDict((instance_id, None) for instance_id in snapshot.gone)
+        self._newest_born_ms = OrderedDict(snapshot.newest_born_ms)
 
 
 def _sticky_state(known: Instance, reported: Instance) -> Instance:
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -2,8 +2,8 @@
 
 A replica that had counted its heartbeats up to 500 ended and started again at another port, with
 its count at 1: every request was answered "the service has no replica" for as long as was waited,
-since a count that does not rise was taken for a late heartbeat. And a heartbeat with an address that
-is none was recorded: the request that chose it ended by "E105 internal_error where=exchange
+since a count that does not rise was taken for a late heartbeat. And a heartbeat with an address
+that is none was recorded: the request that chose it ended by "E105 internal_error where=exchange
 error=ValueError(...)" and its connection was closed without an answer.
 """
 
