Deadlines, windows and time-outs count the time of a suspension

Cause: the event loop's clock stands still while a machine is suspended, and all of the gateway's times are of it; a request held across 2 s was passed on with 2 s too much. Change: daemons run on a loop whose clock is boot time.

--- a/src/crowsill/daemon.py
+++ b/src/crowsill/daemon.py
@@ -19,6 +19,7 @@
 
 # Imported early, because it notes when the process began.
 from crowsill.clock import PROCESS_STARTED_S, monotonic_s
+from crowsill.event_loop import run_daemon_loop
 from crowsill.events import Event
 from crowsill.logs import configure_logs, flush_logs, log_event
 from crowsill.platform_ports import PlatformPorts
@@ -235,7 +236,7 @@
         return EXIT_USAGE
     configure_logs(settings.node, settings.log_level)
     tune_garbage_collector()
-    return asyncio.run(Daemon(settings, key.unwrap(), ports, load).run())
+    return run_daemon_loop(Daemon(settings, key.unwrap(), ports, load).run())
 
 
 if __name__ == "__main__":
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -119,7 +118,7 @@
                     break
                 self._failed = address
             else:
-                self._contacts.missed(time.monotonic())
+                self._contacts.missed(monotonic_s())
             await asyncio.sleep(pause_s * (0.5 + self._random.random()))
             pause_s = min(LONGEST_RETRY_S, pause_s * 1.5)
 
@@ -241,8 +240,8 @@
             self.routes_version = body.document.version
             self._hooks.on_routes(body.document)
         elif isinstance(body, DirectoryUpdate):
-            # The clock of the event loop, by which requests are timed.
-            ended = self.book.adopt(body.change, body.whole, time.monotonic())
+            # The clock of a daemon's event loop, by which requests are timed.
+            ended = self.book.adopt(body.change, body.whole, monotonic_s())
             self._hooks.on_directory(ended)
         elif isinstance(body, SuspectsUpdate):
             self._guard.adopt(body.change, body.whole)
