A request whose caller left just before its replica ended counts, too

Cause: a caller's leaving closes the connection, so that no broken answer tells of the end; a request that needs longer to end a replica than its caller waits would never have been known. Change: what was given up within 1 s before an end counts with it; a refused connection begins the check.

--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -62,6 +62,7 @@
 
     Attributes:
         made_s: Clock when the attempt began.
+        sent_s: Clock when the request was sent; 0 before.
         connection: The connection in use, or None.
         first_data_s: Clock when the first byte of the body came, or None.
         on_first_data: Called when it has come.
@@ -84,6 +85,7 @@
         """
         self._loop = asyncio.get_running_loop()
         self.made_s = self._loop.time()
+        self.sent_s = 0.0
         self._caller = caller
         self._names = names
         self._is_stream = is_stream
@@ -118,6 +120,11 @@
         # taken for one, no replica that said nothing was ever left out.
         return self._status != 0 or (self.ended.done() and not self.ended.cancelled())
 
+    @property
+    def was_given_up(self) -> bool:
+        """Whether the request was sent and its end was not waited for."""
+        return self.sent_s > 0.0 and (not self.ended.done() or self.ended.cancelled())
+
     # AnswerSink.
 
     def on_head(self, status: int, reason: bytes, headers: Headers) -> None:
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
 
 from crowsill.clock import monotonic_s
@@ -31,6 +31,10 @@
 # Whole answers are told together.
 CLEAR_PAUSE_S = 0.05
 MOST_IN_ONE_REPORT = 64
+# A request whose caller left is held against an end so long after: replicas drop it as its
+# connection closes, but not at once.
+LEFT_MEMORY_S = 1.0
+MOST_LEFT = 64
 REMEMBERED_ENDS = 1000
 
 Question = ReportCrash | ClearRequests
@@ -62,6 +66,8 @@
         self._loop = asyncio.get_running_loop()
         self._broken: dict[str, list[SuspectRequest]] = {}
         self._broke_s: dict[str, float] = {}
+        # Requests whose callers left while a life ran them, each with the clock of that.
+        self._left: dict[str, deque[tuple[float, SuspectRequest]]] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._ended: OrderedDict[str, None] = OrderedDict()
         self._cleared: list[bytes] = []
@@ -78,9 +84,35 @@
         if life in self._ended:
             self._conclude(instance)
         elif life not in self._checks:
-            check = asyncio.create_task(self._check(instance))
-            self._checks[life] = check
-            check.add_done_callback(lambda _done: self._checks.pop(life, None))
+            self._begin_check(instance)
+
+    def _begin_check(self, instance: Instance) -> None:
+        life = instance.instance_id
+        check = asyncio.create_task(self._check(instance))
+        self._checks[life] = check
+        check.add_done_callback(lambda _done: self._checks.pop(life, None))
+
+    def note_left(self, instance: Instance, request: SuspectRequest) -> None:
+        """A caller left, or its time ended, while a replica ran its request."""
+        left = self._left.setdefault(instance.instance_id, deque(maxlen=MOST_LEFT))
+        left.append((self._loop.time(), request))
+
+    def note_refused(self, instance: Instance) -> None:
+        """A replica refused a connection: it may have ended under a request whose caller left."""
+        life = instance.instance_id
+        if not self._left_lately(life) or not instance.accepts_work or life in self._checks:
+            return
+        self._broke_s.setdefault(life, self._loop.time())
+        self._begin_check(instance)
+
+    def _left_lately(self, life: str) -> list[SuspectRequest]:
+        """Return the requests whose callers left within `LEFT_MEMORY_S` before a life broke off."""
+        since_s = self._broke_s.get(life, self._loop.time()) - LEFT_MEMORY_S
+        return [request for left_s, request in self._left.get(life, ()) if left_s >= since_s]
+
+    def forget(self, instance_id: str) -> None:
+        """A replica gets no more work."""
+        self._left.pop(instance_id, None)
 
     async def has_ended(self, instance_id: str) -> bool:
         """Whether a replica that broke an answer off has ended, as soon as that is known."""
@@ -107,7 +139,7 @@
         try:
             connection = await self._pool.open_new(instance, CHECK_TIMEOUT_S)
         except ConnectError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+            return error.is_refused
         self._pool.release(instance.instance_id, connection, True)
         return False
 
@@ -119,7 +151,8 @@
             if len(self._ended) > REMEMBERED_ENDS:
                 self._ended.popitem(last=False)
             self._on_ended(life)
-        requests = self._broken.pop(life, [])
+        requests = self._broken.pop(life, []) + self._left_lately(life)
+        self._left.pop(life, None)
         ended_s = self._broke_s.pop(life, self._loop.time())
         for request in requests:
             self._guard.note_end(request.fingerprint, life, ended_s - request.ran_s, ended_s)
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -22,6 +22,7 @@
 from crowsill.gateway.prospects import prospect_of
 from crowsill.gateway.refusal import Refusal
 from crowsill.gateway.repeat_guard import RepeatGuard
+from crowsill.gateway.replica_book import ReplicaRecord
 from crowsill.gateway.replica_feedback import FAILED_STATUS, ReplicaFeedback
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayTable, pick_service
@@ -315,7 +316,7 @@
             # Looked at after the last wait: the connection may have taken a second to come up.
             if self._admission.recheck() is not None:
                 return None
-            sent_s = self._loop.time()
+            sent_s = attempt.sent_s = self._loop.time()
             message = encode_forwarded(
                 request,
                 context.names,
@@ -333,6 +334,8 @@
             return end
         except ConnectError as error:
             record.note_break(self._loop.time())
+            if error.is_refused:
+                context.crash_watch.note_refused(record.instance)
             context.unreachable(record)
             GATEWAY_ATTEMPTS.labels("unreachable").inc()
             self._progress.last = f"connect: {error}"
@@ -343,12 +346,20 @@
             prompt.read()
             if is_begun:
                 self._repeats.finish()
-            if self._progress.attempt is not None:
-                self._feedback.notice_silence(record, self._progress.attempt)
-                self._progress.attempt.connection = None
+            self._end_attempt(record)
             if connection is not None:
                 context.pool.release(instance_id, connection, reusable)
 
+    def _end_attempt(self, record: ReplicaRecord) -> None:
+        """Learn from an attempt that is over, whoever ended it."""
+        attempt = self._progress.attempt
+        if attempt is None:
+            return
+        self._feedback.notice_silence(record, attempt)
+        if attempt.connection is not None and attempt.was_given_up:
+            self._repeats.abandon(record.instance, attempt.sent_s)
+        attempt.connection = None
+
     def _terms(self, route: Route, replica: str, left_s: float) -> SendingTerms:
         admission = self._admission
         tenant = "" if admission.tenant is None else admission.tenant.name
--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -17,6 +17,11 @@
 class ConnectError(Exception):
     """No connection could be made: nothing was sent."""
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the machine said that nobody listens there."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 @dataclass(slots=True)
 class _InstancePool:
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -82,18 +82,23 @@
         """Take in how a sending ended that was sent at a clock."""
         watch, guard = self._context.crash_watch, self._context.crash_guard
         if end.is_broken:
-            place = f"{self._request.host}{self._request.path}"[:LONGEST_PLACE]
-            suspect = SuspectRequest(
-                self._fingerprint,
-                self._log.request_id,
-                place,
-                self._log.service,
-                ran_s=self._loop.time() - sent_s,
-            )
-            watch.note_break(instance, suspect)
+            watch.note_break(instance, self._suspect(sent_s))
         elif end.result is Result.WHOLE and end.status < 500 and guard.has_suspects:
             watch.note_success(self._fingerprint)
 
+    def abandon(self, instance: Instance, sent_s: float) -> None:
+        """A sending is given up before its end: the caller left, or its time is over."""
+        self._context.crash_watch.note_left(instance, self._suspect(sent_s))
+
+    def _suspect(self, sent_s: float) -> SuspectRequest:
+        return SuspectRequest(
+            self._fingerprint,
+            self._log.request_id,
+            f"{self._request.host}{self._request.path}"[:LONGEST_PLACE],
+            self._log.service,
+            ran_s=self._loop.time() - sent_s,
+        )
+
     async def may_repeat(self, instance: Instance, end: AttemptEnd) -> bool:
         """Whether the request may go to another replica after such an end.
 
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -173,6 +173,7 @@
     def _on_directory(self, ended: list[str]) -> None:
         for instance_id in ended:
             self.pool.forget(instance_id)
+            self.crash_watch.forget(instance_id)
         self._wake()
 
     def _on_ended(self, instance_id: str) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from crowsill.gateway.crash_guard import CrashGuard
-from crowsill.gateway.crash_watch import CrashWatch
+from crowsill.gateway.crash_watch import LEFT_MEMORY_S, CrashWatch
 from crowsill.gateway.fingerprint import Fingerprints
 from crowsill.gateway.pool import ConnectionPool
 from crowsill.gateway.request import CallerRequest
@@ -24,7 +24,7 @@
 from crowsill.state.crash_record import MOST_SUSPECTS, CrashRecord
 from crowsill.state.machine import StateMachine
 from crowsill.transport.messages import ReportCrash, Submitted
-from tests.gateway_world import ID, LOCAL, NAMES, answer, closes, good, run, world
+from tests.gateway_world import ID, LOCAL, NAMES, answer, closes, good, run, silent, world
 
 KEY = b"k" * 32
 
@@ -272,6 +272,51 @@
     run(scenario())
 
 
+def test_a_request_whose_caller_left_just_before_the_end_counts():
+    """A caller that waits for less time than the request needs to end its replica comes again.
+
+    Its own leaving closes the connection, so that no broken answer tells of the end; only the next
+    request to that replica finds its port closed.
+    """
+
+    async def scenario():
+        port, watched = await Port().open(), Watched()
+        watched.watch.note_left(at(port), suspect(b"left"))
+        watched.watch.note_refused(at(port))
+        await _settle(watched)
+        assert watched.told == [], "the port is open: it has not ended"
+        watched.watch.note_left(at(port), suspect(b"left"))
+        port.end()
+        watched.watch.note_refused(at(port))
+        await _settle(watched)
+        assert {item.fingerprint for told in watched.told for item in told.requests} == {b"left"}
+        # What left long before has nothing to do with it.
+        later = Instance("i-2", "s", f"{LOCAL}:{port.port}", "z", 8)
+        watched.watch.note_left(later, suspect(b"long ago"))
+        await asyncio.sleep(LEFT_MEMORY_S + 0.1)
+        watched.watch.note_refused(later)
+        await watched.watch.has_ended("i-2")
+        assert all(told.life != "i-2" for told in watched.told)
+        await watched.watch.stop()
+
+    run(scenario())
+
+
+def test_an_exchange_tells_of_a_caller_that_left():
+    async def scenario():
+        async with world(silent) as played:
+            left = []
+            played.role.crash_watch.note_left = lambda found, request: left.append(request)
+            caller = await played.caller()
+            caller.send("once", "r1", b"slow")
+            await asyncio.sleep(0.2)
+            caller.leave()
+            await asyncio.sleep(0.2)
+            assert [(request.request_id, request.ran_s > 0.1) for request in left] == [("r1", True)]
+
+    run(scenario())
+
+
 # What the group counts.
 
 
