--- a/src/crowsill/control/registrations.py
+++ b/src/crowsill/control/registrations.py
@@ -92,7 +92,7 @@
             return Failure(Problem(ErrorKind.UNKNOWN_SERVICE, "no route names its service"))
         if known is not None and known.service != beat.instance.service:
             return Failure(Problem(ErrorKind.UNKNOWN_SERVICE, "it belongs to another service"))
-        self._service.note_seen([instance_id])
+        self._service.sight.note_seen([instance_id])
         late = beat.sequence < self._newest_sequence.get(instance_id, -1)
         if not late:
             self._newest_sequence[instance_id] = beat.sequence
@@ -112,7 +112,7 @@
             if not await self._commit(RemoveInstance(instance_id), BEAT_TIMEOUT_S):
                 return Failure(Problem(ErrorKind.NO_LEADER, "no majority recorded the end"))
             self._newest_sequence.pop(instance_id, None)
-            self._service.seen_s.pop(instance_id, None)
+            self._service.sight.forget(instance_id)
         return Success(None)
 
     def is_named(self, service: str) -> bool:
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -8,6 +8,7 @@
 from crowsill.control.driver import ConsensusDriver
 from crowsill.control.members import MemberChanges
 from crowsill.control.quota_grants import QuotaGrants
+from crowsill.control.replica_sight import ReplicaSight
 from crowsill.control.subscribers import (
     CurrencyRelay,
     DemandCounter,
@@ -25,10 +26,8 @@
 from crowsill.transport.messages import (
     BlankCheck,
     Body,
-    ClearRequests,
     ConsensusTraffic,
     Currency,
-    DemandNotice,
     FindGroup,
     GrantRequest,
     GroupReferral,
@@ -41,9 +40,13 @@
     NotLeader,
     Ping,
     Pong,
+    SubmitCommand,
+)
+from crowsill.transport.replica_messages import (
+    ClearRequests,
+    DemandNotice,
     ReportCrash,
     SeenInstances,
-    SubmitCommand,
     SuspectInstances,
 )
 from crowsill.transport.stream import LocalIdentity
@@ -62,9 +65,6 @@
 APPLY_POLL_S = 0.01
 FULL_GROUP_WAIT_S = 2.5
 FULL_GROUP_POLL_S = 0.02
-# Heartbeats that a replica out of reach may miss before it counts as lost.
-SUSPECT_BEATS = 1.25
-SUSPICION_S = 2.0
 
 
 class MemberService:
@@ -76,8 +76,7 @@
         demand: Requests by resource, to be collected by the leader or passed on to it.
         urgent: Those of them that have a short target.
         pressed: Those whose first event took most of their target, or that found no place.
-        suspected_s: Clock when a gateway last could not reach a replica.
-        seen_s: Clock of the last heartbeat of each replica that this member knows of.
+        sight: What was heard of replicas.
         leader_stream: Stream to the leader while this member follows.
         on_wanted: Called with what gateways wait for, on the leader.
         announcer: Tells others where the group is while this member leads; None otherwise.
@@ -109,7 +108,6 @@
             heartbeat_s: Time between two heartbeats of a replica that registers itself.
         """
         self.quota = quota
-        self._heartbeat_s = heartbeat_s
         self._target_voters = target_voters
         self._has_been_full = False
         self.on_wanted: Callable[[dict[str, int]], None] = self.pass_on_wanted
@@ -124,8 +122,7 @@
         self.demand = DemandCounter()
         self.urgent = DemandCounter()
         self.pressed = DemandCounter()
-        self.seen_s: dict[str, float] = {}
-        self.suspected_s: dict[str, float] = {}
+        self.sight = ReplicaSight(heartbeat_s, self._tell_leader)
         self.leader_stream: Connection | None = None
         self._relay = CurrencyRelay(self._ask_leader)
 
@@ -240,40 +237,14 @@
         elif isinstance(body, DemandNotice):
             self.on_wanted(body.wanted)
         elif isinstance(body, SeenInstances):
-            self.note_seen(body.instance_ids)
+            self.sight.note_seen(body.instance_ids)
         elif isinstance(body, SuspectInstances):
-            self.note_suspects(body.instance_ids)
-
-    def note_seen(self, instance_ids: list[str]) -> None:
-        """Note that replicas sent a heartbeat; a follower tells the leader."""
-        now_s = monotonic_s()
-        for instance_id in instance_ids:
-            self.seen_s[instance_id] = now_s
-        stream = self.leader_stream
-        if stream is not None and not stream.is_closed:
-            stream.push(SeenInstances(instance_ids))
+            self.sight.note_suspects(body.instance_ids)
 
-    def note_suspects(self, instance_ids: list[str]) -> None:
-        """Note that gateways cannot reach replicas; a follower tells the leader."""
-        now_s = monotonic_s()
-        for instance_id in instance_ids:
-            self.suspected_s[instance_id] = now_s
+    def _tell_leader(self, notice: SeenInstances | SuspectInstances) -> None:
         stream = self.leader_stream
         if stream is not None and not stream.is_closed:
-            stream.push(SuspectInstances(instance_ids))
-
-    def is_lost(self, instance_id: str, since_s: float) -> bool:
-        """Whether a replica counts as lost: silent here, and out of reach for gateways.
-
-        Silence alone proves nothing: its heartbeats may go to a member that is cut off.
-        """
-        suspected_s = monotonic_s() - self.suspected_s.get(instance_id, float("-inf"))
-        beats = self.silent_s(instance_id, since_s) / self._heartbeat_s
-        return suspected_s < SUSPICION_S and beats > SUSPECT_BEATS
-
-    def silent_s(self, instance_id: str, since_s: float) -> float:
-        """Return for how long, since a moment, a replica has sent no heartbeat."""
-        return monotonic_s() - max(since_s, self.seen_s.get(instance_id, since_s))
+            stream.push(notice)
 
     def _is_blank(self) -> bool:
         if not self._was_blank:
--- a/src/crowsill/control/subscribers.py
+++ b/src/crowsill/control/subscribers.py
@@ -24,8 +24,8 @@
     FleetUpdate,
     Heartbeat,
     RoutesUpdate,
-    SuspectsUpdate,
 )
+from crowsill.transport.replica_messages import SuspectsUpdate
 
 ENTRY_EXPIRY_S = 4.0
 
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -15,7 +15,8 @@
 from crowsill.logs import log_event
 from crowsill.model.instances import Instance
 from crowsill.model.suspects import SuspectRequest
-from crowsill.transport.messages import Body, ClearRequests, ReportCrash, Submitted
+from crowsill.transport.messages import Body, Submitted
+from crowsill.transport.replica_messages import ClearRequests, ReportCrash
 
 # Pauses before each question whether a port is still open. The end of one connection may be heard
 # before that of the others.
--- a/src/crowsill/gateway/demand.py
+++ b/src/crowsill/gateway/demand.py
@@ -4,7 +4,7 @@
 
 from crowsill.gateway.asked_resources import ASK_INTERVAL_S, AskedResources, resource_name
 from crowsill.gateway.follower import GatewayFollower
-from crowsill.transport.messages import DemandNotice
+from crowsill.transport.replica_messages import DemandNotice
 
 
 class DemandReporter:
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -23,16 +23,18 @@
 from crowsill.transport.leader_client import parse_address
 from crowsill.transport.messages import (
     Body,
-    ClearRequests,
     Currency,
-    DemandNotice,
     DirectoryUpdate,
     EntryStatus,
     GrantRequest,
     Heartbeat,
     NotLeader,
-    ReportCrash,
     RoutesUpdate,
+)
+from crowsill.transport.replica_messages import (
+    ClearRequests,
+    DemandNotice,
+    ReportCrash,
     SuspectInstances,
     SuspectsUpdate,
 )
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -32,7 +32,7 @@
 from crowsill.settings import GatewaySettings, Settings
 from crowsill.state.route_store import RouteDocument
 from crowsill.tenancy.identity import proves_keys
-from crowsill.transport.messages import SuspectInstances
+from crowsill.transport.replica_messages import SuspectInstances
 from crowsill.transport.sockets import bound_silence
 from crowsill.transport.stream import LocalIdentity
 
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -10,10 +10,17 @@
 from crowsill.consensus.messages import Envelope
 from crowsill.model.configuration import Configuration, ConfigurationDelta
 from crowsill.model.fleet import FleetDelta
-from crowsill.model.suspects import SuspectChange, SuspectRequest
 from crowsill.state.commands import Command, CommandResult
 from crowsill.state.directory import DirectoryChange
 from crowsill.state.route_store import RouteDocument
+from crowsill.transport.replica_messages import (
+    ClearRequests,
+    DemandNotice,
+    ReportCrash,
+    SeenInstances,
+    SuspectInstances,
+    SuspectsUpdate,
+)
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
@@ -265,39 +272,6 @@
     whole: bool
 
 
-class SuspectsUpdate(msgspec.Struct, frozen=True, tag="suspects-update"):
-    """A change of the crash record; `whole` when it holds everything."""
-
-    change: SuspectChange
-    whole: bool
-
-
-class ReportCrash(msgspec.Struct, frozen=True, tag="report-crash"):
-    """A gateway saw a replica end while it ran requests; a follower passes it to the leader.
-
-    Attributes:
-        life: The replica's life that ended.
-        requests: What was running there for this gateway.
-        ago_s: How long before this message it ended.
-    """
-
-    life: str
-    requests: list[SuspectRequest]
-    ago_s: float
-
-
-class ClearRequests(msgspec.Struct, frozen=True, tag="clear-requests"):
-    """Requests that were suspects ended whole; a follower passes it to the leader."""
-
-    fingerprints: list[bytes]
-
-
-class DemandNotice(msgspec.Struct, frozen=True, tag="demand-notice"):
-    """Resources that requests wait for and no replica holds, with their number."""
-
-    wanted: dict[str, int]
-
-
 class GrantRequest(msgspec.Struct, frozen=True, tag="grant-request"):
     """A gateway asks for what one request of a tenant counts; a follower passes it to the leader.
 
@@ -366,18 +340,6 @@
     accepted: bool
 
 
-class SeenInstances(msgspec.Struct, frozen=True, tag="seen-instances"):
-    """Replicas whose heartbeats came to a follower since its last message."""
-
-    instance_ids: list[str]
-
-
-class SuspectInstances(msgspec.Struct, frozen=True, tag="suspect-instances"):
-    """Replicas to which a gateway could make no connection just now."""
-
-    instance_ids: list[str]
-
-
 class ConsensusTraffic(msgspec.Struct, frozen=True, tag="consensus"):
     """Messages of consensus groups."""
 
--- /dev/null
+++ b/src/crowsill/transport/replica_messages.py
@@ -0,0 +1,50 @@
+"""Messages in which processes tell each other what they saw of replicas and their requests."""
+
+import msgspec
+
+from crowsill.model.suspects import SuspectChange, SuspectRequest
+
+
+class SuspectsUpdate(msgspec.Struct, frozen=True, tag="suspects-update"):
+    """A change of the crash record; `whole` when it holds everything."""
+
+    change: SuspectChange
+    whole: bool
+
+
+class ReportCrash(msgspec.Struct, frozen=True, tag="report-crash"):
+    """A gateway saw a replica end while it ran requests; a follower passes it to the leader.
+
+    Attributes:
+        life: The replica's life that ended.
+        requests: What was running there for this gateway.
+        ago_s: How long before this message it ended.
+    """
+
+    life: str
+    requests: list[SuspectRequest]
+    ago_s: float
+
+
+class ClearRequests(msgspec.Struct, frozen=True, tag="clear-requests"):
+    """Requests that were suspects ended whole; a follower passes it to the leader."""
+
+    fingerprints: list[bytes]
+
+
+class DemandNotice(msgspec.Struct, frozen=True, tag="demand-notice"):
+    """Resources that requests wait for and no replica holds, with their number."""
+
+    wanted: dict[str, int]
+
+
+class SeenInstances(msgspec.Struct, frozen=True, tag="seen-instances"):
+    """Replicas whose heartbeats came to a follower since its last message."""
+
+    instance_ids: list[str]
+
+
+class SuspectInstances(msgspec.Struct, frozen=True, tag="suspect-instances"):
+    """Replicas to which a gateway could make no connection just now."""
+
+    instance_ids: list[str]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -23,7 +23,8 @@
 from crowsill.state.commands import Acknowledged, ClearSuspects, RecordCrash
 from crowsill.state.crash_record import MOST_SUSPECTS, CrashRecord
 from crowsill.state.machine import StateMachine
-from crowsill.transport.messages import ReportCrash, Submitted
+from crowsill.transport.messages import Submitted
+from crowsill.transport.replica_messages import ReportCrash
 from tests.gateway_world import ID, LOCAL, NAMES, answer, closes, good, run, silent, world
 
 KEY = b"k" * 32
