Fault soak: replicas start again under their names, garbled heartbeats, requests that end replicas

Stand-in replicas tell their starts, end without a word and start again under their names, send what describes no replica beside a tenth of their heartbeats; in each burst a request that ends whoever reads it is sent through all gateways, in each calm after it nobody may send it on; ordinary requests, a fifth of one body, may never be refused for it. The product's own registrations check what the platform's do (model/instances.py).

--- a/src/crowsill/api/registrations.py
+++ b/src/crowsill/api/registrations.py
@@ -17,7 +17,7 @@
 from crowsill.constants import MAX_BODY_BYTES
 from crowsill.control.registrations import Registrations
 from crowsill.errors import ErrorKind, Problem
-from crowsill.model.instances import Beat
+from crowsill.model.instances import Beat, instance_fault
 
 
 class HeartbeatAnswer(msgspec.Struct, frozen=True):
@@ -93,6 +93,11 @@
             problem = Problem(ErrorKind.INVALID_REQUEST, "the path names another replica")
             answer_problem(response, problem, request_id_of(request))
             return
+        fault = instance_fault(beat.instance)
+        if fault is not None:
+            problem = Problem(ErrorKind.INVALID_REQUEST, f"heartbeat: {fault}")
+            answer_problem(response, problem, request_id_of(request))
+            return
         taken = await self._registrations.beat(beat)
         if not isinstance(taken, Success):
             answer_problem(response, taken.failure(), request_id_of(request))
--- a/src/crowsill/model/instances.py
+++ b/src/crowsill/model/instances.py
@@ -1,9 +1,15 @@
 """Replicas that register themselves, as control members and entries know them."""
 
+import ipaddress
+import re
 from enum import StrEnum
 
 import msgspec
 
+# Names of replicas go into a header of each request.
+_REPLICA_NAME = re.compile(r"[A-Za-z0-9._:@-]{1,128}")
+LARGEST_PORT = 65535
+
 
 class InstanceState(StrEnum):
     """Whether new work may go to an instance; it only ever moves down this list."""
@@ -94,6 +100,42 @@
     return replica if born_ms is None else f"{replica}@{born_ms}"
 
 
+def is_replica_name(text: str) -> bool:
+    """Whether a text may be a replica's name, or the id of one of its lives.
+
+    >>> is_replica_name("i-7f3a91c2"), is_replica_name("i 7"), is_replica_name("")
+    (True, False, False)
+    """
+    return _REPLICA_NAME.fullmatch(text) is not None
+
+
+def is_address(text: str) -> bool:
+    """Whether a text is `IP:port`.
+
+    >>> is_address("10.0.0.1:80"), is_address("nowhere"), is_address("10.0.0.1:0")
+    (True, False, False)
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port[:6]) <= LARGEST_PORT
+
+
+def instance_fault(instance: Instance) -> str | None:
+    """Return why a description names no replica to use, or None."""
+    if not is_replica_name(instance.instance_id) or not is_replica_name(instance.replica_name):
+        return "a replica's name is 1 to 128 letters, digits and any of ._:@-"
+    if not instance.service:
+        return "a replica belongs to a service"
+    if not is_address(instance.address):
+        return "the address is not IP:port"
+    if instance.slots < 1 or instance.born_ms < 0:
+        return "slots are at least 1, and a start is not below 0"
+    return None
+
+
 class Beat(msgspec.Struct, frozen=True):
     """A heartbeat of a replica: its description and the number that orders its heartbeats."""
 
--- a/src/crowsill_lab/soak/caller.py
+++ b/src/crowsill_lab/soak/caller.py
@@ -19,6 +19,8 @@
 REQUEST_TIMEOUT_S = 5.0
 LONGEST_PAUSE_S = 0.05
 SAFE_SHARE = 0.4
+# Ordinary requests of one body: what some of them run beside says nothing against the others.
+SAME_BODY_SHARE = 0.2
 # A closed connection that is not a fault's doing is looked into so long after.
 LOOK_AFTER_S = 0.3
 
@@ -42,7 +44,8 @@
     request_id = secrets.token_hex(8)
     if not path.startswith("/safe/"):
         ledger.at_most_once.add(request_id)
-    body = secrets.token_bytes(16).hex().encode()
+    same = secrets.randbelow(100) < SAME_BODY_SHARE * 100
+    body = b"same" if same else secrets.token_bytes(16).hex().encode()
     headers = {
         "Host": HOST_NAME,
         NAMES.request_id.decode(): request_id,
--- a/src/crowsill_lab/soak/faults.py
+++ b/src/crowsill_lab/soak/faults.py
@@ -73,6 +73,7 @@
             lambda: self._stop_gateway(gateway),
             lambda: self._hup(member, gateway),
             self._replace_replica,
+            self._restart_replica,
             *self._connection_faults(member),
             *self._loss_faults(),
         ]
@@ -173,7 +174,7 @@
 
     async def _replace_replica(self) -> None:
         leaving = self._replicas.pop(0)
-        self._note(f"replace {leaving.instance_id}")
+        self._note(f"replace {leaving.name}")
         other = SoakReplica(self._next_replica, self._site, self._ledger, self._random)
         self._next_replica += 1
         await other.start()
@@ -181,6 +182,11 @@
         await asyncio.sleep(1.0)
         await leaving.leave()
 
+    async def _restart_replica(self) -> None:
+        replica = self._random.choice(self._replicas)
+        self._note(f"end {replica.name}")
+        await replica.end_and_start_again()
+
     async def _kill(self, process: ManagedProcess | None) -> None:
         if process is None:
             return
--- a/src/crowsill_lab/soak/ledger.py
+++ b/src/crowsill_lab/soak/ledger.py
@@ -13,6 +13,8 @@
     CallerKey,
 )
 
+# Bodies that begin so end every replica that reads one.
+CRASHING = b"crash-"
 # Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -39,6 +41,7 @@
         acknowledged_s: Clock of each acknowledgement, by version.
         sent: Requests by their id.
         limited_runs: When requests of the limited tenant were sent and had arrived.
+        crashes_s: When each crashing request ended a replica.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -50,6 +53,11 @@
     acknowledged_s: dict[int, float] = field(default_factory=dict)
     sent: dict[str, SentRequest] = field(default_factory=dict)
     limited_runs: list[tuple[float, float]] = field(default_factory=list)
+    crashes_s: dict[bytes, list[float]] = field(default_factory=dict)
+
+    def crashed(self, body: bytes, now_s: float) -> None:
+        """Note that a request ends a replica."""
+        self.crashes_s.setdefault(body, []).append(now_s)
 
     def note_acknowledged(self, version: int, now_s: float) -> None:
         """Note that a version was acknowledged."""
@@ -112,6 +120,8 @@
         self.statuses[status] += 1
         if status in NOT_RUN_STATUSES:
             self.not_run.add(request_id)
+        if status == 503 and b'"quarantined"' in body:
+            self.broken(f"{request_id}: refused for a crash that it has no part in")
         if status == 200 and body != expected:
             self.broken(f"{request_id}: another answer than its own: {body[:80]!r}")
 
--- a/src/crowsill_lab/soak/runner.py
+++ b/src/crowsill_lab/soak/runner.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from crowsill_lab.soak.caller import SoakCaller, ask
+from crowsill_lab.soak.culprit import Culprit
 from crowsill_lab.soak.faults import FaultInjector
 from crowsill_lab.soak.ledger import Ledger
 from crowsill_lab.soak.operator import Operator
@@ -88,6 +89,7 @@
         self._site = _site_of(plan)
         self._replicas: list[SoakReplica] = []
         self._watchers: list[VersionWatcher] = []
+        self._culprits: list[Culprit] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> SoakReport:
@@ -121,7 +123,12 @@
         faults = FaultInjector(site, self._replicas, ledger, self._draw())
         until_s = time.monotonic() + self._plan.seconds
         while time.monotonic() < until_s and not ledger.violations:
+            culprit = Culprit(site.gateways, ledger, self._draw())
+            self._culprits.append(culprit)
+            sending = asyncio.create_task(culprit.run())
+            self._tasks.append(sending)
             await faults.burst(BURST_S)
+            sending.cancel()
             await self._calm(f"after {len(faults.done)} faults", CALM_BOUND_S)
         if not ledger.violations:
             await faults.close()
@@ -163,6 +170,8 @@
                         )
                         return
                     await asyncio.sleep(POLL_S)
+        for culprit in self._culprits:
+            await culprit.check(when)
 
 
 def _site_of(plan: SoakPlan) -> SoakSite | SeededSite:
