--- a/spec/check.py
+++ b/spec/check.py
@@ -10,7 +10,7 @@
 
 from minicheck import Protocol, check_safety
 
-from spec import claims, configuration, election, orders, replacement, restarts, revocation
+from spec import claims, configuration, election, lives, orders, replacement, restarts, revocation
 from spec.orders import Variant
 
 MEMORY = "memory is not overcommitted"
@@ -83,6 +83,12 @@
         revocation.protocol(checks_once=True),
         "a taken key runs nothing after its bound",
     ),
+    Case("lives", lives.protocol()),
+    Case(
+        "lives, known by the name",
+        lives.protocol(by_name=True),
+        "the newest life that was heard is known",
+    ),
     Case("orders, fences checked", orders.protocol(Variant(True, True))),
     Case("orders, fences not checked", orders.protocol(Variant(False, False))),
     Case(
