What ended whole lately is no suspect, at any gateway

Cause: requests that many callers send alike run wherever a replica ends; with no replica left to answer one whole, three ends within a second put them into quarantine, where nothing can clear them any more. Change: gateways remember which small requests, and which suspects, ended whole within the last 60 s; what is known good is not reported, and a gateway that knows it speaks for what another one reported. Costs one hash of a body of up to 1 KB for each whole answer (2 to 8 us).

--- a/src/crowsill/gateway/crash_guard.py
+++ b/src/crowsill/gateway/crash_guard.py
@@ -10,6 +10,11 @@
 
 # Own observations that the group has not confirmed yet; a bound for a gateway without contact.
 MOST_OWN = 1000
+# What ended whole so lately is no suspect: it does not end whoever runs it. Requests that many
+# callers send alike run wherever a replica ends, and with no replica left nothing could clear them
+# (57 of them refused in a soak of 9 s, 0 since). A new version of a service may change that.
+GOOD_LIFETIME_S = 60.0
+MOST_GOOD = 2000
 
 
 @dataclass(slots=True)
@@ -33,14 +38,17 @@
     True False
     False False
     False True
-    >>> guard.note_success(b"f"), guard.is_quarantined(b"f")
+    >>> guard.note_success(b"f", now_s=4.0), guard.is_quarantined(b"f")
     (False, False)
+    >>> guard.is_known_good(b"f", now_s=5.0), guard.is_known_good(b"f", now_s=99.0)
+    (True, False)
     """
 
     def __init__(self) -> None:
         self.version = 0
         self._recorded: dict[bytes, set[str]] = {}
         self._own: OrderedDict[bytes, _OwnEnds] = OrderedDict()
+        self._good_s: OrderedDict[bytes, float] = OrderedDict()
         self._under_way: Counter[bytes] = Counter()
 
     @property
@@ -119,11 +127,24 @@
         if not own.lives:
             del self._own[fingerprint]
 
-    def note_success(self, fingerprint: bytes) -> bool:
+    def is_known_good(self, fingerprint: bytes, now_s: float) -> bool:
+        """Whether the request ended whole lately, at this gateway."""
+        return now_s - self._good_s.get(fingerprint, float("-inf")) < GOOD_LIFETIME_S
+
+    def note_success(self, fingerprint: bytes, now_s: float) -> bool:
         """The request ended whole; return whether the group's record has to be told."""
+        self._good_s[fingerprint] = now_s
+        self._good_s.move_to_end(fingerprint)
+        if len(self._good_s) > MOST_GOOD:
+            self._good_s.popitem(last=False)
         self._own.pop(fingerprint, None)
         return self._recorded.pop(fingerprint, None) is not None
 
+    def forget(self, fingerprint: bytes) -> None:
+        """The request is no suspect here, whatever the group has recorded."""
+        self._own.pop(fingerprint, None)
+        self._recorded.pop(fingerprint, None)
+
     # One suspect runs at one place at a time, as far as one gateway can tell.
 
     def is_under_way(self, fingerprint: bytes) -> bool:
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -14,7 +14,7 @@
 from crowsill.gateway.pool import ConnectError, ConnectionPool
 from crowsill.logs import log_event
 from crowsill.model.instances import Instance
-from crowsill.model.suspects import SuspectRequest
+from crowsill.model.suspects import SuspectChange, SuspectRequest
 from crowsill.transport.messages import Body, Submitted
 from crowsill.transport.replica_messages import ClearRequests, ReportCrash
 
@@ -152,7 +152,12 @@
             if len(self._ended) > REMEMBERED_ENDS:
                 self._ended.popitem(last=False)
             self._on_ended(life)
-        requests = self._broken.pop(life, []) + self._left_lately(life)
+        now_s = self._loop.time()
+        requests = [
+            request
+            for request in self._broken.pop(life, []) + self._left_lately(life)
+            if not self._guard.is_known_good(request.fingerprint, now_s)
+        ]
         self._left.pop(life, None)
         ended_s = self._broke_s.pop(life, self._loop.time())
         for request in requests:
@@ -170,8 +175,19 @@
 
     def note_success(self, fingerprint: bytes) -> None:
         """A request ended whole: it is not what ends replicas."""
-        if not self._guard.note_success(fingerprint):
-            return
+        if self._guard.note_success(fingerprint, self._loop.time()):
+            self._clear(fingerprint)
+
+    def adopt(self, change: SuspectChange, whole: bool) -> None:
+        """Take in a change of the group's record; speak for what ended whole here lately."""
+        self._guard.adopt(change, whole)
+        now_s = self._loop.time()
+        for item in change.changed:
+            if item.ends and self._guard.is_known_good(item.fingerprint, now_s):
+                self._guard.forget(item.fingerprint)
+                self._clear(item.fingerprint)
+
+    def _clear(self, fingerprint: bytes) -> None:
         if not self._cleared:
             self._start(self._tell_cleared())
         self._cleared.append(fingerprint)
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -16,6 +16,7 @@
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.replica_book import ReplicaBook
 from crowsill.logs import log_event
+from crowsill.model.suspects import SuspectChange
 from crowsill.settings import Address
 from crowsill.state.route_store import RouteDocument
 from crowsill.transport.connection import Connection, ConnectionLostError, open_connection
@@ -55,11 +56,13 @@
         on_directory: The directory changed; receives the ids that get no more work.
         on_current: The group has proved what is current; receives the number of gateways, and the
             clock (`clock.monotonic_s`) just before it was asked.
+        on_suspects: The crash record changed, or came whole.
     """
 
     on_routes: Callable[[RouteDocument], None]
     on_directory: Callable[[list[str]], None]
     on_current: Callable[[int, float], None]
+    on_suspects: Callable[[SuspectChange, bool], None]
 
 
 class GatewayFollower:
@@ -246,5 +249,5 @@
             ended = self.book.adopt(body.change, body.whole, monotonic_s())
             self._hooks.on_directory(ended)
         elif isinstance(body, SuspectsUpdate):
-            self._guard.adopt(body.change, body.whole)
+            self._hooks.on_suspects(body.change, body.whole)
         self._prove_current()
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -7,6 +7,7 @@
 from crowsill.gateway.context import ExchangeContext
 from crowsill.gateway.exchange_log import ExchangeLog
 from crowsill.gateway.refusal import Refusal
+from crowsill.gateway.replica_feedback import FAILED_STATUS
 from crowsill.gateway.request import CallerRequest
 from crowsill.model.instances import Instance
 from crowsill.model.suspects import LONGEST_PLACE, SuspectRequest
@@ -16,6 +17,9 @@
 QUARANTINE_RETRY_S = 300.0
 # A suspect waits so long for another sending of it that is under way here: most answers take less.
 COPY_WAIT_S = 1.0
+# Whole answers to requests up to this size are remembered, which takes 2 to 8 us each. What many
+# callers send alike is small; large prompts differ.
+REMEMBERED_BODY_BYTES = 1024
 COPY_POLL_S = 0.05
 COPY_RETRY_S = 1.0
 _COPY_UNDER_WAY = Refusal(
@@ -83,7 +87,10 @@
         watch, guard = self._context.crash_watch, self._context.crash_guard
         if end.is_broken:
             watch.note_break(instance, self._suspect(sent_s))
-        elif end.result is Result.WHOLE and end.status < 500 and guard.has_suspects:
+            return
+        is_good = end.result is Result.WHOLE and end.status < FAILED_STATUS
+        is_small = len(self._request.body) <= REMEMBERED_BODY_BYTES
+        if is_good and (guard.has_suspects or is_small):
             watch.note_success(self._fingerprint)
 
     def abandon(self, instance: Instance, sent_s: float) -> None:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -28,6 +28,7 @@
 from crowsill.metrics import READY, ROUTES_VERSION
 from crowsill.model.route_codec import RouteCodec, unpack
 from crowsill.model.routes import CallerLimits
+from crowsill.model.suspects import SuspectChange
 from crowsill.routing.shared_budget import BudgetLimits, SharedBudget
 from crowsill.settings import GatewaySettings, Settings
 from crowsill.state.route_store import RouteDocument
@@ -94,7 +95,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         identity = f"{settings.node}.{secrets.token_hex(4)}"
         local = LocalIdentity(settings.node, identity, settings.zone, key)
-        hooks = GatewayHooks(self._on_routes, self._on_directory, self._on_current)
+        hooks = GatewayHooks(
+            self._on_routes, self._on_directory, self._on_current, self._on_suspects
+        )
         self._follower = GatewayFollower(
             local,
             gateway.control_seeds,
@@ -176,6 +179,9 @@
             self.crash_watch.forget(instance_id)
         self._wake()
 
+    def _on_suspects(self, change: SuspectChange, whole: bool) -> None:
+        self.crash_watch.adopt(change, whole)
+
     def _on_ended(self, instance_id: str) -> None:
         record = self.book.find(instance_id)
         if record is not None:
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -110,7 +110,9 @@
     def __init__(self, first):
         self.current = 0
         self.guard = CrashGuard()
-        hooks = GatewayHooks(lambda document: None, lambda ended: None, self._on_current)
+        hooks = GatewayHooks(
+            lambda document: None, lambda ended: None, self._on_current, self.guard.adopt
+        )
         local = LocalIdentity("g1", "g1.1", "z", KEY)
         self.follower = GatewayFollower(
             local, [first], ReplicaBook(), self.guard, hooks=hooks, random=Random(1)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -10,6 +10,12 @@
 SEED = 1
 SECONDS = 15.0
 LOSSES_SEED = 2
+# Three replicas ended within 0.2 s under a request that ends whoever reads it, and the next life of
+# one 0.8 s later. Ordinary requests of one body ran at three of these ends, with no replica left to
+# answer one whole in between ("E509 request_quarantined place=shop.example/safe/x"), and were
+# refused from then on, though thousands like them had been answered before.
+CROWD_SEED = 101
+CROWD_SECONDS = 9.0
 
 
 def test_every_promise_holds_under_overlapping_faults(tmp_path):
@@ -18,6 +24,11 @@
     assert len(report.faults) > 10 and report.statuses[200] > 100 and report.versions > 5
 
 
+def test_what_many_callers_send_alike_is_not_refused_for_a_crash_beside_it(tmp_path):
+    report = run_soak(SoakPlan(CROWD_SEED, CROWD_SECONDS, members=3, gateways=3, folder=tmp_path))
+    assert report.violations == [], report.text()
+
+
 def test_every_promise_holds_under_losses(tmp_path):
     # It ends with a loss of all power, of two disks, and of all seeds that know anybody. Without
     # the visits of leaders to those who know nobody such a run broke promises.
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -30,9 +30,10 @@
     def note_current(gateways, _proved_s):
         current.append(gateways)
 
-    hooks = GatewayHooks(lambda document: None, lambda ended: None, note_current)
+    guard = CrashGuard()
+    hooks = GatewayHooks(lambda document: None, lambda ended: None, note_current, guard.adopt)
     local = LocalIdentity("g1", "g1.1", "z", b"k" * 32)
-    return GatewayFollower(local, [], ReplicaBook(), CrashGuard(), hooks=hooks, random=Random(1))
+    return GatewayFollower(local, [], ReplicaBook(), guard, hooks=hooks, random=Random(1))
 
 
 def routes(version):
--- a/tests/test_innocent_crowd.py
+++ b/tests/test_innocent_crowd.py
@@ -1,10 +1,10 @@
 """Requests that many callers send alike, where a request that ends replicas is about.
 
-A soak of 9 s had three replicas end within 0.2 s under such a request, and the next life of one 0.8 s
-later. Ordinary requests of one body ran at three of these ends, and no replica was left to answer
-one whole in between: "E509 request_quarantined place=shop.example/safe/x replicas=i-2@...,i-3@...,
-i-3@..." beside the culprit's own line. From then on they were refused, 57 of them, though thousands
-like them had been answered whole in the seconds before.
+A soak of 9 s had three replicas end within 0.2 s under such a request, and the next life of one
+0.8 s later. Ordinary requests of one body ran at three of these ends, and no replica was left to
+answer one whole in between: "E509 request_quarantined place=shop.example/safe/x replicas=i-2@...,
+i-3@...,i-3@..." beside the culprit's own line. From then on they were refused, 57 of them, though
+thousands like them had been answered whole in the seconds before.
 """
 
 import asyncio
