--- /dev/null
+++ b/tests/crash_world.py
@@ -0,0 +1,81 @@
+"""Replicas' ports that open and close, and a crash watch that says what it would tell the group."""
+
+import asyncio
+
+from crowsill.gateway.crash_guard import CrashGuard
+from crowsill.gateway.crash_watch import CrashWatch
+from crowsill.gateway.pool import ConnectionPool
+from crowsill.gateway.request import CallerRequest
+from crowsill.model.instances import Instance, InstanceState
+from crowsill.model.suspects import SuspectRequest
+from crowsill.state.commands import Acknowledged
+from crowsill.transport.messages import Submitted
+from tests.gateway_world import LOCAL, NAMES
+
+
+def suspect(fingerprint=b"f", ran_s=0.1):
+    return SuspectRequest(fingerprint, "r", "h/a", "s", ran_s)
+
+
+def request(**changes):
+    values = {
+        "method": b"POST",
+        "target": b"/pay/a?q=1",
+        "headers": [(b"Host", b"h")],
+        "body": b"body",
+        "keep_alive": True,
+        "arrived_s": 1.0,
+        "host": "h",
+    }
+    return CallerRequest(**{**values, **changes})
+
+
+class Port:
+    """A replica's port: open, closed, or closed while old connections live."""
+
+    def __init__(self):
+        self.connections = set()
+
+    async def open(self):
+        self._server = await asyncio.start_server(self._hold, LOCAL, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def _hold(self, reader, writer):
+        self.connections.add(writer)
+        await reader.read()
+
+    def close(self):
+        self._server.close()
+
+    def end(self):
+        self.close()
+        for writer in self.connections:
+            writer.transport.abort()
+
+
+class Watched:
+    """A watch with its pool, and what it told the group."""
+
+    def __init__(self, is_told=True):
+        self.told = []
+        self.ended = []
+        self.is_told = is_told
+        self.guard = CrashGuard()
+        self.pool = ConnectionPool(NAMES)
+        self.watch = CrashWatch(self.pool, self.guard, self._ask, self.ended.append)
+
+    async def _ask(self, question, _timeout_s):
+        if not self.is_told:
+            return None
+        self.told.append(question)
+        return Submitted(Acknowledged())
+
+
+def at(port, state=InstanceState.READY):
+    return Instance("i-1", "s", f"{LOCAL}:{port.port}", "z", 8, state)
+
+
+async def settle(watched):
+    await watched.watch.has_ended("i-1")
+    await asyncio.sleep(0.05)
--- a/tests/test_innocent_crowd.py
+++ b/tests/test_innocent_crowd.py
@@ -11,8 +11,8 @@
 
 from crowsill.gateway import crash_guard, repeat_guard
 from crowsill.state.crash_record import CrashRecord
+from tests.crash_world import Port, Watched, at, request, settle, suspect
 from tests.gateway_world import good, run, world
-from tests.test_quarantine import Port, Watched, _settle, at, request, suspect
 
 
 def test_what_was_answered_whole_shortly_before_is_no_suspect():
@@ -22,7 +22,7 @@
         port.end()
         watched.watch.note_break(at(port), suspect(b"popular"))
         watched.watch.note_break(at(port), suspect(b"culprit"))
-        await _settle(watched)
+        await settle(watched)
         reported = [item.fingerprint for told in watched.told for item in told.requests]
         assert reported == [b"culprit"]
         await watched.watch.stop()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -14,42 +14,19 @@
 from hypothesis import strategies as st
 
 from crowsill.gateway.crash_guard import CrashGuard
-from crowsill.gateway.crash_watch import LEFT_MEMORY_S, CrashWatch
 from crowsill.gateway.fingerprint import Fingerprints
-from crowsill.gateway.pool import ConnectionPool
-from crowsill.gateway.request import CallerRequest
-from crowsill.model.instances import Instance, InstanceState
-from crowsill.model.suspects import CRASH_LIMIT, SuspectRequest
-from crowsill.state.commands import Acknowledged, ClearSuspects, RecordCrash
+from crowsill.state.commands import ClearSuspects, RecordCrash
 from crowsill.state.crash_record import MOST_SUSPECTS, CrashRecord
 from crowsill.state.machine import StateMachine
-from crowsill.transport.messages import Submitted
-from crowsill.transport.replica_messages import ReportCrash
-from tests.gateway_world import ID, LOCAL, NAMES, answer, closes, good, run, silent, world
+from tests.crash_world import request, suspect
+from tests.gateway_world import ID, answer, good, run, world
 
 KEY = b"k" * 32
 
 
-def suspect(fingerprint=b"f", ran_s=0.1):
-    return SuspectRequest(fingerprint, "r", "h/a", "s", ran_s)
-
-
 # Identity.
 
 
-def request(**changes):
-    values = {
-        "method": b"POST",
-        "target": b"/pay/a?q=1",
-        "headers": [(b"Host", b"h")],
-        "body": b"body",
-        "keep_alive": True,
-        "arrived_s": 1.0,
-        "host": "h",
-    }
-    return CallerRequest(**{**values, **changes})
-
-
 @pytest.mark.parametrize(
     "changes",
     [
@@ -110,214 +87,6 @@
     assert len(seen) == 2 and seen[0] == seen[1]
 
 
-# Evidence at one gateway.
-
-
-async def _ends(_headers, writer, _number):
-    """End as a crash does: the listener first, then all connections."""
-    writer.transport.abort()
-    return False
-
-
-async def _break_at(played, times):
-    caller = await played.caller()
-    for number in range(times):
-        await caller.ask("once", f"r{number}", b"same")
-        await asyncio.sleep(0.4)
-    return await caller.ask("once", "last", b"same")
-
-
-def test_broken_answers_of_replicas_that_go_on_count_for_nothing():
-    async def scenario():
-        async with world(closes, closes, closes, closes) as played:
-            status, _, _ = await _break_at(played, 4)
-            assert status == 502
-            assert not played.role.crash_guard.has_suspects
-
-    run(scenario())
-
-
-class Port:
-    """A replica's port: open, closed, or closed while old connections live."""
-
-    def __init__(self):
-        self.connections = set()
-
-    async def open(self):
-        self._server = await asyncio.start_server(self._hold, LOCAL, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    async def _hold(self, reader, writer):
-        self.connections.add(writer)
-        await reader.read()
-
-    def close(self):
-        self._server.close()
-
-    def end(self):
-        self.close()
-        for writer in self.connections:
-            writer.transport.abort()
-
-
-class Watched:
-    """A watch with its pool, and what it told the group."""
-
-    def __init__(self, is_told=True):
-        self.told = []
-        self.ended = []
-        self.is_told = is_told
-        self.guard = CrashGuard()
-        self.pool = ConnectionPool(NAMES)
-        self.watch = CrashWatch(self.pool, self.guard, self._ask, self.ended.append)
-
-    async def _ask(self, question, _timeout_s):
-        if not self.is_told:
-            return None
-        self.told.append(question)
-        return Submitted(Acknowledged())
-
-
-def at(port, state=InstanceState.READY):
-    return Instance("i-1", "s", f"{LOCAL}:{port.port}", "z", 8, state)
-
-
-async def _settle(watched):
-    await watched.watch.has_ended("i-1")
-    await asyncio.sleep(0.05)
-
-
-def test_a_replica_whose_port_is_closed_and_connections_are_gone_has_ended():
-    async def scenario():
-        port, watched = await Port().open(), Watched()
-        connection = await watched.pool.acquire(at(port), 1.0)
-        watched.pool.release("i-1", connection, True)
-        await asyncio.sleep(0.05)
-        port.end()
-        watched.watch.note_break(at(port), suspect())
-        watched.watch.note_break(at(port), suspect(b"g"))
-        await _settle(watched)
-        assert watched.ended == ["i-1"]
-        reported = [item.fingerprint for told in watched.told for item in told.requests]
-        assert sorted(reported) == [b"f", b"g"]
-        # What is heard later of the same end is counted, too.
-        watched.watch.note_break(at(port), suspect(b"h"))
-        await asyncio.sleep(0.05)
-        assert isinstance(watched.told[-1], ReportCrash) and watched.told[-1].life == "i-1"
-        await watched.watch.stop()
-
-    run(scenario())
-
-
-def test_a_replica_that_takes_no_more_connections_has_not_ended():
-    async def scenario():
-        port, watched = await Port().open(), Watched()
-        connection = await watched.pool.acquire(at(port), 1.0)
-        watched.pool.release("i-1", connection, True)
-        await asyncio.sleep(0.05)
-        port.close()
-        watched.watch.note_break(at(port), suspect())
-        await _settle(watched)
-        assert (watched.ended, watched.told) == ([], [])
-        assert not watched.guard.has_suspects
-        port.end()
-        await watched.watch.stop()
-
-    run(scenario())
-
-
-def test_a_replica_that_leaves_has_not_crashed():
-    async def scenario():
-        port, watched = await Port().open(), Watched()
-        port.end()
-        watched.watch.note_break(at(port, InstanceState.DRAINING), suspect())
-        await _settle(watched)
-        assert (watched.ended, watched.told) == ([], [])
-        await watched.watch.stop()
-
-    run(scenario())
-
-
-def test_a_gateway_out_of_touch_counts_by_itself_and_tells_later():
-    async def scenario():
-        watched = Watched(is_told=False)
-        for number in range(CRASH_LIMIT):
-            port = await Port().open()
-            port.end()
-            life = Instance(f"i-{number}", "s", f"{LOCAL}:{port.port}", "z", 8)
-            watched.watch.note_break(life, suspect(ran_s=0.0))
-            await watched.watch.has_ended(life.instance_id)
-        assert watched.guard.is_quarantined(b"f")
-        watched.is_told = True
-        await asyncio.sleep(0.2)
-        assert sorted(told.life for told in watched.told) == ["i-0", "i-1", "i-2"]
-        assert all(0.0 <= told.ago_s < 5.0 for told in watched.told)
-        await watched.watch.stop()
-
-    run(scenario())
-
-
-def test_a_whole_answer_clears_a_suspect_everywhere():
-    async def scenario():
-        record, watched = CrashRecord(), Watched()
-        record.record("a", [suspect()], 1.0)
-        watched.guard.adopt(record.whole(), True)
-        watched.watch.note_success(b"f")
-        watched.watch.note_success(b"f")
-        assert not watched.guard.has_suspects
-        await asyncio.sleep(0.3)
-        assert [told.fingerprints for told in watched.told] == [[b"f"]]
-        await watched.watch.stop()
-
-    run(scenario())
-
-
-def test_a_request_whose_caller_left_just_before_the_end_counts():
-    """A caller that waits for less time than the request needs to end its replica comes again.
-
-    Its own leaving closes the connection, so that no broken answer tells of the end; only the next
-    request to that replica finds its port closed.
-    """
-
-    async def scenario():
-        port, watched = await Port().open(), Watched()
-        watched.watch.note_left(at(port), suspect(b"left"))
-        watched.watch.note_refused(at(port))
-        await _settle(watched)
-        assert watched.told == [], "the port is open: it has not ended"
-        watched.watch.note_left(at(port), suspect(b"left"))
-        port.end()
-        watched.watch.note_refused(at(port))
-        await _settle(watched)
-        assert {item.fingerprint for told in watched.told for item in told.requests} == {b"left"}
-        # What left long before has nothing to do with it.
-        later = Instance("i-2", "s", f"{LOCAL}:{port.port}", "z", 8)
-        watched.watch.note_left(later, suspect(b"long ago"))
-        await asyncio.sleep(LEFT_MEMORY_S + 0.1)
-        watched.watch.note_refused(later)
-        await watched.watch.has_ended("i-2")
-        assert all(told.life != "i-2" for told in watched.told)
-        await watched.watch.stop()
-
-    run(scenario())
-
-
-def test_an_exchange_tells_of_a_caller_that_left():
-    async def scenario():
-        async with world(silent) as played:
-            left = []
-            played.role.crash_watch.note_left = lambda found, request: left.append(request)
-            caller = await played.caller()
-            caller.send("once", "r1", b"slow")
-            await asyncio.sleep(0.2)
-            caller.leave()
-            await asyncio.sleep(0.2)
-            assert [(request.request_id, request.ran_s > 0.1) for request in left] == [("r1", True)]
-
-    run(scenario())
-
-
 # What the group counts.
 
 
