--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -236,3 +236,28 @@
             assert most.seen == 1
 
     run(scenario())
+
+
+def test_ends_that_others_explain_are_held_against_nobody_else():
+    """All three replicas of a service ended again and again within 2 s, under two requests.
+
+    Requests that many callers send alike ran at three of these ends before one of them had ever
+    ended whole, and were held back from then on ("E509 request_quarantined place=shop.example/once/x
+    replicas=i-1@962,i-3@963,i-1@588"). Each of these ends was one of the two others', which had ended
+    further replicas: "place=shop.example/once/c replicas=i-1@962,i-1@588,i-2@046" and
+    "place=shop.example/safe/c replicas=i-2@962,i-3@963,i-3@119".
+    """
+    record = CrashRecord()
+    seen = [
+        ("i-2@962", 46.65, [b"safe/c"]),
+        ("i-1@962", 46.82, [b"once/c", b"crowd"]),
+        ("i-3@963", 47.34, [b"safe/c", b"crowd"]),
+        ("i-1@588", 47.80, [b"once/c", b"crowd"]),
+        ("i-2@046", 48.14, [b"once/c"]),
+        ("i-3@119", 48.75, [b"safe/c"]),
+    ]
+    for life, ended_s, fingerprints in seen:
+        record.record(life, [suspect(item, ran_s=0.01) for item in fingerprints], ended_s)
+    held_back = {item.request.fingerprint for item in record.suspects if item.is_quarantined}
+    assert held_back == {b"once/c", b"safe/c"}
+    assert record.find(b"crowd") is None
