What is held back for ends that others explain is free again

Cause: a crowd that had never ended whole was charged for each end that two culprits brought about. Change: as something is put into quarantine, whoever is held back only for ends of others that have ended more is forgotten.

--- a/src/crowsill/control/publisher.py
+++ b/src/crowsill/control/publisher.py
@@ -100,13 +100,11 @@
         if change is None:
             return
         QUARANTINED.set(sum(suspect.is_quarantined for suspect in record.suspects))
-        if isinstance(command, ClearSuspects):
-            log_event(
-                Event.SUSPECTS_CLEARED,
-                requests=",".join(item.fingerprint.hex() for item in change.changed),
-                why=command.why,
-            )
-        else:
+        cleared = [item.fingerprint.hex() for item in change.changed if not item.ends]
+        if cleared:
+            why = command.why if isinstance(command, ClearSuspects) else "explained by others"
+            log_event(Event.SUSPECTS_CLEARED, requests=",".join(cleared), why=why)
+        if isinstance(command, RecordCrash):
             log_event(Event.CRASH_RECORDED, replica=command.life, requests=len(command.requests))
             self._log_quarantined(command)
         self._subscribers.push_suspects(change)
--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from crowsill.model.suspects import (
+    CRASH_LIMIT,
     Suspect,
     SuspectChange,
     SuspectEnds,
@@ -79,6 +80,8 @@
             self._suspects[request.fingerprint] = counted
             self._suspects.move_to_end(request.fingerprint)
             changed[request.fingerprint] = counted.ends
+        if any(len(ends) == CRASH_LIMIT for ends in changed.values()):
+            changed.update(self._exonerate())
         while len(self._suspects) > MOST_SUSPECTS:
             changed[self._forget_one()] = []
         return self._changed(changed)
@@ -94,6 +97,22 @@
             return None
         return Suspect(request, [*known.ends, life], known.first_s, ended_s)
 
+    def _exonerate(self) -> dict[bytes, list[str]]:
+        """Forget what is held back for ends that are all explained by others that are.
+
+        Others explain an end if they have ended a replica besides. So a crowd that had never ended
+        whole before is free once its culprits are known (a soak of 7 s held one back for good).
+        """
+        held = {key: set(item.ends) for key, item in self._suspects.items() if item.is_quarantined}
+        cleared = [
+            key
+            for key, ends in held.items()
+            if ends <= set().union(*(other for other in held.values() if other - ends))
+        ]
+        for key in cleared:
+            del self._suspects[key]
+        return {key: [] for key in cleared}
+
     def _forget_one(self) -> bytes:
         """Forget the oldest one of those under which the fewest replicas ended."""
         fingerprint = min(self._suspects, key=lambda item: len(self._suspects[item].ends))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -242,10 +242,11 @@
     """All three replicas of a service ended again and again within 2 s, under two requests.
 
     Requests that many callers send alike ran at three of these ends before one of them had ever
-    ended whole, and were held back from then on ("E509 request_quarantined place=shop.example/once/x
-    replicas=i-1@962,i-3@963,i-1@588"). Each of these ends was one of the two others', which had ended
-    further replicas: "place=shop.example/once/c replicas=i-1@962,i-1@588,i-2@046" and
-    "place=shop.example/safe/c replicas=i-2@962,i-3@963,i-3@119".
+    ended whole, and were held back from then on ("E509 request_quarantined
+    place=shop.example/once/x replicas=i-1@962,i-3@963,i-1@588"). Each of these ends was one of the
+    two others', which had ended further replicas: "place=shop.example/once/c
+    replicas=i-1@962,i-1@588,i-2@046" and "place=shop.example/safe/c
+    replicas=i-2@962,i-3@963,i-3@119".
     """
     record = CrashRecord()
     seen = [
