--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -22,8 +22,9 @@
 PLAYED_S = 9.0
 RESTART_S = 1.5
 # Three replicas may end before a request is known. It is known at every gateway within half a
-# second: members apply what is committed with the leader's next heartbeat (0.1 s), so that a fourth
-# one may end where it is sent every 0.1 s ("E509 request_quarantined" at 04.866, sent on at 04.956).
+# second: members apply what is committed with the leader's next heartbeat (0.1 s), so that a
+# fourth may end where it is sent every 0.1 s ("E509 request_quarantined" at 04.866, sent on at
+# 04.956).
 MOST_ENDS = 3
 UNDER_WAY = 1
 KNOWN_AFTER_S = 0.5
