--- a/tests/test_engine_pace.py
+++ b/tests/test_engine_pace.py
@@ -6,7 +6,7 @@
 
 from crowsill.gateway.replica_book import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import Choice, SelectionLimits, choose, expected_ms
+from crowsill.gateway.selection import Choice, SelectionLimits, choose, own_estimate
 from crowsill.model.instances import HeldModel, Instance
 from crowsill.routing.engine_pace import FIRST_TOKEN_MS, EngineDelay, EnginePace
 
@@ -71,5 +71,5 @@
 def test_an_engine_that_answers_nobody_is_known_by_what_waits_there():
     silent = record("a")
     silent.unanswered_s[1] = 10.0
-    total_ms, _ = expected_ms(silent, request(), SelectionLimits("z", 10), 11.5)
-    assert total_ms > 1500.0
+    estimate = own_estimate(silent, request(), SelectionLimits("z", 10), 11.5)
+    assert estimate.expected_ms > 1500.0
