--- a/spec/orders.py
+++ b/spec/orders.py
@@ -91,9 +91,9 @@
 
 
 def _place(state: OrdersState, variant: Variant) -> list[tuple[str, OrdersState]]:
-    may_act = state.fresh or not variant.waits_for_fresh
+    is_ready_to_plan = state.fresh or not variant.waits_for_fresh
     busy = bool(state.outstanding) and not variant.believed_to_check
-    if not may_act or busy or state.next_id > MAX_ORDERS:
+    if not is_ready_to_plan or busy or state.next_id > MAX_ORDERS:
         return []
     steps = []
     ordered = {model for _, _, model, _ in state.outstanding}
--- a/spec/revocation.py
+++ b/spec/revocation.py
@@ -13,7 +13,7 @@
 from minicheck import Protocol
 
 from crowsill.model.tenants import Tenant
-from crowsill.tenancy.identity import KnownCaller, TenantDirectory
+from crowsill.tenancy.identity import Principal, TenantDirectory
 
 NEVER = -1
 LAST_TICK = 8
@@ -61,7 +61,7 @@
         proof_age_s=float(state.now - state.proved),
         revocation_s=float(BOUND_TICKS),
     )
-    return isinstance(found, KnownCaller)
+    return isinstance(found, Principal)
 
 
 def _steps(
--- a/src/crowsill/cli/replicas.py
+++ b/src/crowsill/cli/replicas.py
@@ -6,17 +6,17 @@
 from returns.result import Success
 
 from crowsill.cli.common import DEFAULT_SETTINGS, SettingsOption, client_of, fail
-from crowsill.control.replica_overview import HindranceLine, RegisteredReplicaLine
+from crowsill.control.replica_overview import ExclusionLine, RegisteredReplicaLine
 
 
-def _hindrance(line: HindranceLine) -> str:
+def _exclusion_text(line: ExclusionLine) -> str:
     until = "" if line.left_s is None else f" for {line.left_s:.1f} s more"
     return f"  {line.gateway}: {line.why}{until}"
 
 
 def replicas(
-    hindered: Annotated[
-        bool, typer.Option("--hindered", help="Only what some gateway sends nothing to.")
+    excluded: Annotated[
+        bool, typer.Option("--excluded", help="Only what some gateway sends nothing to.")
     ] = False,
     settings: SettingsOption = DEFAULT_SETTINGS,
 ) -> None:
@@ -24,13 +24,13 @@
     answered = client_of(settings).get("/v1/replicas", list[RegisteredReplicaLine])
     if not isinstance(answered, Success):
         fail(answered.failure())
-    shown = [line for line in answered.unwrap() if line.hindrances or not hindered]
+    shown = [line for line in answered.unwrap() if line.exclusions or not excluded]
     for line in shown:
         models = f" holds {' '.join(line.models)}" if line.models else ""
         typer.echo(
             f"{line.service} {line.instance_id} {line.zone} {line.address} {line.state}{models}"
         )
-        for hindrance in line.hindrances:
-            typer.echo(_hindrance(hindrance))
+        for exclusion in line.exclusions:
+            typer.echo(_exclusion_text(exclusion))
     if not shown:
-        typer.echo("no gateway says so of any replica" if hindered else "none is registered")
+        typer.echo("no gateway says so of any replica" if excluded else "none is registered")
--- a/src/crowsill/control/engine_jobs.py
+++ b/src/crowsill/control/engine_jobs.py
@@ -240,7 +240,7 @@
     async def _until_free(self, instance: Instance) -> None:
         """Wait until no order is in progress at an engine, by its reports.
 
-        Sent meanwhile, 36 of 458 orders of a day on which replicas started again were refused.
+        It refuses what is sent meanwhile.
 
         Raises:
             JobFailedError: It was busy for as long as an order would be repeated.
--- a/src/crowsill/control/leader_link.py
+++ b/src/crowsill/control/leader_link.py
@@ -64,8 +64,6 @@
         try:
             # Looked at beside the questions, not between them: a question to a leader that is lost
             # without a word lasts until its time-out, and all that followers ask waits behind it.
-            # Streams of gateways that came back after more than 0.5 s, on one day of a large site
-            # with two leaders lost: 153 of 179 before, 0 of 170.
             while not connection.is_closed and self._still_leads(address):
                 await asyncio.sleep(WATCH_S)
         finally:
--- a/src/crowsill/control/placement_controller.py
+++ b/src/crowsill/control/placement_controller.py
@@ -68,7 +68,7 @@
         while True:
             await asyncio.sleep(PLAN_INTERVAL_S)
             self._core.demand.add(self._ports.collect_demand(), monotonic_s())
-            if not self._core.may_act(monotonic_s()):
+            if not self._core.is_ready_to_plan(monotonic_s()):
                 continue
             for settled in self._core.settled(monotonic_s()):
                 await self._settle(settled)
--- a/src/crowsill/control/replica_overview.py
+++ b/src/crowsill/control/replica_overview.py
@@ -6,7 +6,7 @@
 from crowsill.transport.messages import EntryStatus
 
 
-class HindranceLine(msgspec.Struct, frozen=True):
+class ExclusionLine(msgspec.Struct, frozen=True):
     """Why one gateway sends a replica nothing.
 
     Attributes:
@@ -30,7 +30,7 @@
         address: `IP:port`.
         state: What the group recorded.
         models: What gateways may use there.
-        hindrances: Gateways that send it nothing at present, and why.
+        exclusions: Gateways that send it nothing at present, and why.
     """
 
     instance_id: str
@@ -39,15 +39,15 @@
     address: str
     state: str
     models: list[str]
-    hindrances: list[HindranceLine]
+    exclusions: list[ExclusionLine]
 
 
 def overview(directory: Directory, entries: list[EntryStatus]) -> list[RegisteredReplicaLine]:
     """Return all registered replicas, by service and id."""
-    found: dict[str, list[HindranceLine]] = {}
+    found: dict[str, list[ExclusionLine]] = {}
     for entry in sorted(entries, key=lambda status: status.node):
-        for told in entry.hindered:
-            line = HindranceLine(entry.node, told.why, told.left_s)
+        for told in entry.excluded:
+            line = ExclusionLine(entry.node, told.why, told.left_s)
             found.setdefault(told.instance_id, []).append(line)
     lines = [
         RegisteredReplicaLine(
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -269,7 +269,7 @@
             task.cancel()
         self._leading = []
         if self._service is not None:
-            self._service.on_wanted = self._service.pass_on_wanted
+            self._service.on_wanted = self._service.forward_demand
             self._service.announcer = None
         if role is not Role.LEADER or self._service is None:
             return
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -111,7 +111,7 @@
         self.quota = quota
         self._target_voters = target_voters
         self._has_been_full = False
-        self.on_wanted: Callable[[dict[str, int]], None] = self.pass_on_wanted
+        self.on_wanted: Callable[[dict[str, int]], None] = self.forward_demand
         self.announcer: GroupAnnouncer | None = None
         self._links = links
         self._contacts = contacts
@@ -227,7 +227,7 @@
         address = None if driver is None else driver.leader_address()
         return "" if address is None else address.rpartition(":")[0]
 
-    def pass_on_wanted(self, wanted: dict[str, int]) -> None:
+    def forward_demand(self, wanted: dict[str, int]) -> None:
         """Pass on to the leader at once what gateways wait for."""
         stream = self.leader_stream
         if stream is not None and not stream.is_closed:
@@ -291,9 +291,8 @@
         currency = await self.confirmed_currency()
         if currency is None:
             return self._refer(driver)
-        # A member vouches only for what it has itself: one whose disk hangs goes on answering, and
-        # its gateways would wait for what it cannot bring (a disk that hung for 8 s: five of six
-        # gateways behind for 7.5 s before, for 0.7 s at most).
+        # A member confirms only what it has itself: one whose disk hangs goes on answering, and its
+        # gateways would wait for what it cannot bring.
         if not await self.has_applied(currency, monotonic_s() + APPLY_WAIT_S):
             log_event(Event.MEMBER_BEHIND, follower=connection.peer.node)
             return MemberBehind()
--- a/src/crowsill/gateway/admission.py
+++ b/src/crowsill/gateway/admission.py
@@ -11,7 +11,7 @@
 from crowsill.gateway.request import CallerRequest
 from crowsill.model.routes import Route
 from crowsill.model.tenants import Tenant
-from crowsill.tenancy.identity import Doubt, KnownCaller
+from crowsill.tenancy.identity import Doubt, Principal
 
 # A gateway that has just thawed, or whose member was lost, is told what is current within such a
 # time: one reply to a heartbeat (0.8 s at most), or a new stream.
@@ -81,7 +81,7 @@
             proof_age_s=self._context.proof_age_s(),
             revocation_s=self._context.revocation_s,
         )
-        if isinstance(found, KnownCaller):
+        if isinstance(found, Principal):
             self.tenant = found.tenant
             return None
         return _UNKNOWN_KEY if found is Doubt.UNKNOWN_KEY else _NOT_CURRENT
--- a/src/crowsill/gateway/availability.py
+++ b/src/crowsill/gateway/availability.py
@@ -20,15 +20,12 @@
 FIRST_TRIALS = 1
 MOST_TRIALS = 16
 # A replica that sheds has had too much, also of this process: it gets this share of what it had as
-# it shed, and all of that again within so many times the rest that it cost. Without it, two
-# replicas that were short of places by a quarter shed within a second of each of 42 returns and
-# 227 of 701 requests were served; with it, of none of 24, and 437 to 445 of 586 (real programs,
-# three gateways, one run of 10 s and four of 8 s).
+# it shed, and all of that again within so many times the rest that it cost.
 SHED_SHARE = 0.5
 REGROWTH_RESTS = 10.0
 
 
-class Why(StrEnum):
+class ExclusionReason(StrEnum):
     """Why a replica is not to be sent requests; the first that holds counts.
 
     Attributes:
@@ -47,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Hindrance:
+class Exclusion:
     """Why a replica is not to be sent requests, and until when.
 
     Attributes:
@@ -55,14 +52,15 @@
         until_s: Clock until which; infinite where nobody can tell.
     """
 
-    why: Why
+    why: ExclusionReason
     until_s: float = float("inf")
 
     def left_s(self, now_s: float) -> float | None:
         """Return for how much longer, or None where nobody can tell.
 
-        >>> Hindrance(Why.RESTING, 5.0).left_s(3.0), Hindrance(Why.LEAVING).left_s(3.0)
-        (2.0, None)
+        >>> Exclusion(ExclusionReason.RESTING, 5.0).left_s(3.0)
+        2.0
+        >>> Exclusion(ExclusionReason.LEAVING).left_s(3.0)
         """
         return None if math.isinf(self.until_s) else round(max(0.0, self.until_s - now_s), 2)
 
@@ -130,21 +128,21 @@
         """Whether it is sent nothing until somebody says otherwise."""
         return math.isinf(self.closed_until_s) and self.closed_until_s > 0.0
 
-    def hindrance(self, now_s: float) -> Hindrance | None:
+    def exclusion(self, now_s: float) -> Exclusion | None:
         """Return why it is not to be sent requests now, and until when; None when it may be."""
         if self.is_leaving:
-            return Hindrance(Why.LEAVING)
+            return Exclusion(ExclusionReason.LEAVING)
         if self.is_draining:
-            return Hindrance(Why.DRAINING)
+            return Exclusion(ExclusionReason.DRAINING)
         if self.is_resting(now_s):
-            return Hindrance(Why.RESTING, self.rest_until_s)
+            return Exclusion(ExclusionReason.RESTING, self.rest_until_s)
         if self.is_unreachable:
-            return Hindrance(Why.UNREACHABLE)
+            return Exclusion(ExclusionReason.UNREACHABLE)
         if now_s < self.broken_until_s:
-            return Hindrance(Why.BROKEN, self.broken_until_s)
+            return Exclusion(ExclusionReason.BROKEN, self.broken_until_s)
         return None
 
-    def may_be_sent(self, now_s: float) -> bool:
+    def is_sendable(self, now_s: float) -> bool:
         """Whether a request on an open connection may still go there, right before its bytes do."""
         return not self.is_leaving and not self.is_draining and not self.is_resting(now_s)
 
--- a/src/crowsill/gateway/demand.py
+++ b/src/crowsill/gateway/demand.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from crowsill.gateway.asked_resources import ASK_INTERVAL_S, AskedResources, resource_name
 from crowsill.gateway.follower import GatewayFollower
+from crowsill.gateway.missing_resources import ASK_INTERVAL_S, MissingResources, resource_name
 from crowsill.transport.replica_messages import DemandNotice
 
 
@@ -18,7 +18,7 @@
             keep_asking_s: How long what a refused caller lacked is asked for.
         """
         self._follower = follower
-        self._asked = AskedResources(keep_asking_s)
+        self._asked = MissingResources(keep_asking_s)
         # Shares of requests that count as urgent, until they make a whole one.
         self._urgency = 0.0
 
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -41,8 +41,7 @@
 MOST_SENDINGS = 4
 CONNECTION_SHARE = 0.9
 FEWEST_CONNECTIONS = 2
-# A stream that takes so many times what is expected of it must still end in time: with 1.5, two of
-# 40 hunted days cut one beside a change of the configuration (docs/FINDINGS.md).
+# A stream that takes so many times what is expected of it must still end in time.
 STREAM_MARGIN = 3.0
 
 
@@ -193,8 +192,7 @@
         if limit_s == float("inf") or not self._request.model:
             return False
         if deadline_s > limit_s:
-            # However long its like took, only its deadline bounds it: taken by three times what had
-            # been learnt, a stream of 6.8 s was cut at the end of a stop (one of 40 days).
+            # However long its like took, only its deadline bounds it.
             return True
         pace = self._context.book.pace(self._service)
         lasts_s = pace.stream_ms(self._request.model, self._request.output_tokens) / 1000.0
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -5,7 +5,7 @@
 from crowsill.events import Event
 from crowsill.gateway.attempt import Attempt
 from crowsill.gateway.fingerprint import Fingerprints
-from crowsill.gateway.holding import patience_of
+from crowsill.gateway.holding import wait_budget_of
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.replica_book import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
@@ -56,7 +56,7 @@
         """Whether the caller was refused before."""
         if self.route is None:
             return False
-        return patience_of(self.route, self._request.wait_ms, 0.0).has_returned
+        return wait_budget_of(self.route, self._request.wait_ms, 0.0).has_returned
 
     def _is_late(self, first_ms: float, gap_ms: float) -> bool:
         """Whether an answer came after its target, or paused longer than its route allows."""
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -192,8 +192,8 @@
 
     async def _heartbeat(self, connection: Connection) -> bool:
         local = self._local
-        hindered = self.book.hindered(monotonic_s())
-        status = EntryStatus(local.identity, local.node, local.zone, 0, hindered)
+        excluded = self.book.excluded(monotonic_s())
+        status = EntryStatus(local.identity, local.node, local.zone, 0, excluded)
         demand = self.demand.collect()
         urgent = self.urgent.collect()
         pressed = self.pressed.collect()
--- a/src/crowsill/gateway/holding.py
+++ b/src/crowsill/gateway/holding.py
@@ -10,10 +10,6 @@
 
 from crowsill.model.routes import Route, RouteKind
 
-# In place of limits that were shares of targets and deadlines: over 15 days of three sites, 0.830
-# of the requests were answered in time (0.811 before), and tries that were refused in the end had
-# waited 4,310 s together (7,790 s before), their 99th percentile 3.4 to 4.4 s (6.0 to 8.0 s).
-
 # What callers of streams are told to do: they leave when nothing has come for the longest of these.
 # Not a choice of the gateway, which must not keep them longer.
 STREAM_PATIENCE_S = 2.0
@@ -25,16 +21,14 @@
 # A caller that has this share of the route's time left or more is on its first try.
 FIRST_TRY_SHARE = 0.95
 # A replica takes one request first after a rest, and two next: where more wait for it at one
-# gateway, they wait in vain if it asks for rest again. Without this bound, callers of replicas that
-# all went on resting were refused after 262 and 911 ms at the median (real programs, 80 requests a
-# second).
+# gateway, they wait in vain if it asks for rest again.
 MOST_WAITING_FOR_REST = 2
 # Callers of one rank come back within one such span, those of the next rank in the next one.
 RETURN_SPAN_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
-class Prospect:
+class WaitEstimate:
     """What is known of when a replica will take a request.
 
     Attributes:
@@ -50,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
+class WaitBudget:
     """How a caller waits for one request, in seconds since its first try began.
 
     Attributes:
@@ -76,8 +70,8 @@
     def worth(self, after_s: float) -> float:
         """Return what an answer is worth after a time since the first try, from 1 to 0.
 
-        >>> patience = Patience(0.0, 0.0, 5.0, 1.0, 3.0)
-        >>> patience.worth(0.5), patience.worth(2.0), patience.worth(3.5)
+        >>> budget = WaitBudget(0.0, 0.0, 5.0, 1.0, 3.0)
+        >>> budget.worth(0.5), budget.worth(2.0), budget.worth(3.5)
         (1.0, 0.75, 0.0)
         """
         if after_s >= min(self.total_s, self.leaves_s):
@@ -87,7 +81,7 @@
         return (self.total_s - after_s) / (self.total_s - self.target_s)
 
 
-def patience_of(route: Route, wait_ms: float | None, waited_s: float) -> Patience:
+def wait_budget_of(route: Route, wait_ms: float | None, waited_s: float) -> WaitBudget:
     """Return how the caller of a request waits.
 
     Args:
@@ -97,10 +91,10 @@
 
     >>> from crowsill.model.routes import RouteKind
     >>> route = Route("r", "h", "/", RouteKind.STREAM, 5000, [], target_latency_ms=800)
-    >>> patience_of(route, 5000, 0.25)
-    Patience(before_s=0.0, waited_s=0.25, total_s=5.0, target_s=0.8, leaves_s=3.2)
-    >>> patience_of(route, 3000, 0.25)
-    Patience(before_s=2.0, waited_s=2.25, total_s=5.0, target_s=0.8, leaves_s=5.2)
+    >>> wait_budget_of(route, 5000, 0.25)
+    WaitBudget(before_s=0.0, waited_s=0.25, total_s=5.0, target_s=0.8, leaves_s=3.2)
+    >>> wait_budget_of(route, 3000, 0.25)
+    WaitBudget(before_s=2.0, waited_s=2.25, total_s=5.0, target_s=0.8, leaves_s=5.2)
     """
     total_s = route.timeout_ms / 1000.0
     target_s = route.target_latency_ms / 1000.0
@@ -114,48 +108,48 @@
         pauses_s = route.target_gap_ms / 1000.0 * STREAM_PATIENCE_PAUSES
         longest_s = max(STREAM_PATIENCE_S, target_s * STREAM_PATIENCE_TARGETS, pauses_s)
         leaves_s = before_s + longest_s
-    return Patience(before_s, before_s + waited_s, total_s, target_s, leaves_s)
+    return WaitBudget(before_s, before_s + waited_s, total_s, target_s, leaves_s)
 
 
-def waits(prospect: Prospect, patience: Patience, answer_s: float) -> bool:
+def waits(estimate: WaitEstimate, budget: WaitBudget, answer_s: float) -> bool:
     """Return whether a request goes on waiting; if not, it is refused at once.
 
     Args:
-        prospect: When a replica may take it.
-        patience: How its caller waits.
+        estimate: When a replica may take it.
+        budget: How its caller waits.
         answer_s: Time from then to the first data of the answer.
 
-    >>> soon, never = Prospect(0.5, 0.9, 0.5), Prospect(9.0, 0.9, 9.0)
-    >>> caller = Patience(0.0, 0.0, 5.0, 0.8, 3.2)
+    >>> soon, never = WaitEstimate(0.5, 0.9, 0.5), WaitEstimate(9.0, 0.9, 9.0)
+    >>> caller = WaitBudget(0.0, 0.0, 5.0, 0.8, 3.2)
     >>> waits(soon, caller, 0.1), waits(never, caller, 0.1)
     (True, False)
     """
-    worth = patience.worth(patience.waited_s + prospect.ready_s + answer_s)
+    worth = budget.worth(budget.waited_s + estimate.ready_s + answer_s)
     if worth <= 0.0:
         return False
     # What the caller did with its time between two tries is not a wait here.
-    held_s = patience.waited_s - patience.before_s
-    vain_s = held_s + min(prospect.notice_s, prospect.ready_s)
-    cost = vain_s / (patience.total_s - patience.before_s)
+    held_s = budget.waited_s - budget.before_s
+    vain_s = held_s + min(estimate.notice_s, estimate.ready_s)
+    cost = vain_s / (budget.total_s - budget.before_s)
     # Whether it is refused now or later, a second refusal costs the same; being served spares it.
-    spared = SECOND_REFUSAL_COST if patience.has_returned else 0.0
-    return prospect.chance * (worth + spared) > (1.0 - prospect.chance) * cost
+    spared = SECOND_REFUSAL_COST if budget.has_returned else 0.0
+    return estimate.chance * (worth + spared) > (1.0 - estimate.chance) * cost
 
 
-def return_s(prospect: Prospect, patience: Patience, rank: int, spread: float) -> float:
+def return_s(estimate: WaitEstimate, budget: WaitBudget, rank: int, spread: float) -> float:
     """Return when a refused caller should come back: when it may be served, urgent ones first.
 
     Args:
-        prospect: When a replica may take it.
-        patience: How it waits.
+        estimate: When a replica may take it.
+        budget: How it waits.
         rank: Rank of its route; 0 is the most urgent.
         spread: A random number from 0 to 1, so that callers do not come together.
 
-    >>> patience = Patience(0.0, 0.0, 5.0, 0.8, 3.2)
-    >>> round(return_s(Prospect(2.0, 0.9, 2.0), patience, rank=1, spread=0.5), 2)
+    >>> budget = WaitBudget(0.0, 0.0, 5.0, 0.8, 3.2)
+    >>> round(return_s(WaitEstimate(2.0, 0.9, 2.0), budget, rank=1, spread=0.5), 2)
     2.15
     """
-    ready_s = prospect.ready_s
+    ready_s = estimate.ready_s
     if math.isinf(ready_s):
-        ready_s = max(0.0, patience.total_s - patience.waited_s)
+        ready_s = max(0.0, budget.total_s - budget.waited_s)
     return ready_s + RETURN_SPAN_S * (rank + spread)
--- a/src/crowsill/gateway/asked_resources.py
+++ b/src/crowsill/gateway/missing_resources.py
@@ -12,10 +12,10 @@
 MOST_KEPT = 500
 
 
-class AskedResources:
+class MissingResources:
     """What was asked for lately, and what is to be asked for again.
 
-    >>> asked = AskedResources()
+    >>> asked = MissingResources()
     >>> asked.is_due("m", 0.0), asked.note_asked("m", 0.0), asked.is_due("m", 0.2)
     (True, None, False)
     >>> asked.keep("m", 0.2), asked.due(0.25), asked.due(0.4), asked.due(9.0)
--- a/src/crowsill/gateway/replica_book.py
+++ b/src/crowsill/gateway/replica_book.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from crowsill.gateway.availability import Availability, Why
+from crowsill.gateway.availability import Availability, ExclusionReason
 from crowsill.gateway.replica_signals import ReplicaLoad
-from crowsill.model.hindrances import MOST_TOLD, HinderedReplica
+from crowsill.model.exclusions import MOST_TOLD, ExcludedReplica
 from crowsill.model.instances import Instance, InstanceState
 from crowsill.model.replica_use import NO_USE, ReplicaUse, UseByReplica
 from crowsill.routing.engine_pace import EngineDelay, EnginePace
@@ -186,18 +186,18 @@
         """Return the instances of a service."""
         return self._by_service.get(service, [])
 
-    def hindered(self, now_s: float) -> list[HinderedReplica]:
+    def excluded(self, now_s: float) -> list[ExcludedReplica]:
         """Return what is sent nothing now, and why; `MOST_TOLD` at most, the worst first."""
-        order = list(Why)
+        order = list(ExclusionReason)
         found = [
-            (order.index(hindrance.why), record.instance.instance_id, hindrance)
+            (order.index(exclusion.why), record.instance.instance_id, exclusion)
             for record in self._records.values()
-            if (hindrance := record.availability.hindrance(now_s)) is not None
+            if (exclusion := record.availability.exclusion(now_s)) is not None
         ]
         found.sort(key=lambda item: item[:2])
         return [
-            HinderedReplica(instance_id, hindrance.why, hindrance.left_s(now_s))
-            for _, instance_id, hindrance in found[:MOST_TOLD]
+            ExcludedReplica(instance_id, exclusion.why, exclusion.left_s(now_s))
+            for _, instance_id, exclusion in found[:MOST_TOLD]
         ]
 
     def in_use(self) -> UseByReplica:
--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -85,8 +85,7 @@
             if end.status == 421 and request.model:
                 record.availability.note_lacking(request.resource)
             elif end.status in REST_STATUSES and not attempt.signals.rest_s:
-                # It answers at once and never has anything in flight, so that it looks the quickest
-                # (36 of 40 requests refused beside an idle replica, 4 since).
+                # It answers at once and has nothing in flight, so that it looks the quickest.
                 record.note_error_answer()
             return
         self._progress.runs += 1
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -273,8 +273,7 @@
     def opened(self, connection: CallerConnection) -> None:
         """A caller connected."""
         if self._has_drained:
-            # Accepted as the listener closed: what it asks would run and be cut unanswered (three
-            # requests in 41 soak runs of 12 s).
+            # Accepted as the listener closed: what it asks would run and be cut unanswered.
             connection.abort()
             return
         self._callers.add(connection)
--- a/src/crowsill/gateway/sending.py
+++ b/src/crowsill/gateway/sending.py
@@ -110,7 +110,7 @@
     def _is_still_meant(self, record: ReplicaRecord) -> bool:
         """Whether the replica that was chosen may still be sent the request."""
         is_known = self._context.book.find(record.instance.instance_id) is record
-        return is_known and record.availability.may_be_sent(self._loop.time())
+        return is_known and record.availability.is_sendable(self._loop.time())
 
     def _attempt_at(
         self,
--- a/src/crowsill/gateway/prospects.py
+++ b/src/crowsill/gateway/wait_estimates.py
@@ -1,6 +1,6 @@
 """When a replica may take a request that none takes now, from what the gateway knows. Pure."""
 
-from crowsill.gateway.holding import Prospect
+from crowsill.gateway.holding import WaitEstimate
 from crowsill.gateway.replica_book import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import NoChoice, accepts, first_rested, shortest_load_s
@@ -9,39 +9,31 @@
 # Time within which the control group looks at what is asked for, and tells gateways if it loads it.
 DECISION_S = 0.5
 # Chances fall to a half within such a time. A load that is asked for is often decided on only when
-# requests have waited for a while: on two days of a site of 70 engines, of the requests that had
-# waited 0, 1.2, 3 and 5 s without a model, 0.30, 0.30, 0.23 and 0.14 were sent in the end. With
-# 0.5 s here, rare models were not asked for long enough: on 3 of 5 days of a small site some were
-# never served, on none of them with 4 s.
+# requests have waited for a while, so that rare models must be asked for for some seconds.
 ASKED_HALF_S = 4.0
 # Time that an order takes beside the load.
 ORDER_S = 0.2
 # A load that is overdue by some time may take as long again.
 OVERDUE_S = 0.2
-# Half of the adapters that came had come after this time; those that did not were waited for three
-# times as long.
+# Median time in which an adapter comes.
 ADAPTER_S = 0.45
 ADAPTER_HALF_S = 1.0
-# Of the requests that had waited 0.85 s for a place, half were sent later.
+# Time in which a place comes free.
 FULL_S = 0.3
 FULL_HALF_S = 1.0
 NO_REPLICA_S = 0.5
-# Shares of the requests that waited and were then sent, by why they waited (two days of a site of
-# 90 gateways and 70 engines, 2,892, 1,038 and 74 requests): 0.30 without a model, 0.42 without an
-# adapter, 0.72 where all were full.
-# 0.35, falling, is nearer to the four shares above than 0.30, falling (squares 0.005 and 0.008).
+# Shares of the requests that wait and are sent in the end, by why they wait.
 CHANCE_ASKED = 0.35
 CHANCE_ADAPTER = 0.42
 CHANCE_FULL = 0.72
-# Assumed, not measured: loads under way that end well, and services without any replica that have
-# one again soon.
+# Loads under way that end well, and services without any replica that have one again soon.
 CHANCE_COMING = 0.9
 CHANCE_NO_REPLICA = 0.3
-# Assumed, too: a replica takes one request first after its rest, and may ask for rest again.
+# A replica takes one request first after its rest, and may ask for rest again.
 CHANCE_RESTED = 0.5
 
 
-def prospect_of(
+def estimate_wait(
     why: NoChoice,
     request: CallerRequest,
     *,
@@ -49,7 +41,7 @@
     weights: ModelWeights | None,
     waited_s: float,
     now_s: float,
-) -> Prospect:
+) -> WaitEstimate:
     """Return when a replica may take a request.
 
     Args:
@@ -75,7 +67,7 @@
     weights: ModelWeights | None,
     waited_s: float,
     now_s: float,
-) -> Prospect:
+) -> WaitEstimate:
     """When a replica may hold what the request needs."""
     accepting = [record for record in records if accepts(record)]
     if any(record.instance.holds(request.model) for record in accepting):
@@ -86,17 +78,17 @@
     ]
     if due_s:
         ready_s = _remaining_s(min(due_s), now_s)
-        return Prospect(ready_s, CHANCE_COMING, ready_s)
+        return WaitEstimate(ready_s, CHANCE_COMING, ready_s)
     if weights is None:
-        return Prospect(float("inf"), 0.0, 0.0)
+        return WaitEstimate(float("inf"), 0.0, 0.0)
     load_s = shortest_load_s(weights, records) + ORDER_S
     return _hoped(load_s, CHANCE_ASKED, DECISION_S, ASKED_HALF_S, waited_s)
 
 
-def _after_rest(record: ReplicaRecord | None, now_s: float) -> Prospect:
+def _after_rest(record: ReplicaRecord | None, now_s: float) -> WaitEstimate:
     """When a replica told how long it rests, that is known exactly."""
     rest_s = 0.0 if record is None else record.availability.rest_until_s - now_s
-    return Prospect(rest_s, CHANCE_RESTED, rest_s)
+    return WaitEstimate(rest_s, CHANCE_RESTED, rest_s)
 
 
 def _remaining_s(due_s: float, now_s: float) -> float:
@@ -105,10 +97,10 @@
 
 def _hoped(
     ready_s: float, chance: float, notice_s: float, half_s: float, waited_s: float
-) -> Prospect:
-    """Return a prospect whose chance falls while what is hoped for does not come.
+) -> WaitEstimate:
+    """Return an estimate whose chance falls while what is hoped for does not come.
 
     >>> _hoped(2.0, 0.4, 0.5, 4.0, 0.0).chance, _hoped(2.0, 0.4, 0.5, 4.0, 4.0).chance
     (0.4, 0.2)
     """
-    return Prospect(ready_s, chance * half_s / (half_s + waited_s), notice_s)
+    return WaitEstimate(ready_s, chance * half_s / (half_s + waited_s), notice_s)
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -1,6 +1,6 @@
 """What becomes of one request while no replica takes it: it waits, or comes back later.
 
-The decision is that of `holding`, by the prospects that `prospects` knows of; this module has the
+The decision is that of `holding`, by the estimates of `wait_estimates`; this module has the
 request wait, and tells placement what it waits for.
 """
 
@@ -11,17 +11,17 @@
 from crowsill.gateway.exchange_log import ExchangeLog
 from crowsill.gateway.holding import (
     MOST_WAITING_FOR_REST,
-    Patience,
-    Prospect,
-    patience_of,
+    WaitBudget,
+    WaitEstimate,
     return_s,
+    wait_budget_of,
     waits,
 )
 from crowsill.gateway.progress import Progress
-from crowsill.gateway.prospects import prospect_of
 from crowsill.gateway.replica_book import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import NoChoice, first_rested
+from crowsill.gateway.wait_estimates import estimate_wait
 from crowsill.model.routes import ModelWeights, Route
 
 HOLD_POLL_S = 0.1
@@ -73,7 +73,7 @@
         if why is NoChoice.NO_MODEL and self._weights() is not None:
             self._context.demand.ask_for(self._log.service, request.model, request.adapter)
         left_s = self._context.hold_limit_s() - self._loop.time()
-        if left_s <= 0.0 or not waits(self._prospect(why), self._patience(), self._answer_s()):
+        if left_s <= 0.0 or not waits(self._estimate(why), self._wait_budget(), self._answer_s()):
             return False
         if self._progress.held_for is not why:
             self._progress.held_for = why
@@ -88,9 +88,8 @@
     async def _wait_for_rest(self, time_s: float) -> bool:
         """Wait for a while; return False at once where enough others wait for the same replica.
 
-        Counted by service, four of four requests for a model were refused while others waited for
-        an engine that could not have served them. Nothing is awaited between two waits of one
-        request, so that it keeps its place.
+        Who waits for another replica of the service keeps nobody from it. Nothing is awaited
+        between two waits of one request, so that it keeps its place.
         """
         awaited = self._first_rested()
         if awaited is None:
@@ -120,9 +119,9 @@
             why: Why no replica takes it.
             rank: Its rank.
         """
-        prospect, patience = self._prospect(why), self._patience()
+        estimate, budget = self._estimate(why), self._wait_budget()
         spread = self._context.random.random()
-        back_s = return_s(prospect, patience, rank, spread)
+        back_s = return_s(estimate, budget, rank, spread)
         if self._context.is_stopping():
             # Another gateway can wait for what this one has no time for.
             back_s = STOPPING_RETRY_S
@@ -131,17 +130,17 @@
             self._context.demand.keep_asking(self._log.service, request.model, request.adapter)
         return RefusedRequest(why, back_s, self._resting())
 
-    def _patience(self) -> Patience:
+    def _wait_budget(self) -> WaitBudget:
         request, route = self._request, self._route
         waited_s = self._loop.time() - request.arrived_s
-        return patience_of(route, request.wait_ms, waited_s)
+        return wait_budget_of(route, request.wait_ms, waited_s)
 
-    def _prospect(self, why: NoChoice) -> Prospect:
+    def _estimate(self, why: NoChoice) -> WaitEstimate:
         """When a replica may take the request."""
         request, now_s = self._request, self._loop.time()
         records = self._context.book.of_service(self._log.service)
         waited_s = now_s - request.arrived_s
-        return prospect_of(
+        return estimate_wait(
             why,
             request,
             records=records,
--- a/src/crowsill/model/hindrances.py
+++ b/src/crowsill/model/exclusions.py
@@ -6,12 +6,12 @@
 MOST_TOLD = 16
 
 
-class HinderedReplica(msgspec.Struct, frozen=True, array_like=True):
+class ExcludedReplica(msgspec.Struct, frozen=True, array_like=True):
     """One life of a replica to which a gateway sends nothing at present.
 
     Attributes:
         instance_id: The life.
-        why: Why not; a value of `gateway.availability.Why`.
+        why: Why not; a value of `gateway.availability.ExclusionReason`.
         left_s: For how much longer; None where nobody can tell.
     """
 
--- a/src/crowsill/model/instances.py
+++ b/src/crowsill/model/instances.py
@@ -10,8 +10,8 @@
 # Names of replicas go into a header of each request.
 _REPLICA_NAME = re.compile(r"[A-Za-z0-9._:@-]+")
 LARGEST_PORT = 65535
-# Heartbeats repeat their names and addresses: looked up, reading one takes 12.4 us in place of
-# 17.9 us. Only texts that can be right are remembered: a heartbeat may have 4 MiB.
+# Heartbeats repeat their names and addresses. Only texts that can be right are remembered: a
+# heartbeat may have 4 MiB.
 REMEMBERED_TEXTS = 4096
 LONGEST_NAME = 128
 LONGEST_ADDRESS = len("255.255.255.255:65535")
--- a/src/crowsill/placement/core.py
+++ b/src/crowsill/placement/core.py
@@ -77,7 +77,7 @@
         self._sequencer = OrderSequencer(now_s, quiet_s)
         self._pacer = LoadPacer(limits.loads_per_s, limits.concurrent_loads, now_s)
 
-    def may_act(self, now_s: float) -> bool:
+    def is_ready_to_plan(self, now_s: float) -> bool:
         """Whether reports are this leadership's own and newer than anything settled before it."""
         waited = now_s - self._started_s > self._limits.longest_report_lag_s
         return waited and self._fleet.epoch == self.term
--- a/src/crowsill/tenancy/identity.py
+++ b/src/crowsill/tenancy/identity.py
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class KnownCaller:
+class Principal:
     """A caller that may use its route.
 
     Attributes:
@@ -78,7 +78,7 @@
         is_public: bool,
         proof_age_s: float,
         revocation_s: float,
-    ) -> KnownCaller | Doubt:
+    ) -> Principal | Doubt:
         """Decide on one request.
 
         Args:
@@ -96,7 +96,7 @@
         owner = self._ring.owner(authorizations)
         tenant = None if owner is None else self._tenants[owner]
         if is_public:
-            return KnownCaller(tenant)
+            return Principal(tenant)
         if tenant is None:
             return Doubt.UNKNOWN_KEY if proof_age_s <= NEW_KEY_PROOF_S else Doubt.NOT_CURRENT
-        return KnownCaller(tenant) if proves_keys(proof_age_s, revocation_s) else Doubt.NOT_CURRENT
+        return Principal(tenant) if proves_keys(proof_age_s, revocation_s) else Doubt.NOT_CURRENT
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -7,8 +7,8 @@
 
 from crowsill.consensus.messages import Envelope
 from crowsill.model.configuration import Configuration, ConfigurationDelta
+from crowsill.model.exclusions import ExcludedReplica
 from crowsill.model.fleet import FleetDelta
-from crowsill.model.hindrances import HinderedReplica
 from crowsill.model.replica_use import UseByReplica
 from crowsill.state.commands import Command, CommandResult
 from crowsill.state.directory import DirectoryChange
@@ -82,14 +82,14 @@
         node: Name of the process.
         zone: Its site.
         revision: Revision it serves.
-        hindered: Replicas to which it sends nothing at present, as a gateway; not all, if many.
+        excluded: Replicas to which it sends nothing at present, as a gateway; not all, if many.
     """
 
     incarnation: str
     node: str
     zone: str
     revision: int
-    hindered: list[HinderedReplica] = []
+    excluded: list[ExcludedReplica] = []
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -88,12 +88,12 @@
 def explain_day(logs: list[Path]) -> None:
     """Show from saved logs of gateways what callers lost, why, and what they were told."""
     from crowsill_lab.explain_day import losses_of, plot, read_tries, table
-    from crowsill_lab.told_times import told_table, told_times
+    from crowsill_lab.return_times import return_times, told_table
 
     found = read_tries([path.read_text(encoding="utf-8", errors="replace") for path in logs])
     losses = losses_of(found)
     typer.echo(table(losses))
-    typer.echo(told_table(told_times(found)))
+    typer.echo(told_table(return_times(found)))
     typer.echo(plot(losses))
 
 
--- a/src/crowsill_lab/told_times.py
+++ b/src/crowsill_lab/return_times.py
@@ -34,7 +34,7 @@
     served_s: float
 
 
-def told_times(tries: list[Try]) -> list[ToldTime]:
+def return_times(tries: list[Try]) -> list[ToldTime]:
     """Return the refusals that named a time, with when their like was served."""
     served_at: dict[tuple[str, str], list[float]] = defaultdict(list)
     for one in tries:
--- a/tests/orders_world.py
+++ b/tests/orders_world.py
@@ -210,7 +210,7 @@
 
     def lead(self) -> None:
         self.core.demand.add({f"m{self.random.randrange(6)}": self.random.randrange(8)}, self.now_s)
-        if not self.core.may_act(self.now_s):
+        if not self.core.is_ready_to_plan(self.now_s):
             return
         for settled in self.core.settled(self.now_s):
             self.orders.settle(settled.order.order_id)
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from crowsill.gateway.availability import MOST_TRIALS, Availability, Hindrance, Why
+from crowsill.gateway.availability import MOST_TRIALS, Availability, Exclusion, ExclusionReason
 from crowsill.gateway.replica_book import ReplicaBook
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.request import CallerRequest
@@ -120,14 +120,14 @@
         assert record.availability.is_resting(self.now_s) is resting
         assert record.instance.accepts_work is not (self.leaves or self.drains)
         reasons = {
-            Why.LEAVING: self.leaves,
-            Why.DRAINING: self.drains,
-            Why.RESTING: resting,
-            Why.UNREACHABLE: self.is_unreachable,
-            Why.BROKEN: self.now_s < self.broken_until_s,
+            ExclusionReason.LEAVING: self.leaves,
+            ExclusionReason.DRAINING: self.drains,
+            ExclusionReason.RESTING: resting,
+            ExclusionReason.UNREACHABLE: self.is_unreachable,
+            ExclusionReason.BROKEN: self.now_s < self.broken_until_s,
         }
         expected = next((why for why, holds in reasons.items() if holds), None)
-        found = record.availability.hindrance(self.now_s)
+        found = record.availability.exclusion(self.now_s)
         assert (None if found is None else found.why) is expected
         self._check_choice(record, expected, resting)
 
@@ -140,10 +140,10 @@
         elif resting:
             assert chosen is NoChoice.ALL_RESTING
         else:
-            assert isinstance(chosen, Choice) and expected in (None, Why.BROKEN)
+            assert isinstance(chosen, Choice) and expected in (None, ExclusionReason.BROKEN)
         # On a connection that is open already only its own word and the directory's count.
         may = not (self.leaves or self.drains or resting)
-        assert record.availability.may_be_sent(self.now_s) is may
+        assert record.availability.is_sendable(self.now_s) is may
 
 
 @settings(max_examples=500)
@@ -167,7 +167,7 @@
     book.find("a@1").note_leaving(0.0)
     later = msgspec.structs.replace(first, instance_id="a@2", born_ms=2)
     book.adopt(DirectoryChange(2, [later], ["a@1"]), False, 0.0)
-    assert book.find("a@2").availability.hindrance(0.0) is None
+    assert book.find("a@2").availability.exclusion(0.0) is None
 
 
 def test_what_was_sent_before_a_rest_opens_nothing_after_it():
@@ -209,8 +209,8 @@
         book.adopt(DirectoryChange(3, [listed], []), False, 0.0)
         watch.unreachable(former)
         found = book.find("a@1").availability
-        assert found.hindrance(0.5) == Hindrance(Why.RESTING, 1.0)
-        assert found.hindrance(1.5) is None and found.closed_until_s == 1.0
+        assert found.exclusion(0.5) == Exclusion(ExclusionReason.RESTING, 1.0)
+        assert found.exclusion(1.5) is None and found.closed_until_s == 1.0
         await watch.stop()
 
     asyncio.run(scenario())
--- a/tests/test_explain_day.py
+++ b/tests/test_explain_day.py
@@ -3,7 +3,7 @@
 import pytest
 
 from crowsill_lab.explain_day import Cause, losses_of, plot, read_tries, table
-from crowsill_lab.told_times import ToldTime, told_table, told_times
+from crowsill_lab.return_times import ToldTime, return_times, told_table
 
 AT = "2026-01-02T03:04:0{second}.678Z INFO"
 
@@ -102,7 +102,7 @@
         line(5, told("d", 1.0)),
         line(5, refused("e", "unauthenticated")),
     ]
-    found = told_times(read_tries(["\n".join(texts)]))
+    found = return_times(read_tries(["\n".join(texts)]))
     assert [(item.cause, item.told_s) for item in found] == [
         (Cause.FULL, 0.5),
         (Cause.FULL, 3.0),
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -5,8 +5,8 @@
 import socket
 
 from crowsill.clock import monotonic_s
-from crowsill.gateway.asked_resources import MOST_KEPT, AskedResources
 from crowsill.gateway.caller_protocol import CallerConnection
+from crowsill.gateway.missing_resources import MOST_KEPT, MissingResources
 from crowsill.gateway.routing_table import OUTRANKING_URGENCY
 from crowsill.model.instances import ComingModel, HeldModel
 from tests.control_group import until
@@ -284,7 +284,7 @@
 
 
 def test_the_number_of_resources_that_are_asked_for_again_is_bounded():
-    asked = AskedResources()
+    asked = MissingResources()
     for number in range(MOST_KEPT + 10):
         asked.keep(f"m{number}", 0.0)
     due = asked.due(0.0)
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -8,78 +8,78 @@
 
 from crowsill.gateway.holding import (
     RETURN_SPAN_S,
-    Patience,
-    Prospect,
-    patience_of,
+    WaitBudget,
+    WaitEstimate,
     return_s,
+    wait_budget_of,
     waits,
 )
-from crowsill.gateway.prospects import CHANCE_COMING, prospect_of
 from crowsill.gateway.replica_book import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import NoChoice
+from crowsill.gateway.wait_estimates import CHANCE_COMING, estimate_wait
 from crowsill.model.instances import ComingModel, Instance
 from crowsill.model.routes import ModelWeights, Route, RouteKind
 
 SECONDS = st.floats(0.0, 30.0)
 SHARES = st.floats(0.0, 1.0)
-PROSPECTS = st.builds(Prospect, SECONDS, SHARES, SECONDS)
+PROSPECTS = st.builds(WaitEstimate, SECONDS, SHARES, SECONDS)
 
 
-def patience(waited_s=0.0, total_s=5.0, target_s=0.8, leaves_s=math.inf, before_s=0.0):
-    return Patience(before_s, waited_s, total_s, target_s, leaves_s)
+def budget(waited_s=0.0, total_s=5.0, target_s=0.8, leaves_s=math.inf, before_s=0.0):
+    return WaitBudget(before_s, waited_s, total_s, target_s, leaves_s)
 
 
 @given(PROSPECTS, SECONDS, SECONDS, SECONDS, SECONDS)
-def test_who_waits_now_would_have_waited_earlier(prospect, waited_s, longer_s, total_s, target_s):
-    later = patience(waited_s + longer_s, total_s + 0.1, min(target_s, total_s))
-    earlier = patience(waited_s, total_s + 0.1, min(target_s, total_s))
-    assert waits(prospect, earlier, 0.1) or not waits(prospect, later, 0.1)
+def test_who_waits_now_would_have_waited_earlier(estimate, waited_s, longer_s, total_s, target_s):
+    later = budget(waited_s + longer_s, total_s + 0.1, min(target_s, total_s))
+    earlier = budget(waited_s, total_s + 0.1, min(target_s, total_s))
+    assert waits(estimate, earlier, 0.1) or not waits(estimate, later, 0.1)
 
 
 @given(PROSPECTS, SECONDS, SECONDS, st.floats(0.1, 30.0), SECONDS)
-def test_who_has_more_time_waits_at_least_as_readily(prospect, waited_s, more_s, total_s, target_s):
+def test_who_has_more_time_waits_at_least_as_readily(estimate, waited_s, more_s, total_s, target_s):
     target_s = min(target_s, total_s)
-    little = patience(waited_s, total_s, target_s)
-    much = patience(waited_s, total_s + more_s, target_s)
-    assert waits(prospect, much, 0.1) or not waits(prospect, little, 0.1)
+    little = budget(waited_s, total_s, target_s)
+    much = budget(waited_s, total_s + more_s, target_s)
+    assert waits(estimate, much, 0.1) or not waits(estimate, little, 0.1)
 
 
 @given(PROSPECTS, SECONDS, SECONDS, SHARES)
 def test_a_likelier_or_sooner_end_is_waited_for_at_least_as_readily(
-    prospect, waited_s, sooner_s, x
+    estimate, waited_s, sooner_s, x
 ):
-    sooner = Prospect(max(0.0, prospect.ready_s - sooner_s), prospect.chance, prospect.notice_s)
-    likelier = Prospect(prospect.ready_s, max(prospect.chance, x), prospect.notice_s)
+    sooner = WaitEstimate(max(0.0, estimate.ready_s - sooner_s), estimate.chance, estimate.notice_s)
+    likelier = WaitEstimate(estimate.ready_s, max(estimate.chance, x), estimate.notice_s)
     for better in (sooner, likelier):
-        if waits(prospect, patience(waited_s), 0.1):
-            assert waits(better, patience(waited_s), 0.1)
+        if waits(estimate, budget(waited_s), 0.1):
+            assert waits(better, budget(waited_s), 0.1)
 
 
 @given(PROSPECTS, SECONDS, SECONDS)
-def test_what_cannot_be_served_is_refused_at_once(prospect, waited_s, answer_s):
-    caller = patience(waited_s, leaves_s=3.2)
-    if waited_s + prospect.ready_s + answer_s >= 3.2:
-        assert not waits(prospect, caller, answer_s)
+def test_what_cannot_be_served_is_refused_at_once(estimate, waited_s, answer_s):
+    caller = budget(waited_s, leaves_s=3.2)
+    if waited_s + estimate.ready_s + answer_s >= 3.2:
+        assert not waits(estimate, caller, answer_s)
 
 
 @given(PROSPECTS, SECONDS, st.floats(0.01, 0.9))
-def test_one_that_has_come_back_is_not_refused_more_readily(prospect, waited_s, away):
+def test_one_that_has_come_back_is_not_refused_more_readily(estimate, waited_s, away):
     # The same answer at the same time after the first try, of which it was away for a part.
-    first = patience(waited_s)
-    returned = patience(waited_s, before_s=min(waited_s, 4.0) * away)
+    first = budget(waited_s)
+    returned = budget(waited_s, before_s=min(waited_s, 4.0) * away)
     if first.waited_s < first.total_s:
-        assert waits(prospect, returned, 0.1) or not waits(prospect, first, 0.1)
+        assert waits(estimate, returned, 0.1) or not waits(estimate, first, 0.1)
 
 
 @given(PROSPECTS, SHARES, SHARES, st.integers(0, 8))
-def test_urgent_callers_come_back_before_those_that_can_wait(prospect, spread, other, rank):
-    caller = patience()
-    urgent_s = return_s(prospect, caller, rank, spread * 0.999)
-    patient_s = return_s(prospect, caller, rank + 1, other)
+def test_urgent_callers_come_back_before_those_that_can_wait(estimate, spread, other, rank):
+    caller = budget()
+    urgent_s = return_s(estimate, caller, rank, spread * 0.999)
+    patient_s = return_s(estimate, caller, rank + 1, other)
     assert urgent_s < patient_s
-    assert urgent_s >= prospect.ready_s
-    assert patient_s <= prospect.ready_s + RETURN_SPAN_S * (rank + 2)
+    assert urgent_s >= estimate.ready_s
+    assert patient_s <= estimate.ready_s + RETURN_SPAN_S * (rank + 2)
 
 
 def test_a_wait_has_no_steps():
@@ -87,7 +87,7 @@
 
     def longest_s(total_s):
         waited_s = 0.0
-        while waits(Prospect(0.5, 0.3, 0.5), patience(waited_s, total_s), 0.1):
+        while waits(WaitEstimate(0.5, 0.3, 0.5), budget(waited_s, total_s), 0.1):
             waited_s += 0.01
         return waited_s
 
@@ -98,9 +98,9 @@
 
 def test_a_first_try_is_told_by_the_time_that_it_has():
     route = Route("r", "h", "/", RouteKind.AT_MOST_ONCE, 2000, [], target_latency_ms=300)
-    assert not patience_of(route, None, 0.0).has_returned
-    assert not patience_of(route, 4000, 0.0).has_returned
-    returned = patience_of(route, 1500, 0.1)
+    assert not wait_budget_of(route, None, 0.0).has_returned
+    assert not wait_budget_of(route, 4000, 0.0).has_returned
+    returned = wait_budget_of(route, 1500, 0.1)
     assert (returned.before_s, returned.waited_s) == (0.5, 0.6)
 
 
@@ -112,30 +112,32 @@
     return CallerRequest(b"POST", b"/", [], b"", True, 0.0, model=model)
 
 
-def prospect(records, why=NoChoice.NO_MODEL, waited_s=0.0, now_s=0.0):
+def estimate(records, why=NoChoice.NO_MODEL, waited_s=0.0, now_s=0.0):
     weights = ModelWeights("m", 100.0, 9.0, 0.8, 2.0)
     asked = request_for("m")
-    return prospect_of(why, asked, records=records, weights=weights, waited_s=waited_s, now_s=now_s)
+    return estimate_wait(
+        why, asked, records=records, weights=weights, waited_s=waited_s, now_s=now_s
+    )
 
 
 def test_a_load_under_way_is_known_by_when_it_began():
     record = engine(coming=[ComingModel("m", 2.0)])
     record.note_coming(10.0)
-    assert prospect([record], now_s=10.5) == Prospect(1.5, CHANCE_COMING, 1.5)
+    assert estimate([record], now_s=10.5) == WaitEstimate(1.5, CHANCE_COMING, 1.5)
     # Later words on the same engine repeat it, and what is overdue may take as long again.
     record.note_coming(11.0)
-    assert prospect([record], now_s=12.8).ready_s == 12.8 - 12.0
+    assert estimate([record], now_s=12.8).ready_s == 12.8 - 12.0
 
 
 def test_a_load_that_is_only_asked_for_takes_as_long_as_from_the_nearest_copy():
-    far, near = prospect([engine()]), prospect([engine(on_disk=["m"])])
+    far, near = estimate([engine()]), estimate([engine(on_disk=["m"])])
     assert (round(far.ready_s, 1), round(near.ready_s, 1)) == (9.2, 2.2)
-    assert prospect([engine()], waited_s=1.0).chance < far.chance < CHANCE_COMING
+    assert estimate([engine()], waited_s=1.0).chance < far.chance < CHANCE_COMING
 
 
 def test_a_model_that_the_routes_do_not_know_never_comes():
     asked = request_for("nobody")
-    found = prospect_of(
+    found = estimate_wait(
         NoChoice.NO_MODEL, asked, records=[engine()], weights=None, waited_s=0.0, now_s=0.0
     )
-    assert not waits(found, patience(), 0.1)
+    assert not waits(found, budget(), 0.1)
--- a/tests/test_replica_overview.py
+++ b/tests/test_replica_overview.py
@@ -13,8 +13,8 @@
 from crowsill.cli.main import application
 from crowsill.control.operations import Operations
 from crowsill.gateway.replica_book import ReplicaBook
+from crowsill.model.exclusions import MOST_TOLD
 from crowsill.model.fleet import FleetView
-from crowsill.model.hindrances import MOST_TOLD
 from crowsill.model.instances import Beat, HeldModel, Instance
 from crowsill.settings import HttpListener, Settings
 from crowsill.state.commands import DrainInstance, RecordBeat
@@ -37,7 +37,7 @@
     book.find("i-1").availability.note_rest(2.5, now_s=0.0)
     book.find("i-2").note_leaving(0.0)
     book.find("i-3").availability.note_unreachable()
-    return book.hindered(0.5)
+    return book.excluded(0.5)
 
 
 class Member:
@@ -97,7 +97,7 @@
         "  g-1: unreachable",
         "till i-4 z 127.0.0.1:4 ready holds m",
     ]
-    shown = CliRunner().invoke(application, ["replicas", "--hindered", "-s", settings]).output
+    shown = CliRunner().invoke(application, ["replicas", "--excluded", "-s", settings]).output
     assert "i-4" not in shown and "i-1" in shown
 
 
@@ -108,5 +108,5 @@
     for number in range(1, 60):
         book.find(f"i-{number}").availability.note_rest(5.0, now_s=0.0)
     book.find("i-59").note_leaving(0.0)
-    told = book.hindered(0.0)
+    told = book.excluded(0.0)
     assert len(told) == MOST_TOLD and told[0].instance_id == "i-59"
--- a/tests/test_replica_signals.py
+++ b/tests/test_replica_signals.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crowsill.gateway.availability import Why
+from crowsill.gateway.availability import ExclusionReason
 from crowsill.gateway.dialect import HeaderNames
 from crowsill.gateway.holding import MOST_WAITING_FOR_REST
 from crowsill.gateway.replica_signals import read_signals
@@ -329,7 +329,10 @@
             for number in range(4):
                 assert (await (await here.caller()).ask("once", f"r{number}"))[0] == 200
             assert len(here._replicas[0].requests) == 1
-            assert here.role.book.find("i-1").availability.hindrance(0.0).why is Why.LEAVING
+            assert (
+                here.role.book.find("i-1").availability.exclusion(0.0).why
+                is ExclusionReason.LEAVING
+            )
 
     run(scenario())
 
@@ -364,7 +367,7 @@
         async with world(script, configuration=routes()) as here:
             for number in range(3):
                 await (await here.caller()).ask("short", f"r{number}")
-            assert here.role.book.find("i-1").availability.hindrance(0.0) is None
+            assert here.role.book.find("i-1").availability.exclusion(0.0) is None
             assert lines.count("SIGNAL_UNREADABLE") == 1
             assert "REPLICA_RESTS" not in lines
 
