--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -88,6 +88,13 @@
     longest_gap_s: float = 0.0
 
 
+def _instance(number, models):
+    """Return the engine of a number."""
+    held = [HeldModel(model) for model in models]
+    zone = f"z{number % ZONES}"
+    return Instance(f"i-{number}", SERVICE, f"127.0.0.1:{number + 1}", zone, SLOTS, models=held)
+
+
 class Gateway:
     """What one gateway knows."""
 
@@ -125,6 +132,7 @@
         opened: Connections that were made for them.
         abroad: Those that went to another zone.
         by_engine: Requests by engine.
+        sent_s: Clock of each request that was sent, with its engine and model.
     """
 
     asked: int = 0
@@ -134,6 +142,7 @@
     opened: int = 0
     abroad: int = 0
     by_engine: dict = field(default_factory=dict)
+    sent_s: list = field(default_factory=list)
 
     @property
     def in_time_share(self):
@@ -168,17 +177,7 @@
         self.slow = slow or SlowEngines()
         self.shares_use = shares_use
         self.use = GatewayUse()
-        instances = [
-            Instance(
-                f"i-{number}",
-                SERVICE,
-                "127.0.0.1:1",
-                f"z{number % ZONES}",
-                SLOTS,
-                models=[HeldModel(model) for model in models],
-            )
-            for number, models in enumerate(held)
-        ]
+        instances = [_instance(number, models) for number, models in enumerate(held)]
         self.gateways = [
             Gateway(number, instances, Random(seed * 1000 + number)) for number in range(gateways)
         ]
@@ -225,6 +224,23 @@
         gateway.book.note_use_of_all(self._total, own, now_s)
         self._at(now_s + HEARTBEAT_S * self.random.uniform(0.95, 1.05), self._beat, gateway)
 
+    def join(self, at_s, held):
+        """Have engines join that hold these models, and that no gateway knows before."""
+        self._at(at_s, self._join, held)
+
+    def _join(self, now_s, held):
+        first = len(self.waiting)
+        joined = [_instance(first + place, models) for place, models in enumerate(held)]
+        for _ in joined:
+            self.waiting.append([])
+            self.running.append([])
+            self.is_working.append(False)
+            self.outcome.by_engine[len(self.outcome.by_engine)] = 0
+        for gateway in self.gateways:
+            change = DirectoryChange(gateway.book.version + 1, joined, [])
+            gateway.book.adopt(change, False, now_s)
+            gateway.idle.update(dict.fromkeys([item.instance_id for item in joined], 0))
+
     def _arrive(self, now_s):
         outcome, random = self.outcome, self.random
         outcome.asked += 1
@@ -240,6 +256,7 @@
             outcome.refused += 1
             return
         number = self._count(gateway, choice.record)
+        outcome.sent_s.append((now_s, number, model))
         stream = Stream(
             gateway,
             choice.record,
