--- a/src/crowsill/model/replica_use.py
+++ b/src/crowsill/model/replica_use.py
@@ -21,10 +21,10 @@
 UseByReplica = dict[str, ReplicaUse]
 
 
-def add_uses(parts: list[UseByReplica]) -> UseByReplica:
-    """Return the sum of several tellings.
+def total_use(parts: list[UseByReplica]) -> UseByReplica:
+    """Return the sum of several reports.
 
-    >>> add_uses([{"a": ReplicaUse(1, 200)}, {"a": ReplicaUse(2), "b": ReplicaUse(1, 50)}])
+    >>> total_use([{"a": ReplicaUse(1, 200)}, {"a": ReplicaUse(2), "b": ReplicaUse(1, 50)}])
     {'a': ReplicaUse(requests=3, prompt_tokens=200), 'b': ReplicaUse(requests=1, prompt_tokens=50)}
     """
     total: UseByReplica = {}
--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from crowsill.control.gateway_use import TELL_LEADER_S, GatewayUse
+from crowsill.control.gateway_use import REPORT_INTERVAL_S, GatewayUse
 from crowsill.gateway.follower import HEARTBEAT_S
 from crowsill.gateway.progress import PendingPrompt
 from crowsill.gateway.replica_book import ReplicaBook, ReplicaRecord
@@ -219,7 +219,7 @@
         """Have a gateway tell what it has at engines, and hear what all have."""
         own = gateway.book.in_use()
         self.use.note(gateway.name, own, now_s)
-        if now_s >= self._summed_s + TELL_LEADER_S:
+        if now_s >= self._summed_s + REPORT_INTERVAL_S:
             self._summed_s, self._total = now_s, self.use.sum(now_s)
         gateway.book.note_use_of_all(self._total, own, now_s)
         self._at(now_s + HEARTBEAT_S * self.random.uniform(0.95, 1.05), self._beat, gateway)
--- a/tests/test_gateway_use.py
+++ b/tests/test_gateway_use.py
@@ -11,7 +11,7 @@
 
 from crowsill.control import service as service_module
 from crowsill.control.gateway_reports import GatewayReports
-from crowsill.control.gateway_use import TELLING_LIFETIME_S, TOTAL_LIFETIME_S, GatewayUse
+from crowsill.control.gateway_use import REPORT_LIFETIME_S, TOTAL_LIFETIME_S, GatewayUse
 from crowsill.control.quota_grants import QuotaBounds, QuotaGrants
 from crowsill.control.service import MemberService
 from crowsill.gateway.replica_book import ReplicaBook
@@ -37,7 +37,7 @@
     use.note("g2", {"a": ReplicaUse(1), "b": ReplicaUse(1, 50)}, 0.4)
     use.note("g1", {"a": ReplicaUse(1, 100)}, 0.5)
     assert use.sum(0.6) == {"a": ReplicaUse(2, 100), "b": ReplicaUse(1, 50)}
-    assert use.sum(0.45 + TELLING_LIFETIME_S) == {"a": ReplicaUse(1, 100)}
+    assert use.sum(0.45 + REPORT_LIFETIME_S) == {"a": ReplicaUse(1, 100)}
 
 
 def test_a_follower_tells_its_leader_now_and_then_and_a_new_one_at_once():
