A pattern of callers that want a model whose load is under way; decisions name the load they answer

Cause: admission and placement did not say which load they answer, and no test replayed it. Change: a replay of 200 callers of two kinds through the real decisions; module comments.

--- a/src/crowsill/gateway/holding.py
+++ b/src/crowsill/gateway/holding.py
@@ -1,5 +1,9 @@
 """What becomes of a request that no replica takes now: it waits, or is refused at once. Pure.
 
+It answers a load of many callers for what is not there yet, while others can wait for longer than
+they: whoever cannot be served in time is refused at once, told when to come back, each at a moment
+of its own.
+
 Weighed from its caller's first try on. An answer is worth all of it up to its target and less the
 later it comes, down to nothing at the deadline; a wait in vain costs more the longer it lasts, all
 of it at the deadline. A request waits for as long as the chance that it is served pays for that.
--- /dev/null
+++ b/tests/patterns/test_model_that_is_on_its_way.py
@@ -0,0 +1,91 @@
+"""Callers of two kinds want a model whose load is under way, as after its engines were lost.
+
+Found on days on which engines were lost: urgent requests waited for a load that could not end
+before their callers left, and callers that were refused came back all at the same moment. What is
+known to come too late is refused at once, with the time at which it will be there; who can wait for
+it does.
+"""
+
+from random import Random
+
+import pytest
+
+from crowsill.gateway.holding import return_s, wait_budget_of, waits
+from crowsill.gateway.replica_book import ReplicaRecord
+from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.selection import NoChoice
+from crowsill.gateway.wait_estimates import estimate_wait
+from crowsill.model.instances import ComingModel, HeldModel, Instance
+from crowsill.model.routes import ModelWeights, Route, RouteKind, WeightedService
+
+LOAD_S = 8.0
+STEP_S = 0.1
+ANSWER_S = 0.1
+CALLERS = 200
+URGENT = Route(
+    "u", "h", "/u/", RouteKind.STREAM, 5000, [WeightedService("s", 1)], target_latency_ms=800
+)
+PATIENT = Route(
+    "p", "h", "/p/", RouteKind.STREAM, 15000, [WeightedService("s", 1)], target_latency_ms=6000
+)
+MODEL = ModelWeights("m", 70.0, LOAD_S, 0.8, 1.7)
+
+
+def play(route, arrived_s, seed):
+    """Return when a caller is served, or refused and told to come back."""
+    instance = Instance(
+        "i-1",
+        "s",
+        "127.0.0.1:1",
+        "z",
+        8,
+        models=[HeldModel("n")],
+        coming=[ComingModel("m", LOAD_S)],
+    )
+    record = ReplicaRecord(instance)
+    record.note_coming(0.0)
+    request = CallerRequest(b"POST", b"/", [], b"", True, arrived_s, model="m")
+    now_s = arrived_s
+    while now_s < LOAD_S:
+        waited_s = now_s - arrived_s
+        estimate = estimate_wait(
+            NoChoice.NO_MODEL,
+            request,
+            records=[record],
+            weights=MODEL,
+            waited_s=waited_s,
+            now_s=now_s,
+        )
+        budget = wait_budget_of(route, route.timeout_ms, waited_s)
+        if not waits(estimate, budget, ANSWER_S):
+            back_s = return_s(estimate, budget, rank=1, spread=Random(seed).random())
+            return "refused", now_s, now_s + back_s
+        now_s += STEP_S
+    return "served", now_s, now_s
+
+
+def test_urgent_callers_are_refused_at_once_and_told_when_it_is_there():
+    # Each caller comes at a moment at which it would have left before the model is there.
+    ends = [play(URGENT, 4.0 * number / CALLERS, number) for number in range(CALLERS)]
+    assert {what for what, _, _ in ends} == {"refused"}
+    assert all(
+        at_s == pytest.approx(4.0 * number / CALLERS) for number, (_, at_s, _) in enumerate(ends)
+    )
+    assert all(LOAD_S <= back_s <= LOAD_S + 0.5 for _, _, back_s in ends)
+
+
+def test_refused_callers_do_not_come_back_at_one_moment():
+    back = sorted(play(URGENT, 0.0, number)[2] for number in range(CALLERS))
+    window_s = 0.02
+    most = max(sum(start <= other < start + window_s for other in back) for start in back)
+    assert most <= CALLERS / 3
+
+
+def test_callers_that_can_wait_are_served():
+    ends = [play(PATIENT, 8.0 * number / CALLERS, number) for number in range(CALLERS)]
+    assert sum(what == "served" for what, _, _ in ends) >= 0.9 * CALLERS
+
+
+def test_callers_that_come_shortly_before_it_is_there_wait_for_it():
+    ends = [play(URGENT, 6.5 + number / CALLERS, number) for number in range(CALLERS)]
+    assert {what for what, _, _ in ends} == {"served"}
