--- a/src/crowsill/placement/copies.py
+++ b/src/crowsill/placement/copies.py
@@ -1,8 +1,8 @@
 """Where copies of models and adapters should be, for engines that register themselves. Pure.
 
 It answers demand that moves on to other models within seconds, beside engines that are lost and
-models that are asked for now and then. A copy that the machine kept in memory or on disk is back in a
-second or two, so placement here is a cache of models over the engines. Each step chooses, among
+models that are asked for now and then. A copy that the machine kept in memory or on disk is back in
+a second or two, so placement here is a cache of models over the engines. Each step chooses, among
 all pairs of a free engine and a model, the one that wins most for each second of its load, until
 no pair wins enough: what is worth least makes way, and short loads come before long ones.
 """
