--- a/src/crowsill/placement/copy_planner.py
+++ b/src/crowsill/placement/copy_planner.py
@@ -8,6 +8,7 @@
 long ones.
 """
 
+import math
 from dataclasses import dataclass
 
 from crowsill.model.routes import ModelWeights
@@ -262,13 +263,34 @@
             job = self._adapters.serve_awaited(model, adapter)
             if job is not None:
                 self._add(job)
+            elif not self._is_adapter_held(model, adapter):
+                self.deferred[resource] = self._adapter_deferral_reasons(model)
+
+    def _is_adapter_held(self, model: str, adapter: str) -> bool:
+        return any(adapter in engine.held.get(model, ()) for engine in self._view.engines)
+
+    def _adapter_deferral_reasons(self, model: str) -> str:
+        """Return the reason of each holder of a model for not loading an adapter now."""
+        return "; ".join(
+            f"{engine.instance_id} {self._busy_reason(engine)}"
+            for engine in self._view.engines
+            if model in engine.held
+        )
+
+    def _busy_reason(self, engine: EngineView) -> str:
+        if engine.instance_id in self._assigned:
+            return "taken"
+        busy_s = engine.busy_for_s(self._view.now_s)
+        if math.isinf(busy_s):
+            return "has no known state" if engine.is_busy else "has no free adapter slot"
+        return f"busy for {busy_s:.1f} s" + (f" with {engine.loading}" if engine.loading else "")
 
     def _deferral_reasons(self, model: str) -> str:
         """Return the reason of each engine for not loading a model now, as a text for the log."""
         reasons: list[str] = []
         for engine in self._view.engines:
             if engine.is_busy:
-                reasons.append(f"busy for {engine.busy_for_s(self._view.now_s):.1f} s")
+                reasons.append(self._busy_reason(engine))
             elif engine.instance_id in self._assigned:
                 reasons.append("taken")
             else:
--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -97,6 +97,15 @@
     typer.echo(plot(losses))
 
 
+@application.command()
+def explain_models(logs: list[Path]) -> None:
+    """Report the models and adapters that were never served, from saved logs of all processes."""
+    from crowsill_lab.explain_models import read_resources, resource_table
+
+    texts = [path.read_text(encoding="utf-8", errors="replace") for path in logs]
+    typer.echo(resource_table(read_resources(texts)))
+
+
 @application.command()
 def soak(
     *,
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -255,3 +255,12 @@
     limited = engine("a", "m0", is_busy=True, limit_per_s=0.5)
     (job,) = jobs_for("m0", view([limited, free], **state))
     assert job.instance_id == "b"
+
+
+def test_the_reason_for_not_loading_an_awaited_adapter_is_recorded():
+    loading = engine("a", "m0", is_busy=True, accepts_adapter_jobs=False, free_at_s=104.0)
+    loading.loading = "m5"
+    unknown = engine("b", "m0", is_busy=True, accepts_adapter_jobs=False)
+    planner = CopyPlanner(view([loading, unknown, engine("c")], awaited=["m0/a1"]))
+    planner.plan()
+    assert planner.deferred["m0/a1"] == "a busy for 4.0 s with m5; b has no known state"
