Awaited adapters are loaded before models at the engines that hold their model

Callers of adapters were refused for 7 to 12 s on end though an engine held their model: it went from one load of a model to the next, each planned before the adapters that requests waited for, and an engine takes no adapter while it loads a model. An adapter loads in some 25 ms, so the planner now loads those first.

The test failed before.

--- a/src/crowsill/placement/copy_planner.py
+++ b/src/crowsill/placement/copy_planner.py
@@ -93,10 +93,13 @@
     def plan(self) -> list[Job]:
         """Return the jobs to start now, at most one for each engine."""
         view = self._view
+        # An adapter loads in milliseconds, but an engine accepts none while it loads a model, which
+        # takes seconds.
+        self._load_awaited_adapters()
         self._load_rare_model()
         self._load_models()
         for resource in view.awaited:
-            self._serve_awaited(resource)
+            self._note_deferral(resource)
         for job in self._adapters.fill_free_slots():
             self._add(job)
         if not view.requested_at_s and self._may_preload():
@@ -250,8 +253,18 @@
 
     # Awaited resources.
 
-    def _serve_awaited(self, resource: str) -> None:
-        """Load an adapter that requests wait for, or record why a model is not loaded now."""
+    def _load_awaited_adapters(self) -> None:
+        """Load adapters that requests wait for, at engines that hold their model."""
+        for resource in self._view.awaited:
+            model, _, adapter = resource.partition("/")
+            if not adapter or model not in self._models:
+                continue
+            job = self._adapters.serve_awaited(model, adapter)
+            if job is not None:
+                self._add(job)
+
+    def _note_deferral(self, resource: str) -> None:
+        """Record why a resource that requests wait for is not loaded now."""
         model, _, adapter = resource.partition("/")
         if model not in self._models:
             self.deferred[resource] = "unknown model"
@@ -259,14 +272,12 @@
             self.deferred[resource] = self._deferral_reasons(model)
         elif not any(model in engine.held for engine in self._view.engines):
             self.deferred[resource] = "being loaded"
-        elif adapter:
-            job = self._adapters.serve_awaited(model, adapter)
-            if job is not None:
-                self._add(job)
-            elif not self._is_adapter_held(model, adapter):
-                self.deferred[resource] = self._adapter_deferral_reasons(model)
+        elif adapter and not self._is_adapter_held_or_loading(model, adapter):
+            self.deferred[resource] = self._adapter_deferral_reasons(model)
 
-    def _is_adapter_held(self, model: str, adapter: str) -> bool:
+    def _is_adapter_held_or_loading(self, model: str, adapter: str) -> bool:
+        if any((job.model, job.adapter) == (model, adapter) for job in self._jobs):
+            return True
         return any(adapter in engine.held.get(model, ()) for engine in self._view.engines)
 
     def _adapter_deferral_reasons(self, model: str) -> str:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -134,6 +134,20 @@
     assert [(job.instance_id, job.adapter) for job in jobs if job.adapter == "a2"] == [("a", "a2")]
 
 
+def test_an_awaited_adapter_is_loaded_before_a_model_that_blocks_its_engine():
+    # Guards against adapters whose requests are all rejected while the only engine that holds their
+    # model loads another one, which had less demand.
+    rates = {"m0": 5.0, "m0/a1": 1.0, "m7": 0.3}
+    state = {"awaited": ["m0/a1", "m7"], "demand": rates, "urgent": {"m0": 5.0, "m0/a1": 1.0}}
+    state |= {"requested_at_s": dict.fromkeys(rates, 99.5), "missed_requests": {"m7": 20.0}}
+    holder = engine("a", "m0", "m1", "m2")
+    (job,) = CopyPlanner(view([holder], **state)).plan()
+    assert job.adapter == "a1"
+    holder.held["m0"].add("a1")
+    (job,) = CopyPlanner(view([holder], **state | {"awaited": ["m7"]})).plan()
+    assert job.model == "m7"
+
+
 def test_a_model_is_loaded_when_a_request_has_waited_long_enough():
     engines = [engine("e", "m0", "m1", "m2", on_disk=["m7"])]
     rates = {"m7": 0.04, "m0": 0.36, "m1": 0.36, "m2": 0.36}
