Reports of a rate limit give the same state in any order

After a limit was lifted, two processes could know different times for it, or one that it is lifted and one that it is not: of the times of lifting the earliest was kept, and an advertisement merged later dropped that one and with it a later one that had been merged before. A ramp may begin later, by the time between the first answers without a limit at two gateways.

--- a/src/crowsill/routing/advertised_limit.py
+++ b/src/crowsill/routing/advertised_limit.py
@@ -46,8 +46,8 @@
     Attributes:
         per_s: Requests per second from all gateways together; None before any limit was advertised.
         advertised_at_s: Time when it was last advertised.
-        lifted_at_s: Time when the first request after that was sent whose response had no limit;
-            None while the limit is advertised.
+        lifted_at_s: Time when a request after that was sent whose response had no limit: the first
+            one of each process, the last one of all processes; None while the limit is advertised.
 
     >>> limit = AdvertisedLimit()
     >>> limit.note_advertised(2.0, now_s=5.0), limit.note_advertised(2.0, now_s=6.0)
@@ -140,4 +140,5 @@
             for lifted_at_s in lifts_at_s
             if lifted_at_s is not None and lifted_at_s > self.advertised_at_s
         ]
-        self.lifted_at_s = min(later_lifts_at_s, default=None)
+        # The last one: an earlier one may be dropped by an advertisement that is merged later.
+        self.lifted_at_s = max(later_lifts_at_s, default=None)
