--- /dev/null
+++ b/tests/partitioned_site.py
@@ -0,0 +1,270 @@
+"""Gateways and a control group in one process; each gateway reaches replicas on links of its own.
+
+The links of a gateway can fail while its callers, the control group and other gateways are reached.
+"""
+
+import asyncio
+import contextlib
+import socket
+import sys
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from crowsill.gateway.role import GatewayRole
+from crowsill.gateway.routing_table import GatewayRoutingTable
+from crowsill.model.instances import LoadedModel
+from crowsill.model.route_codec import JsonRouteCodec
+from crowsill.state.directory import DirectoryChange
+from crowsill_lab.demo.processes import free_ports
+from tests.control_group import KEY, ControlGroup, until
+from tests.gateway_world import (
+    ID,
+    LOCAL,
+    NAMES,
+    Caller,
+    Replica,
+    encode_response,
+    instance,
+    routes,
+)
+from tests.platform_site import ROOT
+
+sys.path.insert(0, str(ROOT / "platform"))
+from crowsill_platform.settings import PlatformListen, PlatformSettings, translate
+
+WORK_S = 0.02
+CHUNK_BYTES = 65536
+
+
+class FailingLink:
+    """The path from one gateway to one replica.
+
+    Failures: "reset" resets connections and refuses new ones, "silent" carries nothing and opens no
+    new ones, "no_new" refuses new ones and carries what is open.
+    """
+
+    def __init__(self, target_port):
+        self._target_port = target_port
+        (self.port,) = free_ports(1)
+        self._listener = None
+        self._accepting = None
+        self._queued = []
+        self._writers = set()
+        self._tasks = set()
+        self._carries = asyncio.Event()
+        self.restore()
+
+    def _listen(self, backlog):
+        self._stop_listening()
+        self._listener = socket.create_server((LOCAL, self.port), backlog=backlog)
+        self._listener.setblocking(False)
+
+    def _stop_listening(self):
+        if self._accepting is not None:
+            self._accepting.cancel()
+            self._accepting = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        for queued in self._queued:
+            queued.close()
+        self._queued = []
+
+    def restore(self):
+        """Carry everything and accept connections."""
+        self._listen(128)
+        self._carries.set()
+        self._accepting = asyncio.create_task(self._accept())
+
+    def fail(self, how):
+        """Fail in one of the ways listed above."""
+        if how == "silent":
+            self._carries.clear()
+            # A full backlog drops the opening packets, so that new connections hang.
+            self._listen(0)
+            for _ in range(2):
+                queued = socket.socket()
+                queued.setblocking(False)
+                queued.connect_ex((LOCAL, self.port))
+                self._queued.append(queued)
+            return
+        self._stop_listening()
+        if how == "reset":
+            for writer in self._writers:
+                writer.transport.abort()
+
+    async def _accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(self._listener)
+            task = asyncio.create_task(self._carry(accepted))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _carry(self, accepted):
+        reader, writer = await asyncio.open_connection(sock=accepted)
+        try:
+            target = await asyncio.open_connection(LOCAL, self._target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = {writer, target[1]}
+        self._writers |= pair
+        await asyncio.gather(self._pump(reader, target[1]), self._pump(target[0], writer))
+        self._writers -= pair
+
+    async def _pump(self, reader, writer):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                await self._carries.wait()
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+    def stop(self):
+        self._stop_listening()
+        for task in self._tasks:
+            task.cancel()
+
+
+@dataclass(frozen=True)
+class FirstTry:
+    """One request: its id, its gateway, when it was sent after the cut, status and time taken."""
+
+    request_id: str
+    gateway: int
+    sent_s: float
+    status: int
+    taken_s: float
+    body: bytes = b""
+
+
+class PartitionedSite:
+    """Three members, some gateways, replicas, and a link for each pair of gateway and replica."""
+
+    def __init__(self, folder, gateways=4, replicas=3, configuration=None, script=None, zones=None):
+        self.group = ControlGroup(folder)
+        self.runs = {}
+        self.replicas = [Replica(script or self._run) for _ in range(replicas)]
+        self.gateways = []
+        self.links = []
+        self._count = gateways
+        self._zones = zones or ["z1"] * gateways
+        self.configuration = configuration or routes()
+
+    async def _run(self, headers, writer, _number):
+        self.note_run(headers)
+        await asyncio.sleep(WORK_S)
+        writer.write(encode_response(headers[ID]))
+        return True
+
+    def note_run(self, headers):
+        self.runs[headers[ID]] = self.runs.get(headers[ID], 0) + 1
+
+    async def __aenter__(self):
+        await self.group.start()
+        for replica in self.replicas:
+            await replica.start()
+        for number in range(self._count):
+            self.links.append([FailingLink(replica.port) for replica in self.replicas])
+            self.gateways.append(await self.start_gateway(number))
+        await until(lambda: all(role.is_ready() for role in self.gateways))
+        return self
+
+    async def start_gateway(self, number):
+        """Start a gateway with the settings that the platform would give it."""
+        front, ready, inner, second_inner = free_ports(4)
+        platform_settings = PlatformSettings(
+            node=f"g{number}",
+            ip=LOCAL,
+            zone=self._zones[number],
+            inner_ports=[inner, second_inner],
+            seeds=[f"{LOCAL}:1"],
+            listen=PlatformListen(front=f"{LOCAL}:{front}", ready=f"{LOCAL}:{ready}"),
+            serves=["front"],
+        )
+        settings = translate(platform_settings)
+        gateway = msgspec.structs.replace(settings.gateway, control_seeds=self.group.addresses)
+        role = GatewayRole(settings, gateway, KEY, NAMES, JsonRouteCodec())
+        await role.start()
+        role._table = GatewayRoutingTable(self.configuration)
+        self.list_replicas(role, number)
+        return role
+
+    def list_replicas(self, role, number, models=("m",)):
+        """Tell a gateway the replicas, each at the address of its own link."""
+        plain = [
+            msgspec.structs.replace(
+                instance(replica, index), address=f"{LOCAL}:{link.port}", models=[]
+            )
+            for index, (replica, link) in enumerate(
+                zip(self.replicas, self.links[number], strict=True), start=1
+            )
+        ]
+        engines = [
+            msgspec.structs.replace(
+                item,
+                instance_id=f"{item.instance_id}e",
+                service="engines",
+                models=[LoadedModel(name) for name in models],
+            )
+            for item in plain
+        ]
+        change = DirectoryChange(role.registry.version + 1, [*plain, *engines], [])
+        role._on_directory(role.registry.adopt(change, True, time.monotonic()))
+
+    def cut(self, numbers, how):
+        """Let the links of some gateways to all replicas fail."""
+        for number in numbers:
+            for link in self.links[number]:
+                link.fail(how)
+
+    def restore(self, numbers):
+        for number in numbers:
+            for link in self.links[number]:
+                link.restore()
+
+    async def __aexit__(self, *_):
+        for role in self.gateways:
+            await role.stop()
+        for link in [link for links in self.links for link in links]:
+            link.stop()
+        for replica in self.replicas:
+            await replica.stop()
+        await self.group.stop()
+
+    async def try_once(self, number, route, request_id, started_at_s=0.0, headers=()):
+        """Send a request on a connection of its own; return what came of its first try."""
+        sent_at_s = time.monotonic()
+        status, body = 0, b""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+            connection = await asyncio.open_connection(LOCAL, self.gateways[number].port())
+            caller = Caller(*connection)
+            try:
+                caller.send(route, request_id, b"x", headers=["Connection: close", *headers])
+                found, response_headers = await caller.head()
+                body = await caller.body(response_headers)
+                status = found
+            finally:
+                caller.writer.close()
+        taken_s = time.monotonic() - sent_at_s
+        return FirstTry(request_id, number, sent_at_s - started_at_s, status, taken_s, body)
+
+    async def send(self, route, for_s, interval_s=0.025, headers=(), prefix="r"):
+        """Send requests to all gateways in turn; return their first tries."""
+        started_at_s = time.monotonic()
+        tasks = []
+        while time.monotonic() < started_at_s + for_s:
+            number = len(tasks) % len(self.gateways)
+            request_id = f"{prefix}{len(tasks)}"
+            sending = self.try_once(number, route, request_id, started_at_s, headers)
+            tasks.append(asyncio.create_task(sending))
+            await asyncio.sleep(interval_s)
+        return await asyncio.gather(*tasks)
+
+
+def served_share(tries):
+    """Return the share of first tries that were answered 200."""
+    return sum(item.status == 200 for item in tries) / max(1, len(tries))
--- /dev/null
+++ b/tests/test_partitioned_gateways.py
@@ -0,0 +1,47 @@
+"""Gateways that reach no replica while callers, the control group and other gateways reach them."""
+
+import asyncio
+
+import pytest
+
+from tests.partitioned_site import PartitionedSite, served_share
+
+# Time after which a machine knows what has changed around it; the users' bound.
+CONTACT_S = 3.0
+PLAYED_S = 5.0
+MODEL = ("crowsill-model: m", "crowsill-token-counts: 10,10")
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 60))
+
+
+@pytest.mark.parametrize(
+    ("route", "cut_off", "how"),
+    [
+        ("once", [0, 1], "reset"),
+        ("once", [0, 1], "silent"),
+        ("once", [0, 1], "no_new"),
+        ("safe", [0, 1], "reset"),
+        ("safe", [0, 1], "silent"),
+        ("once", [0, 1, 2], "reset"),
+        ("once", [0, 1, 2], "silent"),
+        ("engine", [0, 1], "reset"),
+    ],
+)
+def test_callers_of_gateways_without_any_replica_are_served(tmp_path, route, cut_off, how):
+    # These gateways refused every request while others reached all replicas.
+    async def scenario():
+        async with PartitionedSite(tmp_path) as site:
+            headers = MODEL if route == "engine" else ()
+            assert served_share(await site.send(route, 1.0, headers=headers, prefix="w")) == 1.0
+            site.cut(cut_off, how)
+            tries = await site.send(route, PLAYED_S, headers=headers)
+            late = [item for item in tries if item.sent_s >= CONTACT_S]
+            assert served_share([item for item in late if item.gateway not in cut_off]) > 0.98
+            assert served_share([item for item in late if item.gateway in cut_off]) > 0.98
+            for item in tries:
+                assert site.runs.get(item.request_id, 0) <= (1 if route != "safe" else 2)
+                assert item.status not in (503, 429, 421) or item.request_id not in site.runs
+
+    run(scenario())
