A member that a gateway has left no longer overwrites its newer status

Cause: a follower passes on the last status of each gateway for 4 s, and the leader took whatever came last for the newest; a gateway that moved to another member was described by its old status, and lived for up to 8 s. A status now carries its age, and the leader keeps the newer one. The new test failed before (the old status won; no age was passed on) and passes now.

The test of a follower's reports compared a passed-on status with the original; it now names the age as well.

--- a/src/crowsill/control/gateway_reports.py
+++ b/src/crowsill/control/gateway_reports.py
@@ -56,7 +56,7 @@
         is_due = self.use.is_due(leader, now_s)
         return Heartbeat(
             *fleet_position,
-            entries=self.live_entries.live(now_s) if is_due else [],
+            entries=self.live_entries.to_reports(now_s) if is_due else [],
             demand=self.demand.collect(),
             follows_configuration=False,
             urgent=self.urgent.collect(),
--- a/src/crowsill/control/subscribers.py
+++ b/src/crowsill/control/subscribers.py
@@ -9,6 +9,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from crowsill.model.configuration import ConfigurationDelta
 from crowsill.model.fleet import FleetDelta, FleetView
 from crowsill.model.suspects import SuspectChange
@@ -44,9 +46,15 @@
         self._entries: dict[str, _LiveEntry] = {}
 
     def note(self, statuses: list[EntryStatus], now_s: float) -> None:
-        """Record the status reports of entries."""
+        """Record the status reports of entries, unless newer ones are known.
+
+        A member that an entry has left still passes on the last status that it got.
+        """
         for status in statuses:
-            self._entries[status.incarnation] = _LiveEntry(status, now_s)
+            seen_at_s = now_s - status.age_s
+            known = self._entries.get(status.incarnation)
+            if known is None or known.seen_at_s <= seen_at_s:
+                self._entries[status.incarnation] = _LiveEntry(status, seen_at_s)
 
     def live(self, now_s: float) -> list[EntryStatus]:
         """Return the entries that reported within `ENTRY_EXPIRY_S`; forget the others."""
@@ -58,6 +66,14 @@
         }
         return [entry.status for entry in self._entries.values()]
 
+    def to_reports(self, now_s: float) -> list[EntryStatus]:
+        """Return the status reports with their age, as a follower passes them on."""
+        self.live(now_s)
+        return [
+            msgspec.structs.replace(entry.status, age_s=round(now_s - entry.seen_at_s, 3))
+            for entry in self._entries.values()
+        ]
+
 
 class DemandCounter:
     """Counts requests by resource since the last collection."""
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -96,6 +96,7 @@
         revision: Configuration revision that it serves.
         excluded: Replicas to which the entry, as a gateway, currently sends no requests; incomplete
             if there are many.
+        age_s: Time in seconds since the entry reported it, where a follower passes it on.
     """
 
     incarnation: str
@@ -103,6 +104,7 @@
     zone: str
     revision: int
     excluded: list[ExcludedReplica] = []
+    age_s: float = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
--- a/tests/test_gateway_use.py
+++ b/tests/test_gateway_use.py
@@ -14,6 +14,7 @@
 from crowsill.control.gateway_use import REPORT_LIFETIME_S, TOTAL_LIFETIME_S, GatewayUse
 from crowsill.control.quota_grants import QuotaBounds, QuotaGrants
 from crowsill.control.service import MemberService
+from crowsill.control.subscribers import LiveEntries
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.model.instances import Instance
 from crowsill.model.replica_use import NO_USE, ReplicaUse
@@ -49,7 +50,8 @@
     assert first_heartbeat.entries == [entry] and first_heartbeat.in_use == {"a": ReplicaUse(2)}
     next_heartbeat = reports.make_heartbeat("leader 1", (0, 0), 0.1)
     assert next_heartbeat.entries == [] and next_heartbeat.in_use is None
-    assert reports.make_heartbeat("leader 2", (0, 0), 0.15).entries == [entry]
+    aged_entry = EntryStatus("g1.1", "g1", "z", 0, age_s=0.15)
+    assert reports.make_heartbeat("leader 2", (0, 0), 0.15).entries == [aged_entry]
     assert reports.make_heartbeat("leader 2", (0, 0), 0.5).in_use == {"a": ReplicaUse(2)}
 
 
@@ -97,3 +99,14 @@
         assert (await send_heartbeat("e1.1")).in_use is None, "no report, so no total in return"
 
     asyncio.run(scenario())
+
+
+def test_a_member_that_a_gateway_has_left_does_not_overwrite_its_newer_status():
+    # The last status that such a member got was passed on for 4 s, and was taken for the newest.
+    left, leader = LiveEntries(), LiveEntries()
+    left.note([EntryStatus("g1.1", "g1", "z", 0)], 10.0)
+    leader.note([EntryStatus("g1.1", "g1", "z", 1)], 11.0)
+    leader.note(left.to_reports(11.5), 11.5)
+    assert [status.revision for status in leader.live(11.5)] == [1]
+    # Passing it on does not prolong its life.
+    assert left.to_reports(13.9)[0].age_s == 3.9 and leader.live(15.1) == []
