--- a/src/crowsill/control/gateway_reports.py
+++ b/src/crowsill/control/gateway_reports.py
@@ -1,8 +1,13 @@
 """Collects the reports in heartbeats of gateways and entries, and forwards them to the leader."""
 
+import secrets
+from random import Random
+
+from crowsill.control.gateway_peers import GatewayPeers
 from crowsill.control.gateway_use import GatewayUse
 from crowsill.control.replica_grants import ReplicaGrants
 from crowsill.control.subscribers import DemandCounter, LiveEntries
+from crowsill.model.peers import PeerOffer
 from crowsill.model.replica_use import UseByReplica
 from crowsill.transport.messages import Heartbeat
 
@@ -18,6 +23,7 @@
             found no replica with capacity.
         use: The gateways' use of replicas.
         replica_grants: Rate limits that replicas advertise, and the grants under them.
+        peers: Gateways that accept requests of others.
     """
 
     def __init__(self) -> None:
@@ -27,6 +33,7 @@
         self.overloaded = DemandCounter()
         self.use = GatewayUse()
         self.replica_grants = ReplicaGrants()
+        self.peers = GatewayPeers(Random(secrets.randbits(64)))
 
     def note(self, heartbeat: Heartbeat, now_s: float) -> None:
         """Record a heartbeat's reports; `use` is recorded separately, by its source."""
@@ -40,6 +47,12 @@
         """Return the use of replicas by all gateways, as far as this member knows it."""
         return self.use.sum(now_s) if is_leader else self.use.total(now_s)
 
+    def peer_offers(self, zone: str, now_s: float) -> list[PeerOffer]:
+        """Return offers of gateways to tell a gateway or follower of a zone."""
+        live = self.live_entries.live(now_s)
+        own = [status.peer for status in live if status.peer is not None]
+        return self.peers.select(own, zone, now_s)
+
     def make_heartbeat(
         self, leader: object, fleet_position: tuple[int, int], now_s: float
     ) -> Heartbeat:
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -319,7 +319,8 @@
         if heartbeat.in_use is None:
             return freshness
         in_use = self.reports.total_use(driver.is_leader, monotonic_s())
-        return msgspec.structs.replace(freshness, in_use=in_use)
+        peers = self.reports.peer_offers(connection.peer.zone, monotonic_s())
+        return msgspec.structs.replace(freshness, in_use=in_use, peers=peers)
 
     async def has_applied(self, freshness: Freshness, deadline_at_s: float) -> bool:
         """Wait until this member has applied the confirmed state; return False on a time-out.
@@ -404,7 +405,8 @@
         if reply.in_use is None:
             return reply
         self.reports.use.note_total(reply.in_use, monotonic_s())
-        return msgspec.structs.replace(reply, in_use=None)
+        self.reports.peers.note_from_leader(reply.peers, monotonic_s())
+        return msgspec.structs.replace(reply, in_use=None, peers=[])
 
     async def refresh_from_leader(self) -> None:
         """Query the leader once, so that this member follows the fleet without any entry."""
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -91,6 +91,24 @@
         "A replica no longer advertises a rate limit; the line counts the requests sent under it.",
     )
 
+    LINKS_LOST = EventDefinition(
+        217,
+        "WARNING",
+        "This gateway reaches no replica of a service, although the directory lists some.",
+    )
+    LINKS_RESTORED = EventDefinition(
+        218, "INFO", "This gateway reaches a replica of the service again."
+    )
+    SENT_TO_PEER = EventDefinition(
+        219, "INFO", "A request was passed to another gateway that reaches replicas."
+    )
+    RECEIVED_FROM_PEER = EventDefinition(
+        220, "INFO", "Another gateway passed on a request that it can't send to a replica itself."
+    )
+    PEER_FAILED = EventDefinition(
+        221, "INFO", "A gateway to which a request was passed did not serve it."
+    )
+
     ROLE_CHANGED = EventDefinition(300, "INFO", "This control member changed its role.")
     LOG_TAIL_CUT = EventDefinition(
         301, "WARNING", "An incomplete, unsynced record at the end of the log was truncated."
--- a/src/crowsill/gateway/admission.py
+++ b/src/crowsill/gateway/admission.py
@@ -35,7 +35,18 @@
         units: Units that it counts against the tenant's rate; 0 if that is not limited.
     """
 
-    def __init__(self, context: ExchangeContext, request: CallerRequest) -> None:
+    def __init__(
+        self, context: ExchangeContext, request: CallerRequest, is_charged: bool = True
+    ) -> None:
+        """Create the admission of one request.
+
+        Args:
+            context: The gateway process.
+            request: The request.
+            is_charged: Whether this gateway charges the tenant; a peer that passed the request on
+                has charged it.
+        """
+        self._is_charged = is_charged
         self.requires_key = False
         self.tenant: Tenant | None = None
         self.units = 0.0
@@ -97,7 +108,7 @@
     async def _charge_units(self, deadline_at_s: float) -> Rejection | None:
         tenant = self.tenant
         # A request on a public route is charged to no tenant: anybody may send it without a key.
-        if tenant is None or not tenant.is_limited or self._is_public:
+        if tenant is None or not tenant.is_limited or self._is_public or not self._is_charged:
             return None
         self.units = tenant.cost(self._request.prompt_tokens + self._request.output_tokens)
         charged = await self._context.quota_grants.charge(tenant, self.units, deadline_at_s)
--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -203,7 +203,9 @@
         status, headers = self._status, self._headers
         not_run = find_header(headers, self._names.not_run) is not None or status == 421
         if not_run:
-            return AttemptEnd(AttemptResult.NOT_RUN, status, detail=f"status {status}")
+            return AttemptEnd(
+                AttemptResult.NOT_RUN, status, headers=headers, detail=f"status {status}"
+            )
         if status in NOT_RUN_STATUSES or not self._is_acceptable():
             return AttemptEnd(
                 AttemptResult.FAILED, status, detail=f"unacceptable response, status {status}"
--- a/src/crowsill/gateway/availability.py
+++ b/src/crowsill/gateway/availability.py
@@ -42,7 +42,7 @@
         LISTED_DRAINING: The directory lists it as draining.
         BACKING_OFF: It asked for a backoff in a response.
         RATE_LIMITED: All gateways together have used up the rate limit that it advertises.
-        UNREACHABLE: No connection could be made to it.
+        UNREACHABLE: No connection could be made to it from here.
         FAILING: It interrupted responses; it is tried if no other replica is left.
     """
 
@@ -97,7 +97,9 @@
         in_flight_at_shed: Accepted requests of this process when it last asked for a backoff.
         shed_backoff_s: Length of that backoff; 0 if it never asked for one.
         is_listed_draining: Whether the directory lists it as draining.
-        is_unreachable: Whether the last attempt to connect to it failed.
+        is_unreachable: Whether the last attempt to connect to it failed, and no connection is open.
+        refuses_connections: Whether it refused the last new connection while others were open; it
+            gets requests on those.
         failures: Responses that it interrupted, in a row.
         failure_pause_ends_at_s: Time until which it is tried only if no other replica is left.
         missing_resources: Models and adapters that it reported as not loaded.
@@ -129,6 +131,7 @@
     shed_backoff_s: float = 0.0
     is_listed_draining: bool = False
     is_unreachable: bool = False
+    refuses_connections: bool = False
     failures: int = 0
     failure_pause_ends_at_s: float = float("-inf")
     missing_resources: set[str] = field(default_factory=set)
@@ -145,9 +148,7 @@
 
     def _update_available_at(self) -> None:
         """Recompute `available_at_s` from the other attributes."""
-        is_closed_indefinitely = (
-            self.has_reported_draining or self.is_listed_draining or self.is_unreachable
-        )
+        is_closed_indefinitely = self.is_draining or self.is_unreachable
         self.available_at_s = float("inf") if is_closed_indefinitely else self.urgent_opens_at_s
 
     @property
@@ -163,6 +164,15 @@
             else max(self.urgent_opens_at_s, self.non_urgent_opens_at_s)
         )
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether it drains, by its own responses or by the directory."""
+        return self.has_reported_draining or self.is_listed_draining
+
+    def is_reachable(self, has_idle_connection: bool) -> bool:
+        """Whether a request can be sent to it from here, on an idle connection or a new one."""
+        return not self.is_unreachable and (has_idle_connection or not self.refuses_connections)
+
     @property
     def is_closed_indefinitely(self) -> bool:
         """Whether it is sent nothing until a report or a successful connection changes that."""
@@ -195,11 +205,7 @@
 
     def accepts_on_open_connection(self, now_s: float) -> bool:
         """Whether a request may be sent on an open connection; checked right before it is sent."""
-        return (
-            not self.has_reported_draining
-            and not self.is_listed_draining
-            and not self.is_backing_off(now_s)
-        )
+        return not self.is_draining and not self.is_backing_off(now_s)
 
     # Reports of the replica.
 
@@ -296,7 +302,8 @@
         """Record a complete response: it is reachable and no longer failing."""
         self.failures = 0
         self.failure_pause_ends_at_s = float("-inf")
-        self.note_reachable()
+        # A response on an open connection does not show that new ones are accepted.
+        self._note_response()
 
     def note_failure(self, now_s: float) -> None:
         """Record that it could not be reached or interrupted a response.
@@ -312,12 +319,20 @@
         self.failure_pause_ends_at_s = now_s + pause_s
 
     def note_unreachable(self) -> None:
-        """Record that no connection could be made."""
+        """Record that no connection could be made, and that none is open."""
         self.is_unreachable = True
         self._update_available_at()
 
+    def note_refuses_connections(self) -> None:
+        """Record that it refused a new connection while others are open."""
+        self.refuses_connections = True
+
     def note_reachable(self) -> None:
         """Record that a connection could be made."""
+        self.refuses_connections = False
+        self._note_response()
+
+    def _note_response(self) -> None:
         self.is_unreachable = False
         self._update_available_at()
 
@@ -325,6 +340,7 @@
         """Drop all but its backoff, rate limit and drain reports, as its record is removed."""
         self.missing_resources.clear()
         self.is_listed_draining = False
+        self.refuses_connections = False
         self.note_complete_response()
 
     # Requests after a backoff.
--- a/src/crowsill/gateway/context.py
+++ b/src/crowsill/gateway/context.py
@@ -8,10 +8,12 @@
 from crowsill.gateway.demand import DemandReporter
 from crowsill.gateway.fingerprint import Fingerprints
 from crowsill.gateway.headers import HeaderNames
+from crowsill.gateway.peers.peers import Peers
 from crowsill.gateway.pool import ConnectionPool
 from crowsill.gateway.quota import QuotaGrantClient
 from crowsill.gateway.replica_grants import ReplicaGrants
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
+from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.routing.shared_budget import SharedRetryBudget
 
@@ -30,6 +32,8 @@
     fingerprints: Fingerprints
     crash_guard: CrashGuard
     crash_watch: CrashWatch
+    peers: Peers
+    replica_watch: ReplicaWatch
 
     @property
     def revocation_s(self) -> float:
@@ -61,12 +65,6 @@
     def budget(self, service: str) -> SharedRetryBudget:
         """Return the retry budget of a service."""
 
-    def on_unreachable(self, record: ReplicaRecord) -> None:
-        """Exclude a replica until a connection to it can be opened again."""
-
-    def on_backoff(self, record: ReplicaRecord) -> None:
-        """Check a replica again when the backoff that it requested ends."""
-
     def on_draining(self, record: ReplicaRecord) -> None:
         """Report to the group that a replica drains, until the group has recorded it."""
 
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -15,6 +15,8 @@
 from crowsill.gateway.context import ExchangeContext
 from crowsill.gateway.exchange_log import ExchangeLog
 from crowsill.gateway.outcome import Outcome
+from crowsill.gateway.peers.sender import PeerSender
+from crowsill.gateway.peers.wire import PeerTerms
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.rejection import Rejection
 from crowsill.gateway.repeat_guard import RepeatGuard
@@ -26,6 +28,7 @@
     NoReplicaReason,
     SelectionLimits,
     choose,
+    is_running_elsewhere,
 )
 from crowsill.gateway.sender import Sender
 from crowsill.gateway.waiting import STOPPING_RETRY_AFTER_S, WaitingRequest
@@ -52,18 +55,42 @@
     """Serves one request."""
 
     def __init__(
-        self, context: ExchangeContext, caller: CallerConnection, request: CallerRequest
+        self,
+        context: ExchangeContext,
+        caller: CallerConnection,
+        request: CallerRequest,
+        terms: PeerTerms | None = None,
     ) -> None:
+        """Create the exchange of one request.
+
+        Args:
+            context: The gateway process.
+            caller: Connection of the caller, or of the gateway that passed the request on.
+            request: The request.
+            terms: What that gateway tells about it; None for a request of a caller.
+        """
         self._context = context
         self._caller = caller
         self._request = request
+        self._terms = terms
         self._loop = asyncio.get_running_loop()
         self._progress = Progress()
         self._service = ""
         self._log = ExchangeLog(request, context.fingerprints)
-        self._admission = Admission(context, request)
+        self._admission = Admission(context, request, is_charged=terms is None)
         self._repeat_guard = RepeatGuard(context, request, self._log)
-        self._outcome = Outcome(context, caller, request, self._progress, self._log)
+        self._outcome = Outcome(
+            context, caller, request, self._progress, self._log, is_for_peer=terms is not None
+        )
+        self._peer_sender = PeerSender(
+            context,
+            caller,
+            request,
+            self._progress,
+            self._log,
+            admission=self._admission,
+            repeat_guard=self._repeat_guard,
+        )
         self._sender = Sender(
             context,
             caller,
@@ -116,14 +143,14 @@
 
     async def _serve_admitted(self, route: Route, deadline_at_s: float) -> None:
         """Serve a request that passed admission."""
-        self._service = pick_service(route, self._context.random)
         self._log.route = route
-        self._log.service = self._service
-        self._context.budget(self._service).earn(self._loop.time())
-        request = self._request
-        table = self._context.table
-        urgency = 0.0 if table is None else table.urgency(route)
-        self._context.demand.note_request(self._service, request.model, request.adapter, urgency)
+        if self._terms is None:
+            self._log.service = self._service = pick_service(route, self._context.random)
+            self._count_request(route)
+        else:
+            self._log.service = self._service = self._terms.service
+            self._progress.attempts = self._terms.attempts
+            self._log.log_received_from_peer(self._terms)
         try:
             async with asyncio.timeout_at(deadline_at_s):
                 await self._serve(route, deadline_at_s)
@@ -133,6 +160,13 @@
             if not self._progress.may_have_run:
                 self._admission.return_units()
 
+    def _count_request(self, route: Route) -> None:
+        """Count the request as demand, and for the retry budget of its service."""
+        self._context.budget(self._service).earn(self._loop.time())
+        request, table = self._request, self._context.table
+        urgency = 0.0 if table is None else table.urgency(route)
+        self._context.demand.note_request(self._service, request.model, request.adapter, urgency)
+
     def _reject(self, rejection: Rejection) -> None:
         """Reject the request; as "not run" only if no replica can have run it."""
         if self._progress.may_have_run:
@@ -163,37 +197,88 @@
             self._outcome.reject(ErrorKind.OVERLOADED, detail, STOPPING_RETRY_AFTER_S)
             return
         waiting = WaitingRequest(self._context, self._request, route, self._progress, self._log)
-        while True:
+        is_ended = False
+        while not is_ended:
             rejection = await self._repeat_guard.await_duplicate() or self._admission.recheck()
             if rejection is not None:
                 self._reject(rejection)
                 return
             choice = self._choose(route)
-            if isinstance(choice, NoReplicaReason):
-                if await waiting.wait(choice):
-                    continue
-                self._outcome.give_up(waiting.give_up(choice, self._admission.rank(route)))
-                return
-            is_retry = self._progress.attempts > 0
-            if is_retry and not self._spend_retry():
-                reason = NoReplicaReason.ALL_TRIED
-                self._outcome.give_up(waiting.give_up(reason, self._admission.rank(route)))
-                return
-            if self._progress.may_have_run:
-                rejection = await self._admission.charge_again(to_monotonic_at_s(deadline_at_s))
-                if rejection is not None:
-                    self._reject(rejection)
-                    return
-            end = await self._sender.send(
-                route, choice, deadline_at_s, self._outcome.closes_connection()
-            )
-            if end is None:
-                self._refund(is_retry)
-                continue
-            if not await self._should_retry(route, choice, end):
-                self._outcome.respond(end)
+            if isinstance(choice, Choice):
+                is_ended = await self._serve_by_replica(route, choice, deadline_at_s, waiting)
+            elif self._can_ask_peer():
+                is_ended = await self._serve_by_peer(route, deadline_at_s)
+            elif not (self._may_wait(choice) and await waiting.wait(choice)):
+                self._give_up(waiting, choice, route)
                 return
 
+    def _give_up(self, waiting: WaitingRequest, reason: NoReplicaReason, route: Route) -> None:
+        """Reject the request because no replica can take it."""
+        self._outcome.give_up(waiting.give_up(reason, self._admission.rank(route)))
+
+    async def _serve_by_replica(
+        self, route: Route, choice: Choice, deadline_at_s: float, waiting: WaitingRequest
+    ) -> bool:
+        """Send the request to a replica; return False if it may be sent again."""
+        is_retry = self._progress.attempts > 0
+        if is_retry and not self._spend_retry():
+            self._give_up(waiting, NoReplicaReason.ALL_TRIED, route)
+            return True
+        if not await self._charge_repetition(deadline_at_s):
+            return True
+        end = await self._sender.send(
+            route, choice, deadline_at_s, self._outcome.closes_connection()
+        )
+        if end is None:
+            self._refund(is_retry)
+            return False
+        if await self._should_retry(route, choice, end):
+            return False
+        self._outcome.respond(end)
+        return True
+
+    async def _charge_repetition(self, deadline_at_s: float) -> bool:
+        """Charge another run if a replica may have run the request; return False if rejected."""
+        if not self._progress.may_have_run:
+            return True
+        rejection = await self._admission.charge_again(to_monotonic_at_s(deadline_at_s))
+        if rejection is not None:
+            self._reject(rejection)
+        return rejection is None
+
+    def _can_ask_peer(self) -> bool:
+        """Whether to pass the request to a gateway that reaches replicas this one doesn't reach.
+
+        A request takes one hop at most: two gateways without links would pass it to and fro.
+        """
+        if self._terms is not None or not self._peer_sender.has_peer():
+            return False
+        records = self._context.registry.of_service(self._service)
+        return is_running_elsewhere(records, self._request, self._context.pool.has_idle)
+
+    async def _serve_by_peer(self, route: Route, deadline_at_s: float) -> bool:
+        """Pass the request to a peer; return False if it may be sent again."""
+        if not await self._charge_repetition(deadline_at_s):
+            return True
+        end = await self._peer_sender.send(route, deadline_at_s, self._outcome.closes_connection())
+        if end is None or (self._may_repeat(route, end) and self._has_destination(route)):
+            return False
+        self._outcome.respond(end)
+        return True
+
+    def _may_wait(self, reason: NoReplicaReason) -> bool:
+        """Whether the request may wait here for a replica.
+
+        One that a peer passed on waits only if the peer can't ask another gateway, and not for what
+        the peer can await itself.
+        """
+        if self._terms is None:
+            return True
+        return self._terms.may_wait and reason in (
+            NoReplicaReason.ALL_FULL,
+            NoReplicaReason.ALL_CLOSED,
+        )
+
     def _may_outlast_process(self, deadline_at_s: float) -> bool:
         """Whether this process may stop before a stream ends; another gateway can serve it."""
         stop_at_s = self._context.stop_limit_at_s()
@@ -252,16 +337,26 @@
             progress.may_have_run = progress.runs > 0
             progress.last_failure = end.detail
             return True
+        if not self._may_repeat(route, end) or not self._has_destination(route):
+            return False
+        return await self._repeat_guard.may_repeat(choice.record.instance, end)
+
+    def _may_repeat(self, route: Route, end: AttemptEnd) -> bool:
+        """Whether the route and the retry budget allow another run after a failed one."""
         failed_response = (
             end.result is AttemptResult.COMPLETE and end.status >= MIN_SERVER_ERROR_STATUS
         )
         if end.relayed or not (end.result is AttemptResult.FAILED or failed_response):
             return False
+        # The gateway that passed the request on decides whether it runs again.
+        if self._terms is not None:
+            return False
         repeatable = route.may_repeat or (route.kind is RouteKind.STREAM and route.resumable)
-        if not repeatable or progress.runs >= route.max_attempts:
+        if not repeatable or self._progress.runs >= route.max_attempts:
             return False
         budget = self._context.budget(self._service)
-        retries_left = budget.left(self._loop.time(), self._context.gateways)
-        if retries_left < 1.0 or isinstance(self._choose(route), NoReplicaReason):
-            return False
-        return await self._repeat_guard.may_repeat(choice.record.instance, end)
+        return budget.left(self._loop.time(), self._context.gateways) >= 1.0
+
+    def _has_destination(self, route: Route) -> bool:
+        """Whether a replica or a peer can take the request now."""
+        return not isinstance(self._choose(route), NoReplicaReason) or self._can_ask_peer()
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -5,6 +5,7 @@
 from crowsill.events import Event
 from crowsill.gateway.attempt import Attempt
 from crowsill.gateway.fingerprint import Fingerprints
+from crowsill.gateway.peers.wire import PeerTerms
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
@@ -12,6 +13,7 @@
 from crowsill.gateway.wait_decision import wait_budget
 from crowsill.logs import log_event
 from crowsill.metrics import GATEWAY_FIRST_BYTE_S, GATEWAY_REQUESTS, REPLICA_SIGNALS
+from crowsill.model.peers import PeerOffer
 from crowsill.model.routes import Route, RouteKind
 
 
@@ -104,6 +106,40 @@
             ms=self._age_ms(),
         )
 
+    def log_sent_to_peer(self, peer: PeerOffer, attempt_number: int) -> None:
+        """Log that the request is passed to another gateway."""
+        log_event(
+            Event.SENT_TO_PEER,
+            request=self.request_id,
+            service=self.service,
+            resource=self._request.resource,
+            peer=peer.address,
+            peer_requests=peer.requests,
+            sending=attempt_number,
+            ms=self._age_ms(),
+        )
+
+    def log_received_from_peer(self, terms: PeerTerms) -> None:
+        """Log that another gateway passed the request on."""
+        log_event(
+            Event.RECEIVED_FROM_PEER,
+            request=self.request_id,
+            service=terms.service,
+            sendings=terms.attempts,
+            may_wait=terms.may_wait,
+        )
+
+    def log_peer_failed(self, address: str, result: str, detail: str) -> None:
+        """Log that another gateway did not serve the request."""
+        log_event(
+            Event.PEER_FAILED,
+            request=self.request_id,
+            peer=address,
+            result=result,
+            detail=detail,
+            ms=self._age_ms(),
+        )
+
     def log_attempt_failed(self, record: ReplicaRecord, result: str, detail: str) -> None:
         """Log an attempt without a response to relay."""
         log_event(
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -18,6 +18,7 @@
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.logs import log_event
+from crowsill.model.peers import PeerOffer
 from crowsill.model.suspects import SuspectChange
 from crowsill.settings import Address
 from crowsill.state.route_store import RouteDocument
@@ -69,12 +70,16 @@
             receives the number of gateways and the time (`clock.monotonic_s`) just before the
             heartbeat was sent.
         on_suspects: Receives a change of the crash record, and whether it is the full record.
+        peer_offer: Returns what this gateway offers to others; None for nothing.
+        on_peers: Receives what other gateways offer, as far as the group reports it.
     """
 
     on_routes: Callable[[RouteDocument], None]
     on_directory: Callable[[list[str]], None]
     on_current: Callable[[int, float], None]
     on_suspects: Callable[[SuspectChange, bool], None]
+    peer_offer: Callable[[], PeerOffer | None] = lambda: None
+    on_peers: Callable[[list[PeerOffer]], None] = lambda _offers: None
 
 
 class GatewayFollower:
@@ -203,7 +208,8 @@
     async def _heartbeat(self, connection: Connection) -> bool:
         local = self._local
         excluded = self.registry.excluded(monotonic_s())
-        status = EntryStatus(local.identity, local.node, local.zone, 0, excluded)
+        offer = self._hooks.peer_offer()
+        status = EntryStatus(local.identity, local.node, local.zone, 0, excluded, offer)
         demand = self.demand.collect()
         urgent = self.urgent.collect()
         overloaded = self.overloaded.collect()
@@ -236,6 +242,7 @@
             # The counts are dropped. Sent later, they would look like a burst of requests.
             return False
         self.registry.note_limit_reports(reply.limits, monotonic_s())
+        self._hooks.on_peers(reply.peers)
         if reply.in_use is not None:
             self.registry.note_total_use(reply.in_use, in_use, monotonic_s())
         if reply.members:
--- a/src/crowsill/gateway/forwarding.py
+++ b/src/crowsill/gateway/forwarding.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from crowsill.gateway.headers import HeaderNames, end_to_end_headers
+from crowsill.gateway.headers import HeaderNames, Headers, end_to_end_headers
 from crowsill.gateway.request import CallerRequest
 
 MAX_RANK = 9
@@ -49,6 +49,12 @@
     headers.append((names.expect_instance, terms.replica.encode()))
     if request.model:
         headers.append((names.priority, b"%d" % min(MAX_RANK, terms.rank)))
+    return encode_request(request, headers)
+
+
+def encode_request(request: CallerRequest, headers: Headers) -> bytes:
+    """Return an HTTP request with a caller's method, target and body, and the given headers."""
+    headers = list(headers)
     if request.body or request.method in METHODS_WITH_BODY:
         headers.append((b"Content-Length", b"%d" % len(request.body)))
     lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
--- /dev/null
+++ b/src/crowsill/gateway/link_state.py
@@ -0,0 +1,72 @@
+"""Services of which this gateway reaches no replica, although the directory lists some."""
+
+from collections.abc import Callable
+
+from crowsill.events import Event
+from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
+from crowsill.logs import log_event
+from crowsill.model.peers import MAX_REPORTED_SERVICES
+
+
+class LinkState:
+    """The unreachable services of one gateway.
+
+    A replica that fails alone has failed. If all replicas of a service fail here at once while they
+    send heartbeats and serve other gateways, this gateway has lost its own links.
+    """
+
+    def __init__(self, registry: ReplicaRegistry, has_idle: Callable[[str], bool]) -> None:
+        """Create the state.
+
+        Args:
+            registry: The known replicas.
+            has_idle: Returns whether an idle connection to an instance is open.
+        """
+        self._registry = registry
+        self._has_idle = has_idle
+        self._unreachable: dict[str, int] = {}
+        self._lost_ids: set[str] = set()
+
+    def update(self) -> None:
+        """Determine the unreachable services again, and log those that changed."""
+        found = self._find_unreachable()
+        for service in found.keys() - self._unreachable.keys():
+            log_event(Event.LINKS_LOST, service=service, replicas=found[service])
+        for service in self._unreachable.keys() - found.keys():
+            log_event(Event.LINKS_RESTORED, service=service)
+        self._unreachable = found
+        self._lost_ids &= {record.instance.instance_id for record in self._registry.listed()}
+        for service in found:
+            if self.has_lost_links(service):
+                records = self._registry.of_service(service)
+                self._lost_ids.update(record.instance.instance_id for record in records)
+
+    def note_reached(self, record: ReplicaRecord) -> None:
+        """Forget a replica's failures if it was unreachable because of this gateway's links."""
+        if record.instance.instance_id in self._lost_ids:
+            self._lost_ids.discard(record.instance.instance_id)
+            record.forget_failures()
+        self.update()
+
+    def _find_unreachable(self) -> dict[str, int]:
+        """Return the number of listed replicas of each unreachable service."""
+        listed: dict[str, list[ReplicaRecord]] = {}
+        for record in self._registry.listed():
+            listed.setdefault(record.instance.service, []).append(record)
+        return {
+            service: len(records)
+            for service, records in listed.items()
+            if not any(self.is_reachable(record) for record in records)
+        }
+
+    def is_reachable(self, record: ReplicaRecord) -> bool:
+        """Whether a request can be sent to a replica from here."""
+        return record.availability.is_reachable(self._has_idle(record.instance.instance_id))
+
+    def unreachable_services(self) -> list[str]:
+        """Return the unreachable services, at most `MAX_REPORTED_SERVICES`."""
+        return sorted(self._unreachable)[:MAX_REPORTED_SERVICES]
+
+    def has_lost_links(self, service: str) -> bool:
+        """Whether several replicas of a service are listed and none is reached from here."""
+        return self._unreachable.get(service, 0) > 1
--- a/src/crowsill/gateway/outcome.py
+++ b/src/crowsill/gateway/outcome.py
@@ -6,10 +6,13 @@
 """
 
 from crowsill.errors import ErrorKind, Problem
+from crowsill.errors import Outcome as RunOutcome
 from crowsill.gateway.attempt import Attempt, AttemptEnd, AttemptResult, encode_complete_response
 from crowsill.gateway.caller_protocol import CallerConnection
 from crowsill.gateway.context import ExchangeContext
 from crowsill.gateway.exchange_log import ExchangeLog
+from crowsill.gateway.headers import Headers
+from crowsill.gateway.peers.wire import ATTEMPTS
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.response import encode_problem
@@ -30,7 +33,20 @@
         request: CallerRequest,
         progress: Progress,
         log: ExchangeLog,
+        *,
+        is_for_peer: bool = False,
     ) -> None:
+        """Create the outcome of one request.
+
+        Args:
+            context: The gateway process.
+            caller: Connection of the caller, or of the gateway that passed the request on.
+            request: The request.
+            progress: Its attempts.
+            log: Its log lines.
+            is_for_peer: Whether another gateway passed it on.
+        """
+        self._is_for_peer = is_for_peer
         self._context = context
         self._caller = caller
         self._request = request
@@ -68,6 +84,9 @@
             kind, detail = ErrorKind.NO_REPLICA, "no replica holds the model yet"
         elif reason is NoReplicaReason.NO_REPLICA:
             kind, detail = ErrorKind.NO_REPLICA, "the service has no replica"
+        elif reason is NoReplicaReason.UNREACHABLE:
+            kind = ErrorKind.NO_REPLICA
+            detail = "this gateway reaches no replica of the service, and no other gateway helped"
         elif reason is NoReplicaReason.ALL_CLOSED:
             detail = rejected.detail or "every replica that could run it is temporarily excluded"
         self.reject(kind, detail, round(rejected.retry_after_s, 2))
@@ -114,10 +133,22 @@
         close = self.closes_connection()
         problem = Problem(kind, detail)
         response = encode_problem(
-            problem, self._request.request_id, names.request_id, close, retry_after_s
+            problem,
+            self._request.request_id,
+            names.request_id,
+            close,
+            retry_after_s,
+            more_headers=self._headers_for_peer(problem),
         )
         self._caller.write(response)
         self._caller.finish(not close)
 
+    def _headers_for_peer(self, problem: Problem) -> Headers:
+        """Return the headers that tell a peer that the request may be sent elsewhere."""
+        if not self._is_for_peer or problem.answer.outcome is not RunOutcome.NOT_RUN:
+            return []
+        attempts = b"%d" % self._progress.attempts
+        return [(self._context.names.not_run, b"1"), (ATTEMPTS, attempts)]
+
     def _log_rejected(self, kind: str, detail: str, retry_after_s: float | None = None) -> None:
         self._log.log_rejected(kind, detail, self._progress, retry_after_s)
--- /dev/null
+++ b/src/crowsill/gateway/peers/registry.py
@@ -0,0 +1,109 @@
+"""The other gateways that this one knows, and the choice among them. Pure."""
+
+from collections import Counter
+from dataclasses import dataclass
+from random import Random
+
+from crowsill.model.peers import PeerOffer
+
+# The group reports offers twice a second. Without the group, old ones are still worth a try: a peer
+# that is gone, or can't help, says so at once.
+OFFER_LIFETIME_S = 10.0
+# How long a peer that could not be reached is not asked again.
+FAILURE_PAUSE_S = 2.0
+# Traffic between zones is paid for, so a peer of another zone must have this many requests less.
+OTHER_ZONE_REQUESTS = 20
+
+
+@dataclass(slots=True)
+class _KnownPeer:
+    offer: PeerOffer
+    received_at_s: float
+    failing_until_s: float = float("-inf")
+
+
+class PeerRegistry:
+    """Offers of other gateways, by address.
+
+    Attributes:
+        own_address: `IP:port` of this gateway's own listener for peers; empty without one.
+    """
+
+    def __init__(self, zone: str, random: Random) -> None:
+        """Create a registry.
+
+        Args:
+            zone: Zone of this gateway.
+            random: Source of the choice among equals.
+        """
+        self.own_address = ""
+        self._zone = zone
+        self._random = random
+        self._known: dict[str, _KnownPeer] = {}
+        self._in_flight: Counter[str] = Counter()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no other gateway is known."""
+        return not self._known
+
+    def note_offers(self, offers: list[PeerOffer], now_s: float) -> None:
+        """Record offers that the group reported, and forget old ones."""
+        for offer in offers:
+            if offer.address == self.own_address:
+                continue
+            known = self._known.setdefault(offer.address, _KnownPeer(offer, now_s))
+            known.offer, known.received_at_s = offer, now_s
+        self._known = {
+            address: known
+            for address, known in self._known.items()
+            if now_s - known.received_at_s < OFFER_LIFETIME_S
+        }
+
+    def note_unreachable(self, address: str, now_s: float) -> None:
+        """Record that a peer could not be reached."""
+        known = self._known.get(address)
+        if known is not None:
+            known.failing_until_s = now_s + FAILURE_PAUSE_S
+
+    def note_sent(self, address: str) -> None:
+        """Count a request that is passed to a peer, until `note_ended`."""
+        self._in_flight[address] += 1
+
+    def note_ended(self, address: str) -> None:
+        """End the count of one request at a peer."""
+        self._in_flight[address] -= 1
+        if not self._in_flight[address]:
+            del self._in_flight[address]
+
+    def choose(self, service: str, tried: set[str], now_s: float) -> PeerOffer | None:
+        """Return a peer that reaches replicas of a service, or None.
+
+        Takes the less loaded of two that are drawn at random, from the own zone if it has any. All
+        gateways that follow the same reports would otherwise choose the same peer.
+
+        Args:
+            service: The service.
+            tried: Addresses of peers that have rejected the request.
+            now_s: Current monotonic time in seconds.
+        """
+        usable = [
+            known.offer
+            for address, known in self._known.items()
+            if address not in tried
+            and known.failing_until_s <= now_s
+            and service not in known.offer.unreachable_services
+        ]
+        near = self._less_loaded([offer for offer in usable if offer.zone == self._zone])
+        far = self._less_loaded([offer for offer in usable if offer.zone != self._zone])
+        if near is None or far is None:
+            return near or far
+        return far if self._load(far) + OTHER_ZONE_REQUESTS < self._load(near) else near
+
+    def _less_loaded(self, offers: list[PeerOffer]) -> PeerOffer | None:
+        if not offers:
+            return None
+        return min(self._random.sample(offers, min(2, len(offers))), key=self._load)
+
+    def _load(self, offer: PeerOffer) -> int:
+        return offer.requests + self._in_flight[offer.address]
--- /dev/null
+++ b/src/crowsill/gateway/peers/sender.py
@@ -0,0 +1,155 @@
+"""Passes one request to another gateway that reaches replicas of its service.
+
+The peer sends it to at most one replica that may run it. What the peer says counts as the word of a
+replica: a response is relayed unchanged, "not run" allows another attempt, and a connection that
+breaks leaves open whether the request ran.
+"""
+
+import asyncio
+
+from crowsill.gateway.admission import Admission
+from crowsill.gateway.attempt import Attempt, AttemptEnd, AttemptResult
+from crowsill.gateway.caller_protocol import CallerConnection
+from crowsill.gateway.context import ExchangeContext
+from crowsill.gateway.exchange_log import ExchangeLog
+from crowsill.gateway.headers import find_header, read_number
+from crowsill.gateway.peers.wire import ATTEMPTS, PeerTerms, encode_peer_request
+from crowsill.gateway.pool import ConnectError
+from crowsill.gateway.progress import Progress
+from crowsill.gateway.repeat_guard import RepeatGuard
+from crowsill.gateway.replica_connection import ReplicaConnection
+from crowsill.gateway.request import CallerRequest
+from crowsill.metrics import PEER_REQUESTS
+from crowsill.model.instances import Instance
+from crowsill.model.peers import PeerOffer
+from crowsill.model.routes import Route, RouteKind
+
+# Each peer that can't help costs a round trip; the caller's next try reaches another gateway.
+MAX_PEERS = 3
+CONNECT_TIMEOUT_S = 0.3
+
+
+class PeerSender:
+    """Passes one request to peers, one after the other."""
+
+    def __init__(
+        self,
+        context: ExchangeContext,
+        caller: CallerConnection,
+        request: CallerRequest,
+        progress: Progress,
+        log: ExchangeLog,
+        *,
+        admission: Admission,
+        repeat_guard: RepeatGuard,
+    ) -> None:
+        self._context = context
+        self._caller = caller
+        self._request = request
+        self._progress = progress
+        self._log = log
+        self._admission = admission
+        self._repeat_guard = repeat_guard
+        self._loop = asyncio.get_running_loop()
+
+    def has_peer(self) -> bool:
+        """Whether there is a peer that can be asked to serve the request."""
+        return self._next_peer() is not None
+
+    def _next_peer(self) -> PeerOffer | None:
+        tried = self._progress.tried_peers
+        if len(tried) >= MAX_PEERS:
+            return None
+        return self._context.peers.registry.choose(self._log.service, tried, self._loop.time())
+
+    async def send(
+        self, route: Route, deadline_at_s: float, closes_connection: bool
+    ) -> AttemptEnd | None:
+        """Pass the request to a peer; return None if nothing was run and another may be asked.
+
+        Args:
+            route: The request's route.
+            deadline_at_s: Monotonic time of the request's deadline.
+            closes_connection: Whether the caller's connection closes after the response.
+        """
+        peer = self._next_peer()
+        if peer is None:
+            return None
+        self._progress.tried_peers.add(peer.address)
+        self._context.peers.registry.note_sent(peer.address)
+        connection = None
+        reusable = False
+        try:
+            connection = await self._connect(peer, deadline_at_s)
+            if (
+                self._admission.recheck() is not None
+                or self._repeat_guard.quarantine_rejection() is not None
+            ):
+                reusable = True
+                return None
+            is_stream = route.kind is RouteKind.STREAM
+            attempt = Attempt(self._caller, self._context.names, is_stream, closes_connection)
+            end = await self._run(peer, connection, attempt, deadline_at_s)
+            reusable = end.result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
+            return self._note_end(peer, attempt, end)
+        except ConnectError as error:
+            self._context.peers.registry.note_unreachable(peer.address, self._loop.time())
+            PEER_REQUESTS.labels("unreachable").inc()
+            self._log.log_peer_failed(peer.address, "unreachable", str(error))
+            return None
+        finally:
+            self._context.peers.registry.note_ended(peer.address)
+            if connection is not None:
+                self._context.peers.pool.release(peer.address, connection, reusable)
+
+    async def _connect(self, peer: PeerOffer, deadline_at_s: float) -> ReplicaConnection:
+        instance = Instance(peer.address, "", peer.address, peer.zone, 1)
+        timeout_s = min(CONNECT_TIMEOUT_S, deadline_at_s - self._loop.time())
+        return await self._context.peers.pool.acquire(instance, timeout_s)
+
+    async def _run(
+        self,
+        peer: PeerOffer,
+        connection: ReplicaConnection,
+        attempt: Attempt,
+        deadline_at_s: float,
+    ) -> AttemptEnd:
+        request, progress = self._request, self._progress
+        attempt.connection = connection
+        attempt.sent_at_s = self._loop.time()
+        progress.attempt = attempt
+        # Only the last peer may let the request wait: another one may have room at once.
+        may_wait = self._next_peer() is None
+        message = encode_peer_request(
+            request,
+            self._context.names,
+            PeerTerms(self._log.service, progress.attempts, may_wait),
+            key=self._context.peers.key,
+            address=peer.address,
+            remaining_s=deadline_at_s - self._loop.time(),
+        )
+        self._log.log_sent_to_peer(peer, progress.attempts + 1)
+        progress.may_have_run = True
+        try:
+            connection.send(message, request.request_id, request.method == b"HEAD", attempt)
+            return await attempt.ended
+        finally:
+            attempt.connection = None
+
+    def _note_end(self, peer: PeerOffer, attempt: Attempt, end: AttemptEnd) -> AttemptEnd | None:
+        progress = self._progress
+        PEER_REQUESTS.labels(end.result).inc()
+        if end.result is AttemptResult.NOT_RUN:
+            attempts = read_number(find_header(end.headers or [], ATTEMPTS))
+            progress.attempts = max(progress.attempts, int(attempts or 0))
+            progress.may_have_run = progress.runs > 0
+            progress.peer_retry_s = min(
+                progress.peer_retry_s, attempt.signals.backoff_s or float("inf")
+            )
+            self._log.log_peer_failed(peer.address, end.result, end.detail)
+            return None
+        progress.attempts += 1
+        progress.runs += 1
+        if end.result is not AttemptResult.COMPLETE:
+            self._log.log_peer_failed(peer.address, end.result, end.detail)
+        return end
--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -1,6 +1,7 @@
 """A pool of connections to replicas, by instance."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from crowsill.gateway.headers import HeaderNames
@@ -9,7 +10,8 @@
 from crowsill.transport.leader_client import parse_address
 from crowsill.transport.sockets import set_peer_timeout
 
-CONNECT_TIMEOUT_S = 1.0
+# The kernel repeats a lost SYN only after a second, and replicas answer one within milliseconds.
+CONNECT_TIMEOUT_S = 0.5
 SILENCE_TIMEOUT_S = 2.0
 SWEEP_INTERVAL_S = 1.0
 
@@ -26,6 +28,8 @@
 @dataclass(slots=True)
 class _InstancePool:
     idle: list[ReplicaConnection] = field(default_factory=list)
+    busy: set[ReplicaConnection] = field(default_factory=set)
+    received_at_s: float = float("-inf")
     in_use: int = 0
     opening: int = 0
 
@@ -35,6 +39,7 @@
 
     Attributes:
         opened: Number of connections that were opened, or tried, so far.
+        on_idle_lost: Receives the id of the instance when an idle connection is lost with an error.
     """
 
     def __init__(self, names: HeaderNames) -> None:
@@ -42,6 +47,7 @@
         self._loop = asyncio.get_running_loop()
         self._pools: dict[str, _InstancePool] = {}
         self.opened = 0
+        self.on_idle_lost: Callable[[str], None] = lambda _instance_id: None
 
     def in_use(self, instance_id: str) -> int:
         """Return the number of connections in use, including those being opened."""
@@ -63,6 +69,17 @@
         established = pool.in_use - pool.opening
         return established > 0 or any(connection.is_open for connection in pool.idle)
 
+    def received_at_s(self, instance_id: str) -> float:
+        """Return the monotonic time at which anything was last received from an instance.
+
+        An opened connection counts as received; without any connection the time is minus infinity.
+        """
+        pool = self._pools.get(instance_id)
+        if pool is None:
+            return float("-inf")
+        times = [connection.received_at_s for connection in pool.busy]
+        return max([pool.received_at_s, *times])
+
     def _take_idle(self, pool: _InstancePool, now_s: float) -> ReplicaConnection | None:
         while pool.idle:
             connection = pool.idle.pop()
@@ -86,6 +103,7 @@
         if connection is None:
             return await self.open_connection(instance, timeout_s)
         pool.in_use += 1
+        pool.busy.add(connection)
         return connection
 
     async def open_connection(self, instance: Instance, timeout_s: float) -> ReplicaConnection:
@@ -98,7 +116,10 @@
         pool.in_use += 1
         pool.opening += 1
         try:
-            return await self._open(instance, timeout_s)
+            connection = await self._open(instance, timeout_s)
+            pool.busy.add(connection)
+            pool.received_at_s = connection.received_at_s
+            return connection
         except (OSError, TimeoutError) as error:
             pool.in_use -= 1
             raise ConnectError(str(error) or type(error).__name__) from error
@@ -116,12 +137,15 @@
                 lambda: ReplicaConnection(self._names), address.host, address.port
             )
         set_peer_timeout(transport, SILENCE_TIMEOUT_S)
+        connection.on_lost = lambda: self.on_idle_lost(instance.instance_id)
         return connection
 
     def release(self, instance_id: str, connection: ReplicaConnection, reusable: bool) -> None:
         """Return a connection to the pool after its request has ended."""
         pool = self._pools.setdefault(instance_id, _InstancePool())
         pool.in_use = max(0, pool.in_use - 1)
+        pool.busy.discard(connection)
+        pool.received_at_s = max(pool.received_at_s, connection.received_at_s)
         if reusable and connection.is_open and connection.is_reusable:
             pool.idle.append(connection)
         else:
--- a/src/crowsill/gateway/progress.py
+++ b/src/crowsill/gateway/progress.py
@@ -14,6 +14,9 @@
 
     Attributes:
         tried: Ids of the instances that it was sent to.
+        tried_peers: Addresses of the gateways that it was passed to.
+        peer_retry_s: Shortest time after which one of those said that it may be served; infinite if
+            none did.
         attempts: How often it was sent.
         runs: How often a replica ran it, or may have.
         may_have_run: Whether a replica may have run it, so that a rejection must not report "not
@@ -24,6 +27,8 @@
     """
 
     tried: set[str] = field(default_factory=set)
+    tried_peers: set[str] = field(default_factory=set)
+    peer_retry_s: float = float("inf")
     attempts: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Protocol
 
@@ -51,6 +52,8 @@
         is_open: Whether the connection is open.
         is_reusable: Whether another request may be sent on it.
         idle_expires_at_s: Monotonic time until which it may be reused while idle.
+        received_at_s: Monotonic time at which it was opened or bytes were last received.
+        on_lost: Called when it is lost with an error while no request is in flight.
     """
 
     def __init__(self, names: HeaderNames) -> None:
@@ -67,6 +70,9 @@
         self.is_open = True
         self.is_reusable = True
         self.idle_expires_at_s = 0.0
+        self.received_at_s = self._loop.time()
+        self.on_lost: Callable[[], None] = lambda: None
+        self._is_discarded = False
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -84,6 +90,8 @@
         self.is_open = False
         self.is_reusable = False
         if self._sink is None:
+            if exc is not None and not self._is_discarded:
+                self.on_lost()
             return
         if self._ends_with_connection and self._received_eof and exc is None:
             self._deliver_end()
@@ -97,6 +105,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
+        self.received_at_s = self._loop.time()
         if self._sink is None:
             # Bytes without a request: later responses could not be matched to their requests.
             self.discard()
@@ -147,6 +156,7 @@
     def discard(self) -> None:
         """Abort the connection; a request in flight on it gets no further callbacks."""
         self._sink = None
+        self._is_discarded = True
         self.is_reusable = False
         self.is_open = False
         if self._transport is not None:
--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -51,7 +51,7 @@
             signals.backoff_s, now_s, record.in_flight
         ):
             self._log.log_backoff(record, status, signals.backoff_s)
-            self._context.on_backoff(record)
+            self._context.replica_watch.watch_backoff(record)
         self._process_limit(record, sent_at_s, signals)
         if status not in REJECTION_STATUSES:
             record.availability.note_accepted(sent_at_s)
@@ -81,7 +81,7 @@
         if self._loop.time() - attempt.started_at_s < SILENT_REPLICA_S:
             return
         record.note_failure(self._loop.time())
-        self._context.on_unreachable(record)
+        self._context.replica_watch.watch_unreachable(record)
         self._log.log_attempt_failed(record, "silent", "no response")
 
     def note_overload(self, route: Route, attempt: Attempt, sent_at_s: float) -> None:
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -130,6 +130,11 @@
         """Record a failure response, or a rejection without a backoff."""
         self.error_share += (1.0 - self.error_share) * ERROR_SMOOTHING
 
+    def forget_failures(self) -> None:
+        """Forget failures that were not its own."""
+        self.availability.note_complete_response()
+        self.error_share = 0.0
+
     def note_failure(self, now_s: float) -> None:
         """Record that it could not be reached or interrupted a response."""
         self.note_error_response()
@@ -196,6 +201,10 @@
         """Return the instances of a service."""
         return self._by_service.get(service, [])
 
+    def listed(self) -> list[ReplicaRecord]:
+        """Return the instances of all services that don't drain."""
+        return [record for record in self._records.values() if not record.availability.is_draining]
+
     def excluded(self, now_s: float) -> list[ExcludedReplica]:
         """Return at most `MAX_REPORTED_EXCLUSIONS` excluded replicas, by order of the reasons."""
         order = list(ExclusionReason)
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -1,17 +1,35 @@
-"""Watches replicas that are sent nothing, until they are reachable, open again or removed."""
+"""Watches replicas that are sent nothing, until they are reachable, open again or removed.
+
+A replica that can't be reached may have failed, or this gateway may have lost its own links. So a
+few others are checked at the same time, and all others once two have failed. No caller's request is
+spent on that.
+"""
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from random import Random
 
 from crowsill.events import Event
-from crowsill.gateway.pool import ConnectError, ConnectionPool
+from crowsill.gateway.link_state import LinkState
+from crowsill.gateway.pool import CONNECT_TIMEOUT_S, ConnectError, ConnectionPool
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.logs import log_event
 from crowsill.model.instances import InstanceState
 from crowsill.transport.replica_messages import DrainingInstances, SuspectInstances
 
 RECONNECT_INTERVAL_S = 0.5
-RECONNECT_TIMEOUT_S = 1.0
+# While many replicas are unreachable, this gateway tries at most so many of them in a second. The
+# first one that is reached again wakes the others.
+MAX_RECONNECTS_PER_S = 8.0
+# Reached again, replicas are taken back at random times within this one, not all at once.
+RESTORE_SPREAD_S = 0.3
+# A connection that a middlebox accepts and resets at once does not show that a replica is reached.
+PROBATION_S = 0.05
+# Replicas that are checked when a first one fails, and the time for which failures are related.
+CHECKED_REPLICAS = 2
+RELATED_FAILURES_S = 2.0
+# A replica that sent anything within this time needs no check.
+RECENT_S = 0.5
 # The control group records that a replica drains and informs all gateways within half this time.
 DRAIN_REPORT_INTERVAL_S = 0.5
 
@@ -23,51 +41,182 @@
         self,
         registry: ReplicaRegistry,
         pool: ConnectionPool,
+        links: LinkState,
+        *,
         notify: Callable[[SuspectInstances | DrainingInstances], bool],
         on_change: Callable[[], None],
+        random: Random,
     ) -> None:
         """Create a watch.
 
         Args:
             registry: The known replicas.
             pool: Connections to them.
+            links: Services that this gateway does not reach.
             notify: Sends a notice to the control group; returns whether it could be sent.
-            on_change: Called when a replica may be sent requests again.
+            on_change: Called when a replica may be sent requests again, or no longer.
+            random: Source of the replicas that are checked.
         """
         self._registry = registry
         self._pool = pool
+        self._links = links
         self._notify = notify
         self._on_change = on_change
+        self._random = random
         self._tasks: set[asyncio.Task[None]] = set()
+        self._checked: set[str] = set()
+        self._watched: set[str] = set()
+        self._failed_at_s: dict[str, float] = {}
+        self._restored = asyncio.Event()
+
+    # Failures.
+
+    def note_connect_failed(self, record: ReplicaRecord, error: ConnectError) -> None:
+        """Exclude a replica to which no connection could be opened, and check others."""
+        instance_id = record.instance.instance_id
+        if error.is_refused and self._pool.has_open(instance_id):
+            # Connections that are open carry requests on.
+            record.availability.note_refuses_connections()
+            self._watch(record)
+        else:
+            self._exclude(record)
+        self._check_others(record, error.is_refused)
 
     def watch_unreachable(self, record: ReplicaRecord) -> None:
-        """Exclude a replica until a connection to it succeeds, and report it as a suspect."""
+        """Exclude a replica that crashed or was silent, until a connection to it succeeds."""
+        if self._exclude(record):
+            # Other idle connections to it are as old as the one that failed or was silent. Each
+            # would cost a request its deadline, and would count as proof that it is reachable.
+            self._pool.close_idle(record.instance.instance_id)
+
+    def check_if_silent(self, record: ReplicaRecord, since_s: float) -> None:
+        """Check a replica that has sent nothing since a monotonic time."""
+        if self._pool.received_at_s(record.instance.instance_id) < since_s:
+            self._start_check(record)
+
+    def check_lost_connection(self, instance_id: str) -> None:
+        """Check a replica whose idle connection was lost with an error."""
+        record = self._registry.find(instance_id)
+        if record is not None and len(self._checked) < CHECKED_REPLICAS:
+            self._start_check(record)
+
+    def _exclude(self, record: ReplicaRecord) -> bool:
+        """Exclude a replica; return whether it was not excluded before."""
         # A removed record is not watched, so nothing would clear the mark if its incarnation were
         # listed again.
-        is_known = self._registry.find(record.instance.instance_id) is record
-        if not is_known or record.availability.is_unreachable:
-            return
+        if self._registry.find(record.instance.instance_id) is not record:
+            return False
+        if record.availability.is_unreachable:
+            return False
         record.availability.note_unreachable()
-        # Other idle connections to it are as old as the one that failed or was silent. Each would
-        # cost a request its deadline, and would count as proof that the replica is reachable.
-        self._pool.close_idle(record.instance.instance_id)
-        self._notify(SuspectInstances([record.instance.instance_id]))
-        self._start_task(self._reconnect(record))
+        self._links.update()
+        self._report_suspect(record)
+        self._watch(record)
+        self._on_change()
+        return True
+
+    def _report_suspect(self, record: ReplicaRecord) -> None:
+        """Report a replica to the group, unless the failure shows nothing about the replica."""
+        if not self._links.has_lost_links(record.instance.service):
+            self._notify(SuspectInstances([record.instance.instance_id]))
+
+    # Checks.
+
+    def _check_others(self, failed: ReplicaRecord, is_refused: bool) -> None:
+        """Check whether other replicas fail as well."""
+        now_s = asyncio.get_running_loop().time()
+        self._failed_at_s = {
+            instance_id: at_s
+            for instance_id, at_s in self._failed_at_s.items()
+            if now_s - at_s < RELATED_FAILURES_S
+        }
+        self._failed_at_s[failed.instance.instance_id] = now_s
+        if len(self._failed_at_s) > 2:
+            # The second failure has started the checks of all.
+            return
+        unproven = [
+            record
+            for record in self._registry.listed()
+            if self._links.is_reachable(record)
+            and not self._has_proof(record.instance.instance_id, is_refused, now_s)
+        ]
+        if len(self._failed_at_s) == 1:
+            unproven = self._random.sample(unproven, min(CHECKED_REPLICAS, len(unproven)))
+        for record in unproven:
+            self._start_check(record)
+
+    def _has_proof(self, instance_id: str, is_refused: bool, now_s: float) -> bool:
+        """Whether a replica is known not to fail as another one has failed."""
+        if is_refused and self._pool.has_open(instance_id):
+            return True
+        return now_s - self._pool.received_at_s(instance_id) < RECENT_S
+
+    def _start_check(self, record: ReplicaRecord) -> None:
+        instance_id = record.instance.instance_id
+        if instance_id in self._checked or not self._links.is_reachable(record):
+            return
+        self._checked.add(instance_id)
+        self._start_task(self._check(record))
+
+    async def _check(self, record: ReplicaRecord) -> None:
+        instance_id = record.instance.instance_id
+        try:
+            connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
+            self._pool.release(instance_id, connection, True)
+        except ConnectError as error:
+            self.note_connect_failed(record, error)
+        finally:
+            self._checked.discard(instance_id)
+
+    # Return.
+
+    def _watch(self, record: ReplicaRecord) -> None:
+        instance_id = record.instance.instance_id
+        if instance_id not in self._watched:
+            self._watched.add(instance_id)
+            self._start_task(self._reconnect(record))
 
     async def _reconnect(self, record: ReplicaRecord) -> None:
         """Try to connect until it succeeds or the replica is removed or drains."""
         instance_id = record.instance.instance_id
-        while self._registry.find(instance_id) is record and record.instance.accepts_work:
-            await asyncio.sleep(RECONNECT_INTERVAL_S)
-            try:
-                connection = await self._pool.acquire(record.instance, RECONNECT_TIMEOUT_S)
-            except ConnectError:
-                self._notify(SuspectInstances([instance_id]))
-                continue
-            self._pool.release(instance_id, connection, True)
-            record.availability.note_reachable()
-            self._on_change()
+        try:
+            while self._registry.find(instance_id) is record and record.instance.accepts_work:
+                await self._wait_to_reconnect()
+                if await self._is_reached(record):
+                    break
+                self._report_suspect(record)
+            else:
+                return
+        finally:
+            self._watched.discard(instance_id)
+        record.availability.note_reachable()
+        self._links.note_reached(record)
+        self._restored.set()
+        self._restored = asyncio.Event()
+        self._on_change()
+
+    async def _wait_to_reconnect(self) -> None:
+        interval_s = max(RECONNECT_INTERVAL_S, len(self._watched) / MAX_RECONNECTS_PER_S)
+        try:
+            async with asyncio.timeout(interval_s):
+                await self._restored.wait()
+        except TimeoutError:
             return
+        await asyncio.sleep(self._random.random() * RESTORE_SPREAD_S)
+
+    async def _is_reached(self, record: ReplicaRecord) -> bool:
+        """Whether a connection to a replica can be opened and stays open."""
+        try:
+            connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
+        except ConnectError:
+            return False
+        try:
+            await asyncio.sleep(PROBATION_S)
+            return connection.is_open
+        finally:
+            self._pool.release(record.instance.instance_id, connection, True)
+
+    # Backoffs and drains.
 
     def watch_backoff(self, record: ReplicaRecord) -> None:
         """Schedule a check for the end of a replica's backoff."""
--- a/src/crowsill/gateway/response.py
+++ b/src/crowsill/gateway/response.py
@@ -33,7 +33,13 @@
 
 
 def encode_problem(
-    problem: Problem, request_id: bytes, id_header: bytes, close: bool, retry_after_s: float | None
+    problem: Problem,
+    request_id: bytes,
+    id_header: bytes,
+    close: bool,
+    retry_after_s: float | None,
+    *,
+    more_headers: Headers | None = None,
 ) -> bytes:
     """Encode an error response of the gateway itself.
 
@@ -43,6 +49,7 @@
         id_header: Name of the header that carries the id.
         close: Whether the connection closes after this response.
         retry_after_s: Overrides `Retry-After`, in seconds and fractions.
+        more_headers: Further headers.
     """
     answer = problem.answer
     body = error_body(problem, request_id.decode("latin-1"))
@@ -53,6 +60,7 @@
     after_s = answer.retry_after_s if retry_after_s is None else retry_after_s
     if after_s is not None and answer.retryable:
         headers.append((b"Retry-After", f"{after_s:g}".encode()))
+    headers.extend(more_headers or [])
     if close:
         headers.append((b"Connection", b"close"))
     reason = _REASONS.get(answer.status, b"Error")
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -18,6 +18,9 @@
 from crowsill.gateway.follower import GatewayFollower, GatewayHooks
 from crowsill.gateway.gateway_count import GatewayCount
 from crowsill.gateway.headers import HeaderNames
+from crowsill.gateway.link_state import LinkState
+from crowsill.gateway.peers.peers import Peers
+from crowsill.gateway.peers.wire import PeerTerms
 from crowsill.gateway.pool import ConnectionPool
 from crowsill.gateway.quota import QuotaGrantClient
 from crowsill.gateway.ready_server import ReadyServer
@@ -26,12 +29,14 @@
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayRoutingTable
+from crowsill.gateway.running_exchanges import RunningExchanges
 from crowsill.logs import log_event
-from crowsill.metrics import READY, ROUTES_VERSION
+from crowsill.metrics import READY, REQUESTS_FROM_PEERS, ROUTES_VERSION
+from crowsill.model.peers import PeerOffer
 from crowsill.model.route_codec import RouteCodec, decompress_document
 from crowsill.model.routes import CallerLimits
 from crowsill.model.suspects import SuspectChange
-from crowsill.routing.shared_budget import RetryBudgetLimits, SharedRetryBudget
+from crowsill.routing.shared_budget import RetryBudgetLimits, RetryBudgets, SharedRetryBudget
 from crowsill.settings import GatewaySettings, Settings
 from crowsill.state.route_store import RouteDocument
 from crowsill.tenancy.identity import is_key_proof_fresh
@@ -87,9 +92,11 @@
         self._wait_limit_at_s = float("inf")
         self._stop_limit_at_s = float("inf")
         self._has_drained = False
-        self._budgets: dict[str, SharedRetryBudget] = {}
-        self._callers: set[CallerConnection] = set()
-        self._exchanges: dict[CallerConnection, tuple[Exchange, asyncio.Task[None]]] = {}
+        self._budgets = RetryBudgets(
+            RetryBudgetLimits(gateway.retry_ratio, gateway.retry_window_s, gateway.retry_allowance)
+        )
+        self._running = RunningExchanges()
+        self._key = key
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._ready_server: ReadyServer | None = None
@@ -97,7 +104,12 @@
         identity = f"{settings.node}.{secrets.token_hex(4)}"
         local = LocalIdentity(settings.node, identity, settings.zone, key)
         hooks = GatewayHooks(
-            self._on_routes, self._on_directory, self._on_current, self._on_suspects
+            self._on_routes,
+            self._on_directory,
+            self._on_current,
+            self._on_suspects,
+            peer_offer=self._peer_offer,
+            on_peers=self._on_peers,
         )
         self._follower = GatewayFollower(
             local,
@@ -115,21 +127,32 @@
         """Open the listeners and start to follow the control group."""
         loop = asyncio.get_running_loop()
         self.pool = ConnectionPool(self.names)
+        self.peers = Peers(self.names, self._key, self.zone, self.random)
+        self._links = LinkState(self.registry, self.pool.has_idle)
+        self.replica_watch = ReplicaWatch(
+            self.registry,
+            self.pool,
+            self._links,
+            notify=self._follower.send_notice,
+            on_change=self._notify_change,
+            random=self.random,
+        )
+        self.pool.on_idle_lost = self.replica_watch.check_lost_connection
         self.crash_watch = CrashWatch(
             self.pool, self.crash_guard, self._follower.query, self._on_crashed
         )
-        self._watch = ReplicaWatch(
-            self.registry, self.pool, self._follower.send_notice, self._notify_change
-        )
         listen = self._settings.callers
         self._server = await loop.create_server(
             lambda: CallerConnection(self), listen.host, listen.port, backlog=BACKLOG
         )
+        if self._settings.peers is not None:
+            await self.peers.listen(self, self._settings.peers)
         self._ready_server = ReadyServer(self._settings.ready, self.is_ready)
         await self._ready_server.start()
         self._tasks = [
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(self.pool.sweep()),
+            asyncio.create_task(self.peers.pool.sweep()),
             asyncio.create_task(self.demand.repeat_reports()),
         ]
 
@@ -184,13 +207,23 @@
             self.crash_watch.drop_replica(instance_id)
         self._notify_change()
 
+    def _peer_offer(self) -> PeerOffer | None:
+        """Return what this gateway offers to others now."""
+        self._links.update()
+        if self._stopping or self.table is None:
+            return None
+        return self.peers.offer(self._running.exchanges, self._links.unreachable_services())
+
+    def _on_peers(self, offers: list[PeerOffer]) -> None:
+        self.peers.registry.note_offers(offers, asyncio.get_running_loop().time())
+
     def _on_suspects(self, change: SuspectChange, is_full: bool) -> None:
         self.crash_watch.adopt(change, is_full)
 
     def _on_crashed(self, instance_id: str) -> None:
         record = self.registry.find(instance_id)
         if record is not None:
-            self.on_unreachable(record)
+            self.replica_watch.watch_unreachable(record)
 
     def _on_current(self, gateways: int, confirmed_at_s: float) -> None:
         self._confirmed_at_s = confirmed_at_s
@@ -224,27 +257,12 @@
 
     def budget(self, service: str) -> SharedRetryBudget:
         """Return the retry budget of a service."""
-        found = self._budgets.get(service)
-        if found is None:
-            settings = self._settings
-            limits = RetryBudgetLimits(
-                settings.retry_ratio, settings.retry_window_s, settings.retry_allowance
-            )
-            found = self._budgets[service] = SharedRetryBudget(limits)
-        return found
-
-    def on_unreachable(self, record: ReplicaRecord) -> None:
-        """Exclude a replica until a connection to it can be opened, and report it to the group."""
-        self._watch.watch_unreachable(record)
-
-    def on_backoff(self, record: ReplicaRecord) -> None:
-        """Check a replica again when the backoff that it requested ends."""
-        self._watch.watch_backoff(record)
+        return self._budgets.of_service(service)
 
     def on_draining(self, record: ReplicaRecord) -> None:
         """Treat a replica that reported that it drains as draining, and report it to the group."""
         self._on_directory([record.instance.instance_id])
-        self._watch.report_draining(record)
+        self.replica_watch.report_draining(record)
 
     def on_limit_changed(self, record: ReplicaRecord) -> None:
         """Report a replica's rate limit to the group at once; heartbeats report it again."""
@@ -288,47 +306,28 @@
             # response.
             connection.abort()
             return
-        self._callers.add(connection)
+        self._running.add_connection(connection)
         if connection.transport is not None:
             set_peer_timeout(connection.transport, CALLER_SILENCE_TIMEOUT_S)
 
     def on_disconnected(self, connection: CallerConnection) -> None:
         """Cancel the exchange of a caller that disconnected."""
-        self._callers.discard(connection)
-        running = self._exchanges.pop(connection, None)
-        if running is not None and not running[1].done():
-            running[1].cancel()
-            log_event(Event.CALLER_LEFT, request=running[0].request_id())
+        self._running.cancel(connection)
 
     def handle(self, connection: CallerConnection, request: CallerRequest) -> None:
         """Start the exchange of a request."""
-        exchange = Exchange(self, connection, request)
-        task = asyncio.create_task(exchange.run())
-        self._exchanges[connection] = (exchange, task)
-        task.add_done_callback(lambda done: self._exchange_ended(connection, done))
-
-    def _exchange_ended(self, connection: CallerConnection, task: asyncio.Task[None]) -> None:
-        running = self._exchanges.get(connection)
-        if running is not None and running[1] is task:
-            del self._exchanges[connection]
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error is not None:
-            log_event(
-                Event.INTERNAL_ERROR,
-                where="exchange",
-                request="" if running is None else running[0].request_id(),
-                error=repr(error),
-            )
-            if running is None or not running[0].fail():
-                connection.abort()
+        self._running.start(connection, Exchange(self, connection, request))
+
+    def handle_from_peer(
+        self, connection: CallerConnection, request: CallerRequest, terms: PeerTerms
+    ) -> None:
+        """Start the exchange of a request that another gateway passes on."""
+        REQUESTS_FROM_PEERS.inc()
+        self._running.start(connection, Exchange(self, connection, request, terms))
 
     def on_writable_changed(self, connection: CallerConnection, writable: bool) -> None:
         """Pause reading from the replica while its caller does not read."""
-        running = self._exchanges.get(connection)
-        if running is not None:
-            running[0].pause_replica(not writable)
+        self._running.pause_replica(connection, not writable)
 
     # Shutdown.
 
@@ -344,7 +343,9 @@
         self._wait_limit_at_s = started_at_s + STOP_WAIT_S
         self._notify_change()
         READY.set(0)
-        log_event(Event.DRAIN_STARTED, requests=len(self._exchanges), callers=len(self._callers))
+        log_event(
+            Event.DRAIN_STARTED, requests=self._running.exchanges, callers=self._running.connections
+        )
         end_at_s = started_at_s + max(1.0, self._settings.grace_s - STOP_MARGIN_S)
         self._stop_limit_at_s = end_at_s
         accept_end_at_s = started_at_s + min(
@@ -353,31 +354,25 @@
         await self._wait_until(lambda: False, accept_end_at_s)
         if self._server is not None:
             self._server.close()
+        self.peers.close()
         while loop.time() < end_at_s:
-            self._close_idle_callers()
-            if not self._callers:
+            self._running.close_idle()
+            if not self._running.connections:
                 break
             await asyncio.sleep(STOP_POLL_S)
         # A crash that only this process observed would be lost if it were not reported now.
         report_end_at_s = min(end_at_s, loop.time() + STOP_REPORT_S)
         await self._wait_until(lambda: not self.crash_watch.has_pending_reports, report_end_at_s)
         self._has_drained = True
-        finished = not self._exchanges
-        for exchange, task in list(self._exchanges.values()):
-            exchange.end_at_shutdown()
-            task.cancel()
-        await self._wait_until(lambda: not self._callers, loop.time() + STOP_FLUSH_S)
+        finished = not self._running.exchanges
+        self._running.end_all()
+        await self._wait_until(lambda: not self._running.connections, loop.time() + STOP_FLUSH_S)
         event = Event.DRAIN_FINISHED if finished else Event.DRAIN_LIMIT
         log_event(
-            event, requests=len(self._exchanges), seconds=round(loop.time() - started_at_s, 2)
+            event, requests=self._running.exchanges, seconds=round(loop.time() - started_at_s, 2)
         )
         return finished
 
-    def _close_idle_callers(self) -> None:
-        for connection in list(self._callers):
-            if connection.is_idle:
-                connection.close()
-
     async def _wait_until(self, done: Callable[[], bool], end_at_s: float) -> None:
         loop = asyncio.get_running_loop()
         while loop.time() < end_at_s and not done():
@@ -389,10 +384,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.crash_watch.stop()
-        await self._watch.stop()
+        await self.replica_watch.stop()
         if self._server is not None:
             self._server.close()
-        for connection in list(self._callers):
-            connection.abort()
+        self.peers.close()
+        self._running.abort_all()
         if self._ready_server is not None:
             await self._ready_server.stop()
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -49,6 +49,8 @@
         ALL_FULL: Those that could run it have as many requests as this gateway may send them.
         ALL_CLOSED: Those that could run it are backing off or have reached their rate limits.
         ALL_TRIED: The request has been sent to all that could run it.
+        UNREACHABLE: The directory lists some that could run it, but this gateway reaches none of
+            the service.
     """
 
     NO_REPLICA = "no_replica"
@@ -56,6 +58,7 @@
     ALL_FULL = "all_full"
     ALL_CLOSED = "all_closed"
     ALL_TRIED = "all_tried"
+    UNREACHABLE = "unreachable"
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +201,24 @@
     return not record.availability.is_closed_indefinitely
 
 
+def accepting_or_listed(records: list[ReplicaRecord]) -> list[ReplicaRecord]:
+    """Return the replicas that accept requests; if none does, those that others may reach."""
+    accepting = [record for record in records if accepts(record)]
+    return accepting or [record for record in records if not record.availability.is_draining]
+
+
+def is_running_elsewhere(
+    records: list[ReplicaRecord], request: CallerRequest, has_idle: Callable[[str], bool]
+) -> bool:
+    """Whether a replica that is not reached from here could run a request of another gateway."""
+    return any(
+        not record.availability.is_draining
+        and not record.availability.is_reachable(has_idle(record.instance.instance_id))
+        and has_resources(record, request)
+        for record in records
+    )
+
+
 def first_to_open(
     records: list[ReplicaRecord], request: CallerRequest, now_s: float, is_urgent: bool = True
 ) -> ReplicaRecord | None:
@@ -229,10 +250,12 @@
     records: list[ReplicaRecord], request: CallerRequest, tried: set[str]
 ) -> NoReplicaReason:
     """Return why no replica may be sent the request, regardless of their in-flight requests."""
-    accepting = [record for record in records if accepts(record)]
+    accepting = accepting_or_listed(records)
     with_resources = [record for record in accepting if has_resources(record, request)]
     if not with_resources:
         return NoReplicaReason.NO_MODEL if accepting else NoReplicaReason.NO_REPLICA
+    if not any(accepts(record) for record in with_resources):
+        return NoReplicaReason.UNREACHABLE
     is_tried = all(record.instance.instance_id in tried for record in with_resources)
     return NoReplicaReason.ALL_TRIED if is_tried else NoReplicaReason.ALL_CLOSED
 
@@ -250,6 +273,10 @@
         record
         for record in records
         if record.availability.available_at_s <= now_s
+        and (
+            not record.availability.refuses_connections
+            or limits.has_idle(record.instance.instance_id)
+        )
         and record.instance.instance_id not in tried
         and has_resources(record, request)
     ]
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -22,6 +22,11 @@
 from crowsill.metrics import GATEWAY_ATTEMPTS, SENT_IN_REST, SENT_UNDER_LIMIT
 from crowsill.model.routes import Route, RouteKind
 
+# A replica that sends nothing at all for this multiple of the expected response time, and at least
+# this long, must accept a new connection to stay eligible.
+SILENCE_FACTOR = 3.0
+MIN_SILENCE_S = 0.4
+
 
 class Sender:
     """Runs the attempts of one request, one after the other."""
@@ -89,6 +94,7 @@
         probe = Probe(record.availability)
         reusable = False
         connection = None
+        silence_check: asyncio.TimerHandle | None = None
         try:
             connection = await context.pool.acquire(
                 record.instance, deadline_at_s - self._loop.time()
@@ -107,6 +113,7 @@
                 reusable = True
                 return None
             sent_at_s = self._write_request(route, record, attempt, connection, deadline_at_s)
+            silence_check = self._schedule_silence_check(choice, sent_at_s)
             end = await attempt.ended
             reusable = end.result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
             self._feedback.note_attempt_end(choice, attempt, end, sent_at_s)
@@ -114,15 +121,16 @@
             self._feedback.note_overload(route, attempt, sent_at_s)
             return end
         except ConnectError as error:
-            record.note_failure(self._loop.time())
             if error.is_refused:
                 context.crash_watch.note_refused_connection(record.instance)
-            context.on_unreachable(record)
+            context.replica_watch.note_connect_failed(record, error)
             GATEWAY_ATTEMPTS.labels("unreachable").inc()
             self._progress.last_failure = f"connect: {error}"
             self._log.log_attempt_failed(record, "unreachable", str(error))
             return None
         finally:
+            if silence_check is not None:
+                silence_check.cancel()
             record.in_flight -= 1
             prompt.stop_counting()
             probe.end()
@@ -197,6 +205,16 @@
         connection.send(message, request.request_id, request.method == b"HEAD", attempt)
         return sent_at_s
 
+    def _schedule_silence_check(self, choice: Choice, sent_at_s: float) -> asyncio.TimerHandle:
+        """Check the replica if it sends nothing for much longer than expected."""
+        expected_s = choice.expected_ms / 1000.0
+        return self._loop.call_later(
+            max(MIN_SILENCE_S, expected_s * SILENCE_FACTOR),
+            self._context.replica_watch.check_if_silent,
+            choice.record,
+            sent_at_s,
+        )
+
     def _handle_signals(
         self,
         record: ReplicaRecord,
--- a/src/crowsill/gateway/wait_estimates.py
+++ b/src/crowsill/gateway/wait_estimates.py
@@ -2,7 +2,12 @@
 
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import NoReplicaReason, accepts, first_to_open, min_load_s
+from crowsill.gateway.selection import (
+    NoReplicaReason,
+    accepting_or_listed,
+    first_to_open,
+    min_load_s,
+)
 from crowsill.gateway.wait_decision import WaitEstimate
 from crowsill.model.routes import ModelWeights
 
@@ -58,7 +63,7 @@
         now_s: Current monotonic time.
         is_urgent: Whether the request cannot wait.
     """
-    if reason is NoReplicaReason.NO_REPLICA:
+    if reason in (NoReplicaReason.NO_REPLICA, NoReplicaReason.UNREACHABLE):
         return _decaying_estimate(
             NO_REPLICA_WAIT_S,
             NO_REPLICA_PROBABILITY,
@@ -84,7 +89,7 @@
     now_s: float,
 ) -> WaitEstimate:
     """Return when a replica may hold the model and adapter of the request."""
-    accepting = [record for record in records if accepts(record)]
+    accepting = accepting_or_listed(records)
     if any(record.instance.serves(request.model) for record in accepting):
         # Only the adapter is missing.
         return _decaying_estimate(
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -70,6 +70,10 @@
         """Wait for something to change; return False when the request must be rejected."""
         if reason is NoReplicaReason.ALL_TRIED:
             return False
+        # Where no other gateway is known, nobody else can be asked, and a replica that crashed may
+        # be back soon.
+        if reason is NoReplicaReason.UNREACHABLE and not self._context.peers.registry.is_empty:
+            return False
         request = self._request
         is_overloaded = reason is NoReplicaReason.ALL_FULL or self._is_limited(reason)
         if is_overloaded and self._progress.waiting_reason is not reason and request.model:
@@ -139,6 +143,8 @@
             now_s = self._loop.time()
             ready_s = record.availability.reserve_retry_at_s(now_s, self._is_urgent) - now_s
             estimate = replace(estimate, ready_s=ready_s)
+        if reason is NoReplicaReason.UNREACHABLE and self._progress.peer_retry_s < float("inf"):
+            estimate = replace(estimate, ready_s=self._progress.peer_retry_s)
         spread = self._context.random.random()
         retry_after_s = retry_delay_s(estimate, budget, rank, spread)
         if self._context.is_stopping():
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -118,6 +118,17 @@
 INVARIANT_FAILURES = Counter(
     "crowsill_invariant_failures", "Violated invariants.", registry=REGISTRY
 )
+PEER_REQUESTS = Counter(
+    "crowsill_gateway_peer_requests",
+    "Requests that this gateway passed to other gateways, by result.",
+    ["result"],
+    registry=REGISTRY,
+)
+REQUESTS_FROM_PEERS = Counter(
+    "crowsill_gateway_requests_from_peers",
+    "Requests that other gateways passed to this one.",
+    registry=REGISTRY,
+)
 COMMITS = Counter("crowsill_committed_commands", "Commands applied here.", registry=REGISTRY)
 COMMIT_S = Histogram(
     "crowsill_commit_seconds",
--- a/src/crowsill/routing/shared_budget.py
+++ b/src/crowsill/routing/shared_budget.py
@@ -77,3 +77,18 @@
         """
         if self._retries_at_s:
             self._retries_at_s.pop()
+
+
+class RetryBudgets:
+    """The budgets of all services, which have the same limits."""
+
+    def __init__(self, limits: RetryBudgetLimits) -> None:
+        self._limits = limits
+        self._budgets: dict[str, SharedRetryBudget] = {}
+
+    def of_service(self, service: str) -> SharedRetryBudget:
+        """Return the budget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            found = self._budgets[service] = SharedRetryBudget(self._limits)
+        return found
--- a/src/crowsill/settings.py
+++ b/src/crowsill/settings.py
@@ -161,6 +161,8 @@
         keep_asking_s: Time for which a gateway keeps reporting demand for the model that a rejected
             caller was missing. It may then be loaded for callers that retry, in place of models
             that others wait for. 0 disables this; see `ControlSettings.rare_model_turns`.
+        peers: Listener for other gateways, which pass on requests of callers while they reach no
+            replica themselves. Without it this gateway accepts none; it still passes its own on.
     """
 
     callers: Address
@@ -173,6 +175,7 @@
     retry_allowance: NonNegativeSeconds = 20.0
     key_revocation_s: NonNegativeSeconds = 5.0
     keep_asking_s: NonNegativeSeconds = 0.0
+    peers: Address | None = None
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -221,6 +224,8 @@
         gateway = settings.gateway
         found.append(("gateway.callers.host", gateway.callers.host))
         found.append(("gateway.ready.host", gateway.ready.host))
+        if gateway.peers is not None:
+            found.append(("gateway.peers.host", gateway.peers.host))
         for index, address in enumerate(gateway.control_seeds):
             found.append((f"gateway.control_seeds[{index}].host", address.host))
     return found
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -10,6 +10,7 @@
 from crowsill.model.configuration import Configuration, ConfigurationDelta
 from crowsill.model.exclusions import ExcludedReplica
 from crowsill.model.fleet import FleetDelta
+from crowsill.model.peers import PeerOffer
 from crowsill.model.replica_limits import LimitReport
 from crowsill.model.replica_use import UseByReplica
 from crowsill.state.commands import Command, CommandResult
@@ -96,6 +97,7 @@
         revision: Configuration revision that it serves.
         excluded: Replicas to which the entry, as a gateway, currently sends no requests; incomplete
             if there are many.
+        peer: What the entry, as a gateway, offers to other gateways; None for nothing.
         age_s: Time in seconds since the entry reported it, where a follower passes it on.
     """
 
@@ -104,6 +106,7 @@
     zone: str
     revision: int
     excluded: list[ExcludedReplica] = []
+    peer: PeerOffer | None = None
     age_s: float = 0.0
 
 
@@ -192,6 +195,8 @@
         in_use: Use of replicas by all gateways; None if it was not requested or is unknown.
         member_zones: Zone of each member, in the order of `members`; empty string if unknown.
         limits: Rate limits that replicas advertise, as far as the group knows them.
+        peers: Gateways that accept requests of others; a random part of them, and only where
+            `in_use` is set.
     """
 
     revision: int
@@ -203,6 +208,7 @@
     in_use: UseByReplica | None = None
     member_zones: list[str] = []
     limits: list[LimitReport] = []
+    peers: list[PeerOffer] = []
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration-update"):
--- a/tests/partitioned_site.py
+++ b/tests/partitioned_site.py
@@ -32,7 +32,7 @@
 from tests.platform_site import ROOT
 
 sys.path.insert(0, str(ROOT / "platform"))
-from crowsill_platform.settings import PlatformListen, PlatformSettings, translate
+from crowsill_platform.settings import PlatformBounds, PlatformListen, PlatformSettings, translate
 
 WORK_S = 0.02
 CHUNK_BYTES = 65536
@@ -66,6 +66,8 @@
             self._accepting.cancel()
             self._accepting = None
         if self._listener is not None:
+            # The cancelled accept removes it only later, when another socket may have its number.
+            asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
             self._listener = None
         for queued in self._queued:
@@ -184,6 +186,7 @@
             seeds=[f"{LOCAL}:1"],
             listen=PlatformListen(front=f"{LOCAL}:{front}", ready=f"{LOCAL}:{ready}"),
             serves=["front"],
+            bounds=PlatformBounds(budget_slack=100.0),
         )
         settings = translate(platform_settings)
         gateway = msgspec.structs.replace(settings.gateway, control_seeds=self.group.addresses)
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+from random import Random
 
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from crowsill.gateway.availability import MAX_PROBES, Availability, Exclusion, ExclusionReason
+from crowsill.gateway.link_state import LinkState
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.request import CallerRequest
@@ -158,7 +160,10 @@
         is_closed = self.has_reported_draining or self.is_listed_draining or self.is_unreachable
         chosen = choose([record], PLAIN, set(), SelectionLimits("z", 10), self.now_s)
         if is_closed:
-            assert chosen is NoReplicaReason.NO_REPLICA
+            is_draining = self.has_reported_draining or self.is_listed_draining
+            assert chosen is (
+                NoReplicaReason.NO_REPLICA if is_draining else NoReplicaReason.UNREACHABLE
+            )
         elif is_backing_off or self.now_s < self.limit_opens_at_s:
             assert chosen is NoReplicaReason.ALL_CLOSED
         else:
@@ -222,7 +227,14 @@
     async def scenario():
         listed = Instance("a@1", "s", "127.0.0.1:1", "z", 4)
         registry = ReplicaRegistry()
-        watch = ReplicaWatch(registry, NoPool(), lambda _notice: True, lambda: None)
+        watch = ReplicaWatch(
+            registry,
+            NoPool(),
+            LinkState(registry, lambda _instance_id: False),
+            notify=lambda _notice: True,
+            on_change=lambda: None,
+            random=Random(1),
+        )
         registry.adopt(DirectoryChange(1, [listed], []), True, 0.0)
         removed_record = registry.find("a@1")
         removed_record.availability.note_backoff(1.0, now_s=0.0)
--- a/tests/test_gateway_use.py
+++ b/tests/test_gateway_use.py
@@ -89,7 +89,7 @@
     service._has_applied = lambda _freshness: True
 
     async def send_heartbeat(source, **in_use):
-        stream = SimpleNamespace(peer=SimpleNamespace(identity=source, node=source))
+        stream = SimpleNamespace(peer=SimpleNamespace(identity=source, node=source, zone="z"))
         return await service.on_request(stream, Heartbeat(0, 0, [], **in_use))
 
     async def scenario():
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -60,7 +60,7 @@
             [record("a", availability=Availability(is_unreachable=True))],
             request(),
             set(),
-            NoReplicaReason.NO_REPLICA,
+            NoReplicaReason.UNREACHABLE,
         ),
         ([record("a", ["n"])], request(), set(), NoReplicaReason.NO_MODEL),
         ([record("a")], request(adapter="a2"), set(), NoReplicaReason.NO_MODEL),
