Gateways that lost their links no longer report replicas as crashed

Cause: a reset response and a refused connection count as a crash, and both also come from lost links of the gateway. Now a gateway that reaches no other replica either, by its open connections and by two new ones, waits for the group: it reports the crash if the directory drops the replica within 3 s, and else forgets it.

test_lost_links_leave_nothing_against_replicas_and_requests failed before (3 crash records in place of 0) and passes now.

--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -25,6 +25,10 @@
 CHECK_TIMEOUT_S = 0.5
 # How long a caller's request waits for the check: one round trip and a second check.
 MAX_CRASH_CHECK_WAIT_S = 0.3
+# A gateway that reaches no replica can't tell a crash from a loss of its own links. The group
+# removes a replica that crashed from the directory within about this time.
+REMOVAL_WAIT_S = 3.0
+REMOVAL_POLL_S = 0.1
 RESPONSE_TIMEOUT_S = 0.8
 REPORT_RETRY_S = 0.05
 # A report that is not accepted within this time is dropped: without a leader no other gateway could
@@ -51,6 +55,9 @@
         guard: CrashGuard,
         query: Callable[[GroupRequest, float], Awaitable[Body | None]],
         on_crashed: Callable[[str], None],
+        *,
+        is_own_failure: Callable[[Instance], Awaitable[bool]],
+        is_listed: Callable[[str], bool],
     ) -> None:
         """Create a watch.
 
@@ -60,11 +67,15 @@
             query: Sends a request to the control group; returns the reply, or None if there was
                 none within the given seconds.
             on_crashed: Receives the id of each instance that crashed.
+            is_own_failure: Whether no other replica is reached from here either.
+            is_listed: Whether the directory lists an instance as running.
         """
         self._pool = pool
         self._guard = guard
         self._query = query
         self._on_crashed = on_crashed
+        self._is_own_failure = is_own_failure
+        self._is_listed = is_listed
         self._loop = asyncio.get_running_loop()
         self._broken: dict[str, list[SuspectRequest]] = {}
         self._interrupted_at_s: dict[str, float] = {}
@@ -150,13 +161,25 @@
             if not await self._refuses_connections(instance):
                 break
             # A replica that refuses because it has too many connections still serves the others.
-            if not self._pool.has_open(instance.instance_id):
-                self._record_crash(instance)
-                return True
+            if self._pool.has_open(instance.instance_id):
+                continue
+            if await self._is_own_failure(instance) and not await self._is_removed(instance):
+                break
+            self._record_crash(instance)
+            return True
         self._broken.pop(instance.instance_id, None)
         self._interrupted_at_s.pop(instance.instance_id, None)
         return False
 
+    async def _is_removed(self, instance: Instance) -> bool:
+        """Whether the group removes a replica soon, because its heartbeats ended."""
+        end_at_s = self._loop.time() + REMOVAL_WAIT_S
+        while self._is_listed(instance.instance_id):
+            if self._loop.time() >= end_at_s:
+                return False
+            await asyncio.sleep(REMOVAL_POLL_S)
+        return True
+
     async def _refuses_connections(self, instance: Instance) -> bool:
         """Whether the replica's machine refuses the connection; a timeout is no proof."""
         try:
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -205,6 +205,11 @@
         """Return the instances of all services that don't drain."""
         return [record for record in self._records.values() if not record.availability.is_draining]
 
+    def is_listed(self, instance_id: str) -> bool:
+        """Whether the directory lists an instance that doesn't drain."""
+        record = self._records.get(instance_id)
+        return record is not None and not record.availability.is_draining
+
     def excluded(self, now_s: float) -> list[ExcludedReplica]:
         """Return at most `MAX_REPORTED_EXCLUSIONS` excluded replicas, by order of the reasons."""
         order = list(ExclusionReason)
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -14,7 +14,7 @@
 from crowsill.gateway.pool import CONNECT_TIMEOUT_S, ConnectError, ConnectionPool
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.logs import log_event
-from crowsill.model.instances import InstanceState
+from crowsill.model.instances import Instance, InstanceState
 from crowsill.transport.replica_messages import DrainingInstances, SuspectInstances
 
 RECONNECT_INTERVAL_S = 0.5
@@ -168,6 +168,23 @@
         finally:
             self._checked.discard(instance_id)
 
+    async def is_own_failure(self, instance: Instance) -> bool:
+        """Whether no other replica is reached either, so that the links of this gateway failed."""
+        others = [record for record in self._registry.listed() if record.instance is not instance]
+        if not others or any(self._pool.has_open(item.instance.instance_id) for item in others):
+            return False
+        sample = self._random.sample(others, min(CHECKED_REPLICAS, len(others)))
+        return not any(await asyncio.gather(*(self._can_connect(record) for record in sample)))
+
+    async def _can_connect(self, record: ReplicaRecord) -> bool:
+        try:
+            connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
+        except ConnectError as error:
+            self.note_connect_failed(record, error)
+            return False
+        self._pool.release(record.instance.instance_id, connection, True)
+        return True
+
     # Return.
 
     def _watch(self, record: ReplicaRecord) -> None:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -139,7 +139,12 @@
         )
         self.pool.on_idle_lost = self.replica_watch.check_lost_connection
         self.crash_watch = CrashWatch(
-            self.pool, self.crash_guard, self._follower.query, self._on_crashed
+            self.pool,
+            self.crash_guard,
+            self._follower.query,
+            self._on_crashed,
+            is_own_failure=self.replica_watch.is_own_failure,
+            is_listed=self.registry.is_listed,
         )
         listen = self._settings.callers
         self._server = await loop.create_server(
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -61,15 +61,29 @@
         reported: Messages that were sent to the group.
         crashed: Ids of instances that were found to have crashed.
         is_connected: Whether the group accepts messages.
+        has_lost_links: Whether no other replica is reached either.
+        listed: Ids of instances that the directory lists.
     """
 
     def __init__(self, is_connected=True):
         self.reported = []
         self.crashed = []
         self.is_connected = is_connected
+        self.has_lost_links = False
+        self.listed = {"i-1"}
         self.guard = CrashGuard()
         self.pool = ConnectionPool(NAMES)
-        self.watch = CrashWatch(self.pool, self.guard, self._query, self.crashed.append)
+        self.watch = CrashWatch(
+            self.pool,
+            self.guard,
+            self._query,
+            self.crashed.append,
+            is_own_failure=self._is_own_failure,
+            is_listed=lambda instance_id: instance_id in self.listed,
+        )
+
+    async def _is_own_failure(self, _instance):
+        return self.has_lost_links
 
     async def _query(self, message, _timeout_s):
         if not self.is_connected:
--- a/tests/partitioned_site.py
+++ b/tests/partitioned_site.py
@@ -36,6 +36,7 @@
 
 WORK_S = 0.02
 CHUNK_BYTES = 65536
+CLOSE = "Connection: close"
 
 
 class FailingLink:
@@ -246,7 +247,7 @@
             connection = await asyncio.open_connection(LOCAL, self.gateways[number].port())
             caller = Caller(*connection)
             try:
-                caller.send(route, request_id, b"x", headers=["Connection: close", *headers])
+                caller.send(route, request_id, request_id.encode(), headers=[CLOSE, *headers])
                 found, response_headers = await caller.head()
                 body = await caller.body(response_headers)
                 status = found
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -6,13 +6,16 @@
 
 import asyncio
 
-from crowsill.gateway.crash_watch import ABANDONED_MEMORY_S, CrashWatch
+import pytest
+
+from crowsill.gateway.crash_watch import ABANDONED_MEMORY_S, REMOVAL_WAIT_S, CrashWatch
 from crowsill.model.instances import Instance, InstanceState
 from crowsill.model.suspects import CRASH_LIMIT
 from crowsill.state.commands import Acknowledged
 from crowsill.state.crash_record import CrashRecord
 from crowsill.transport.messages import Submitted
 from crowsill.transport.replica_messages import ReportCrash
+from tests.control_group import until
 from tests.crash_world import Port, Watched, at, settle, suspect
 from tests.gateway_world import LOCAL, close_connection, never_respond, run, world
 
@@ -172,6 +175,24 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("is_removed", [True, False])
+def test_a_gateway_that_reaches_no_replica_reports_only_crashes_that_the_group_confirms(is_removed):
+    async def scenario():
+        port, watched = await Port().open(), Watched()
+        watched.has_lost_links = True
+        port.crash()
+        watched.watch.note_broken_response(at(port), suspect())
+        await settle(watched)
+        assert watched.crashed == [] and watched.reported == []
+        if is_removed:
+            watched.listed.clear()
+        await until(lambda: not watched.watch._checks, REMOVAL_WAIT_S + 1.0)
+        assert watched.crashed == (["i-1"] if is_removed else [])
+        await watched.watch.stop()
+
+    run(scenario())
+
+
 def test_a_stopping_gateway_reports_a_crash_first():
     """A crash that only a stopping gateway observed must be reported before it stops.
 
@@ -189,7 +210,12 @@
                 return Submitted(Acknowledged())
 
             role.crash_watch = CrashWatch(
-                role.pool, role.crash_guard, query, lambda _instance_id: None
+                role.pool,
+                role.crash_guard,
+                query,
+                lambda _instance_id: None,
+                is_own_failure=role.replica_watch.is_own_failure,
+                is_listed=role.registry.is_listed,
             )
             port = await Port().open()
             port.crash()
--- a/tests/test_peer_requests.py
+++ b/tests/test_peer_requests.py
@@ -226,3 +226,33 @@
             assert served_share(tries) == 1.0 and hops.exchanges == 0
 
     run(scenario())
+
+
+def test_lost_links_leave_nothing_against_replicas_and_requests(tmp_path):
+    # Gateways that lost their links reported crashes of replicas that went on to serve others.
+    async def scenario():
+        async def work(headers, writer, _number):
+            site.note_run(headers)
+            await asyncio.sleep(0.3)
+            writer.write(encode_response(headers[ID]))
+            return True
+
+        site = PartitionedSite(tmp_path, gateways=3, script=work)
+        async with site:
+            await know_peers(site)
+            sending = asyncio.create_task(site.send("once", 2.0, 0.02))
+            await asyncio.sleep(1.0)
+            site.cut([0], "reset")
+            await sending
+            await asyncio.sleep(1.0)
+            for member in site.group.roles:
+                assert member._machine.crashes.version == 0
+            role = site.gateways[0]
+            assert role.crash_guard.has_suspects is False
+            assert not role.budget("plain")._retries_at_s
+            site.restore([0])
+            await until(lambda: not role._links.unreachable_services())
+            for record in role.registry.listed():
+                assert record.error_share < 0.3 and record.availability.failures <= 5
+
+    run(scenario())
