Replicas behind links that accept and reset connections count as unreachable

What callers saw: where connections are accepted and reset at once, first tries at such a gateway fail without end: a new connection could be opened, so nothing counted as unreachable and no other gateway was asked. Cause: a check that ended with the handshake.

--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -112,6 +112,8 @@
         self._progress.runs += 1
         if end.result is not AttemptResult.COMPLETE:
             record.note_failure(now_s)
+            if end.is_broken:
+                self._context.replica_watch.check(record)
             self._log.log_attempt_failed(record, end.result, end.detail)
             return
         if end.status >= MIN_SERVER_ERROR_STATUS:
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -94,6 +94,10 @@
         if self._pool.received_at_s(record.instance.instance_id) < since_s:
             self._start_check(record)
 
+    def check(self, record: ReplicaRecord) -> None:
+        """Check a replica that interrupted a response."""
+        self._start_check(record)
+
     def check_lost_connection(self, instance_id: str) -> None:
         """Check a replica whose idle connection was lost with an error."""
         record = self._registry.find(instance_id)
@@ -159,14 +163,14 @@
         self._start_task(self._check(record))
 
     async def _check(self, record: ReplicaRecord) -> None:
-        instance_id = record.instance.instance_id
         try:
-            connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
-            self._pool.release(instance_id, connection, True)
+            if not await self._can_connect(record):
+                self._exclude(record)
+                self._check_others(record, is_refused=False)
         except ConnectError as error:
             self.note_connect_failed(record, error)
         finally:
-            self._checked.discard(instance_id)
+            self._checked.discard(record.instance.instance_id)
 
     async def is_own_failure(self, instance: Instance) -> bool:
         """Whether no other replica is reached either, so that the links of this gateway failed."""
@@ -174,16 +178,27 @@
         if not others or any(self._pool.has_open(item.instance.instance_id) for item in others):
             return False
         sample = self._random.sample(others, min(CHECKED_REPLICAS, len(others)))
-        return not any(await asyncio.gather(*(self._can_connect(record) for record in sample)))
+        return not any(await asyncio.gather(*(self._is_reached(record) for record in sample)))
 
-    async def _can_connect(self, record: ReplicaRecord) -> bool:
+    async def _is_reached(self, record: ReplicaRecord) -> bool:
+        """Whether a connection to a replica can be opened and stays open."""
         try:
-            connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
-        except ConnectError as error:
-            self.note_connect_failed(record, error)
+            return await self._can_connect(record)
+        except ConnectError:
             return False
-        self._pool.release(record.instance.instance_id, connection, True)
-        return True
+
+    async def _can_connect(self, record: ReplicaRecord) -> bool:
+        """Open a connection to a replica; return whether it stays open.
+
+        Raises:
+            ConnectError: No connection could be opened.
+        """
+        connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
+        try:
+            await asyncio.sleep(PROBATION_S)
+            return connection.is_open
+        finally:
+            self._pool.release(record.instance.instance_id, connection, True)
 
     # Return.
 
@@ -221,18 +236,6 @@
             return
         await asyncio.sleep(self._random.random() * RESTORE_SPREAD_S)
 
-    async def _is_reached(self, record: ReplicaRecord) -> bool:
-        """Whether a connection to a replica can be opened and stays open."""
-        try:
-            connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
-        except ConnectError:
-            return False
-        try:
-            await asyncio.sleep(PROBATION_S)
-            return connection.is_open
-        finally:
-            self._pool.release(record.instance.instance_id, connection, True)
-
     # Backoffs and drains.
 
     def watch_backoff(self, record: ReplicaRecord) -> None:
--- a/tests/partitioned_site.py
+++ b/tests/partitioned_site.py
@@ -43,7 +43,8 @@
     """The path from one gateway to one replica.
 
     Failures: "reset" resets connections and refuses new ones, "silent" carries nothing and opens no
-    new ones, "no_new" refuses new ones and carries what is open.
+    new ones, "no_new" refuses new ones and carries what is open, "accepted" resets connections also
+    after it has accepted them.
     """
 
     def __init__(self, target_port):
@@ -55,6 +56,7 @@
         self._writers = set()
         self._tasks = set()
         self._carries = asyncio.Event()
+        self._resets = False
         self.restore()
 
     def _listen(self, backlog):
@@ -77,6 +79,7 @@
 
     def restore(self):
         """Carry everything and accept connections."""
+        self._resets = False
         self._listen(128)
         self._carries.set()
         self._accepting = asyncio.create_task(self._accept())
@@ -93,8 +96,10 @@
                 queued.connect_ex((LOCAL, self.port))
                 self._queued.append(queued)
             return
-        self._stop_listening()
-        if how == "reset":
+        self._resets = how == "accepted"
+        if not self._resets:
+            self._stop_listening()
+        if how in ("reset", "accepted"):
             for writer in self._writers:
                 writer.transport.abort()
 
@@ -108,6 +113,9 @@
 
     async def _carry(self, accepted):
         reader, writer = await asyncio.open_connection(sock=accepted)
+        if self._resets:
+            writer.transport.abort()
+            return
         try:
             target = await asyncio.open_connection(LOCAL, self._target_port)
         except OSError:
--- a/tests/test_partitioned_gateways.py
+++ b/tests/test_partitioned_gateways.py
@@ -22,6 +22,7 @@
         ("once", [0, 1], "reset"),
         ("once", [0, 1], "silent"),
         ("once", [0, 1], "no_new"),
+        ("once", [0, 1], "accepted"),
         ("safe", [0, 1], "reset"),
         ("safe", [0, 1], "silent"),
         ("once", [0, 1, 2], "reset"),
