Crashes are told from lost links by the moment; soak cuts gateways off from replicas

Cause in part: a gateway whose three replicas were down one after the other took that for the loss of its links and reported nothing for up to 3 s. Now another replica's connections must have been lost within 0.3 s of this one's. And where links reset connections after they were accepted, each gateway lost three requests a replica, again after each start: after one such reset the next connection must stay open for 0.5 s to count as accepted.

--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -21,7 +21,7 @@
 
 # Delays before each check whether the replica's port is open. The close of one connection may be
 # received before that of the others.
-CHECK_DELAYS_S = (0.0, 0.05, 0.2)
+CHECK_DELAYS_S = (0.05, 0.05, 0.2)
 CHECK_TIMEOUT_S = 0.5
 # How long a caller's request waits for the check: one round trip and a second check.
 MAX_CRASH_CHECK_WAIT_S = 0.3
--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -30,6 +30,7 @@
     idle: list[ReplicaConnection] = field(default_factory=list)
     busy: set[ReplicaConnection] = field(default_factory=set)
     received_at_s: float = float("-inf")
+    lost_at_s: float = float("-inf")
     in_use: int = 0
     opening: int = 0
 
@@ -137,9 +138,23 @@
                 lambda: ReplicaConnection(self._names), address.host, address.port
             )
         set_peer_timeout(transport, SILENCE_TIMEOUT_S)
-        connection.on_lost = lambda: self.on_idle_lost(instance.instance_id)
+        connection.on_lost = lambda: self._note_lost(instance.instance_id, connection)
         return connection
 
+    def _note_lost(self, instance_id: str, connection: ReplicaConnection) -> None:
+        """Record that a connection was lost with an error."""
+        pool = self._pools.get(instance_id)
+        if pool is None:
+            return
+        pool.lost_at_s = self._loop.time()
+        if connection not in pool.busy:
+            self.on_idle_lost(instance_id)
+
+    def lost_at_s(self, instance_id: str) -> float:
+        """Return the monotonic time at which a connection was last lost with an error."""
+        pool = self._pools.get(instance_id)
+        return float("-inf") if pool is None else pool.lost_at_s
+
     def release(self, instance_id: str, connection: ReplicaConnection, reusable: bool) -> None:
         """Return a connection to the pool after its request has ended."""
         pool = self._pools.setdefault(instance_id, _InstancePool())
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -53,7 +53,9 @@
         is_reusable: Whether another request may be sent on it.
         idle_expires_at_s: Monotonic time until which it may be reused while idle.
         received_at_s: Monotonic time at which it was opened or bytes were last received.
-        on_lost: Called when it is lost with an error while no request is in flight.
+        has_received: Whether any bytes were received on it.
+        requests: Number of requests that were sent on it.
+        on_lost: Called when it is lost with an error, or during a response.
     """
 
     def __init__(self, names: HeaderNames) -> None:
@@ -71,6 +73,8 @@
         self.is_reusable = True
         self.idle_expires_at_s = 0.0
         self.received_at_s = self._loop.time()
+        self.has_received = False
+        self.requests = 0
         self.on_lost: Callable[[], None] = lambda: None
         self._is_discarded = False
         self._reset_message()
@@ -89,9 +93,10 @@
         """End the response in progress: complete if the close delimits its body, else broken."""
         self.is_open = False
         self.is_reusable = False
+        is_interrupted = self._sink is not None and not self._ends_with_connection
+        if not self._is_discarded and (exc is not None or is_interrupted):
+            self.on_lost()
         if self._sink is None:
-            if exc is not None and not self._is_discarded:
-                self.on_lost()
             return
         if self._ends_with_connection and self._received_eof and exc is None:
             self._deliver_end()
@@ -106,6 +111,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         self.received_at_s = self._loop.time()
+        self.has_received = True
         if self._sink is None:
             # Bytes without a request: later responses could not be matched to their requests.
             self.discard()
@@ -136,6 +142,7 @@
             is_head_request: Whether the method is HEAD, so that the response has no body.
             sink: Receives the response.
         """
+        self.requests += 1
         self._sink = sink
         self._request_id = request_id
         self._is_head_request = is_head_request
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from random import Random
 
 from crowsill.events import Event
 from crowsill.gateway.link_state import LinkState
 from crowsill.gateway.pool import CONNECT_TIMEOUT_S, ConnectError, ConnectionPool
+from crowsill.gateway.replica_connection import ReplicaConnection
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.logs import log_event
 from crowsill.model.instances import Instance, InstanceState
@@ -25,9 +27,15 @@
 RESTORE_SPREAD_S = 0.3
 # A connection that a middlebox accepts and resets at once does not show that a replica is reached.
 PROBATION_S = 0.05
+# After a new connection was reset before any response, the next one must stay open for longer to
+# count as accepted. So many in a row count as refused.
+LONG_PROBATION_S = 0.5
+MAX_EARLY_RESETS = 3
 # Replicas that are checked when a first one fails, and the time for which failures are related.
 CHECKED_REPLICAS = 2
 RELATED_FAILURES_S = 2.0
+# Connections that are lost within this time are lost at the same moment.
+SIMULTANEOUS_S = 0.3
 # A replica that sent anything within this time needs no check.
 RECENT_S = 0.5
 # The control group records that a replica drains and informs all gateways within half this time.
@@ -67,17 +75,15 @@
         self._checked: set[str] = set()
         self._watched: set[str] = set()
         self._failed_at_s: dict[str, float] = {}
+        self._early_resets: Counter[str] = Counter()
         self._restored = asyncio.Event()
 
     # Failures.
 
     def note_connect_failed(self, record: ReplicaRecord, error: ConnectError) -> None:
         """Exclude a replica to which no connection could be opened, and check others."""
-        instance_id = record.instance.instance_id
-        if error.is_refused and self._pool.has_open(instance_id):
-            # Connections that are open carry requests on.
-            record.availability.note_refuses_connections()
-            self._watch(record)
+        if error.is_refused:
+            self._close_to_new_connections(record)
         else:
             self._exclude(record)
         self._check_others(record, error.is_refused)
@@ -89,6 +95,33 @@
             # would cost a request its deadline, and would count as proof that it is reachable.
             self._pool.close_idle(record.instance.instance_id)
 
+    def note_first_request(
+        self, record: ReplicaRecord, connection: ReplicaConnection, is_broken: bool
+    ) -> None:
+        """Record how the first request on a new connection ended.
+
+        Args:
+            record: The replica.
+            connection: The connection.
+            is_broken: Whether the connection was lost before the response was complete.
+        """
+        instance_id = record.instance.instance_id
+        if connection.has_received:
+            self._early_resets.pop(instance_id, None)
+        elif is_broken:
+            self._early_resets[instance_id] += 1
+            if self._early_resets[instance_id] >= MAX_EARLY_RESETS:
+                self._close_to_new_connections(record)
+                self._check_others(record, is_refused=False)
+
+    def _close_to_new_connections(self, record: ReplicaRecord) -> None:
+        """Use only the open connections to a replica, or exclude it if there is none."""
+        if self._pool.has_open(record.instance.instance_id):
+            record.availability.note_refuses_connections()
+            self._watch(record)
+        else:
+            self._exclude(record)
+
     def check_if_silent(self, record: ReplicaRecord, since_s: float) -> None:
         """Check a replica that has sent nothing since a monotonic time."""
         if self._pool.received_at_s(record.instance.instance_id) < since_s:
@@ -173,9 +206,18 @@
             self._checked.discard(record.instance.instance_id)
 
     async def is_own_failure(self, instance: Instance) -> bool:
-        """Whether no other replica is reached either, so that the links of this gateway failed."""
+        """Whether the links of this gateway failed, and not the replica.
+
+        Then no other replica is reached either, and connections to another one were lost at the
+        same moment. Replicas that a request has crashed one after the other were lost before.
+        """
         others = [record for record in self._registry.listed() if record.instance is not instance]
-        if not others or any(self._pool.has_open(item.instance.instance_id) for item in others):
+        ids = [record.instance.instance_id for record in others]
+        lost_at_s = self._pool.lost_at_s(instance.instance_id)
+        was_lost_alone = not any(
+            abs(self._pool.lost_at_s(item) - lost_at_s) <= SIMULTANEOUS_S for item in ids
+        )
+        if was_lost_alone:
             return False
         sample = self._random.sample(others, min(CHECKED_REPLICAS, len(others)))
         return not any(await asyncio.gather(*(self._is_reached(record) for record in sample)))
@@ -194,8 +236,9 @@
             ConnectError: No connection could be opened.
         """
         connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
+        is_suspect = self._early_resets[record.instance.instance_id] > 0
         try:
-            await asyncio.sleep(PROBATION_S)
+            await asyncio.sleep(LONG_PROBATION_S if is_suspect else PROBATION_S)
             return connection.is_open
         finally:
             self._pool.release(record.instance.instance_id, connection, True)
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -116,6 +116,8 @@
             silence_check = self._schedule_silence_check(choice, sent_at_s)
             end = await attempt.ended
             reusable = end.result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
+            if connection.requests == 1:
+                context.replica_watch.note_first_request(record, connection, end.is_broken)
             self._feedback.note_attempt_end(choice, attempt, end, sent_at_s)
             self._repeat_guard.note_attempt_end(record.instance, end, sent_at_s)
             self._feedback.note_overload(route, attempt, sent_at_s)
--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -117,6 +117,7 @@
     pointers: int = 0,
     signals: bool = True,
     limits: bool = True,
+    cuts: bool = True,
     folder: Path = Path("soak-run"),
 ) -> None:
     """Run the real programs under external faults and check all guarantees, for each seed."""
@@ -129,7 +130,15 @@
             # Data of a previous run holds a group at other addresses, which cannot form again.
             raise typer.BadParameter(f"{run_folder} is not empty")
         plan = SoakPlan(
-            number, minutes * 60.0, members, gateways, run_folder, pointers, signals, limits
+            number,
+            minutes * 60.0,
+            members,
+            gateways,
+            run_folder,
+            pointers,
+            has_signals=signals,
+            has_limits=limits,
+            has_cuts=cuts,
         )
         report = run_soak(plan)
         typer.echo(report.text())
--- a/src/crowsill_lab/soak/caller.py
+++ b/src/crowsill_lab/soak/caller.py
@@ -10,6 +10,7 @@
 
 from crowsill.gateway.headers import HeaderNames
 from crowsill_lab.soak.ledger import Ledger, SentRequest
+from crowsill_lab.soak.links import FirstTry
 from crowsill_lab.soak.operator import HOST_NAME
 from crowsill_lab.soak.replica import response_body
 from crowsill_lab.soak.site import Gateway
@@ -91,8 +92,12 @@
     async def _send_once(self, session: aiohttp.ClientSession) -> None:
         path = "/safe/x" if self._random.random() < IDEMPOTENT_SHARE else "/once/x"
         interruptions = self._gateway.interruptions
+        run, sent_at_s = self._gateway.current_run(), time.monotonic()
         key = draw_key(self._random, self._ledger.acknowledged)
         response = await send_request(session, self._gateway, path, self._ledger, key)
+        if key == STEADY_KEY and run == self._gateway.current_run():
+            first_try = FirstTry(self._gateway.name, sent_at_s, response.status == 200)
+            self._ledger.links.tries.append(first_try)
         if response.status == 401 and key.tenant != ROTATING:
             self._ledger.note_violation(
                 f"{response.request_id}: a key that is valid in every version: 401"
--- a/src/crowsill_lab/soak/faults.py
+++ b/src/crowsill_lab/soak/faults.py
@@ -9,6 +9,7 @@
 from crowsill_lab.demo.processes import ManagedProcess
 from crowsill_lab.relay import SilencingRelay
 from crowsill_lab.soak.ledger import Ledger
+from crowsill_lab.soak.links import SoakLinks
 from crowsill_lab.soak.losses import LossInjector
 from crowsill_lab.soak.replica import SoakReplica
 from crowsill_lab.soak.seeded_site import SeededSite
@@ -35,7 +36,10 @@
         replicas: list[SoakReplica],
         ledger: Ledger,
         random: Random,
+        *,
+        links: SoakLinks,
     ) -> None:
+        self._links = links
         self._site = site
         self._replicas = replicas
         self._ledger = ledger
@@ -175,7 +179,9 @@
     async def _replace_replica(self) -> None:
         draining = self._replicas.pop(0)
         self._note(f"replace {draining.name}")
-        replacement = SoakReplica(self._next_replica, self._site, self._ledger, self._random)
+        replacement = SoakReplica(
+            self._next_replica, self._site, self._ledger, self._random, self._links
+        )
         self._next_replica += 1
         await replacement.start()
         self._replicas.append(replacement)
--- a/src/crowsill_lab/soak/ledger.py
+++ b/src/crowsill_lab/soak/ledger.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from crowsill_lab.soak.limits import LimitLedger
+from crowsill_lab.soak.links import LinkLedger
 from crowsill_lab.soak.signal_ledger import GatewayRun, SignalLedger
 from crowsill_lab.soak.tenants import (
     BURST,
@@ -53,6 +54,7 @@
         crashes_at_s: Times at which each crashing request crashed a replica, by path and body.
         signals: Backoffs and drains that replicas requested in their responses.
         limits: Rate limits that replicas advertised in their responses.
+        links: Gateways that were cut off from all replicas, and first tries of callers.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -67,17 +69,29 @@
     crashes_at_s: dict[tuple[str, bytes], list[float]] = field(default_factory=dict)
     signals: SignalLedger = field(default_factory=SignalLedger)
     limits: LimitLedger = field(default_factory=LimitLedger)
+    links: LinkLedger = field(default_factory=LinkLedger)
 
-    def note_arrival(self, request_id: str, instance_id: str, now_s: float) -> GatewayRun | None:
-        """Record that a request arrived at a replica; return the gateway run that forwarded it."""
+    def note_arrival(
+        self, request_id: str, instance_id: str, now_s: float, sender: GatewayRun | None = None
+    ) -> GatewayRun | None:
+        """Record that a request arrived at a replica; return the gateway run that forwarded it.
+
+        Args:
+            request_id: Id of the request.
+            instance_id: The incarnation of the replica.
+            now_s: Monotonic time.
+            sender: The gateway run that sent it, which may not be the one that its caller sent it
+                to; None if unknown.
+        """
         sent = self.sent.get(request_id)
         if sent is None or sent.gateway is None:
             return None
-        violation = self.signals.check_arrival(instance_id, sent.gateway, sent.sent_at_s, now_s)
+        gateway = sender or sent.gateway
+        violation = self.signals.check_arrival(instance_id, gateway, sent.sent_at_s, now_s)
         if violation is not None:
             self.note_violation(f"{request_id}: {violation}")
-        self.limits.note_arrival(instance_id, sent.gateway, now_s)
-        return sent.gateway
+        self.limits.note_arrival(instance_id, gateway, now_s)
+        return gateway
 
     def note_crash(self, path: str, body: bytes, now_s: float) -> None:
         """Record that a request crashed a replica."""
@@ -159,6 +173,7 @@
         """Check at the end the guarantees that cover all requests together."""
         self._check_rate()
         self.violations += self.limits.violations()
+        self.violations += self.links.violations()
         for request_id, count in self.runs.items():
             if count > 1 and request_id in self.at_most_once:
                 self.note_violation(f"{request_id}: ran {count} times")
--- a/src/crowsill_lab/soak/replica.py
+++ b/src/crowsill_lab/soak/replica.py
@@ -12,6 +12,7 @@
 from crowsill.model.instances import Instance, InstanceState, ReplicaHeartbeat, instance_id_of
 from crowsill_lab.soak.control_calls import put
 from crowsill_lab.soak.ledger import CRASHING_BODY_PREFIX, Ledger
+from crowsill_lab.soak.links import SoakLinks
 from crowsill_lab.soak.seeded_site import SeededSite
 from crowsill_lab.soak.signal_ledger import GatewayRun
 from crowsill_lab.soak.signals import SHED_SHARE, draw_rejection
@@ -42,8 +43,23 @@
     """
 
     def __init__(
-        self, number: int, site: SoakSite | SeededSite, ledger: Ledger, random: Random
+        self,
+        number: int,
+        site: SoakSite | SeededSite,
+        ledger: Ledger,
+        random: Random,
+        links: SoakLinks,
     ) -> None:
+        """Create a replica that is not started.
+
+        Args:
+            number: Its number, which gives its name.
+            site: The processes of the soak.
+            ledger: Records what it observes.
+            random: Source of its choices.
+            links: Links between gateways and replicas.
+        """
+        self._links = links
         self.name = f"i-{number}"
         self._started_ms = 0
         self._site = site
@@ -161,6 +177,8 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # The event loop cancels this task when it shuts down.
         expected_errors = (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError)
+        if not self._links.accept(writer):
+            return
         self._writers.add(writer)
         with contextlib.suppress(*expected_errors):
             while True:
@@ -177,11 +195,14 @@
                     self._restarts.add(restart)
                     restart.add_done_callback(self._restarts.discard)
                     break
-                writer.write(await self._respond(headers, body))
+                writer.write(await self._respond(headers, body, self._links.sender(writer)))
         self._writers.discard(writer)
+        self._links.forget(writer)
         writer.close()
 
-    async def _respond(self, headers: dict[str, str], body: bytes) -> bytes:
+    async def _respond(
+        self, headers: dict[str, str], body: bytes, sender: GatewayRun | None
+    ) -> bytes:
         request_id = headers[NAMES.request_id.decode()]
         expected = headers.get(NAMES.expect_instance.decode(), self.name)
         if expected != self.name:
@@ -189,7 +210,7 @@
         if time.monotonic() - self._drain_acknowledged_at_s > MAX_DRAIN_PROPAGATION_S:
             self._ledger.note_violation(f"{request_id}: reached {self.name}, which is draining")
         now_s = time.monotonic()
-        gateway = self._ledger.note_arrival(request_id, self.instance_id, now_s)
+        gateway = self._ledger.note_arrival(request_id, self.instance_id, now_s, sender)
         if now_s < self._shed_until_at_s and self._random.random() < SHED_SHARE:
             return self._reject_and_back_off(request_id, gateway, now_s)
         if self._random.random() < REJECTED_SHARE:
--- a/src/crowsill_lab/soak/runner.py
+++ b/src/crowsill_lab/soak/runner.py
@@ -13,6 +13,7 @@
 from crowsill_lab.soak.faults import FaultInjector
 from crowsill_lab.soak.ledger import Ledger
 from crowsill_lab.soak.limits import LimitInjector
+from crowsill_lab.soak.links import LinkInjector, SoakLinks
 from crowsill_lab.soak.operator import Operator
 from crowsill_lab.soak.replica import SoakReplica
 from crowsill_lab.soak.seeded_site import SeededSite
@@ -44,6 +45,7 @@
             well.
         has_signals: Whether replicas also shed requests, request backoffs, and drain by responses.
         has_limits: Whether replicas also advertise rate limits in their responses.
+        has_cuts: Whether gateways also lose their links to all replicas.
     """
 
     seed: int
@@ -54,6 +56,7 @@
     redirectors: int = 0
     has_signals: bool = False
     has_limits: bool = False
+    has_cuts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +99,7 @@
         self._random = Random(plan.seed)
         self._ledger = Ledger()
         self._site = _site_of(plan)
+        self._links = SoakLinks(self._site.gateways)
         self._replicas: list[SoakReplica] = []
         self._watchers: list[VersionWatcher] = []
         self._crashing_requests: list[CrashingRequest] = []
@@ -121,7 +125,7 @@
     async def _run_bursts(self) -> SoakReport:
         ledger, site = self._ledger, self._site
         for number in range(1, REPLICAS + 1):
-            replica = SoakReplica(number, site, ledger, self._new_random())
+            replica = SoakReplica(number, site, ledger, self._new_random(), self._links)
             await replica.start()
             self._replicas.append(replica)
         operator = Operator(site, ledger, self._new_random())
@@ -129,13 +133,16 @@
         self._watchers = [VersionWatcher(gateway, ledger) for gateway in site.gateways]
         await self._wait_until_recovered("start", MAX_START_S)
         self._start_traffic(operator)
-        faults = FaultInjector(site, self._replicas, ledger, self._new_random())
+        faults = FaultInjector(site, self._replicas, ledger, self._new_random(), links=self._links)
         # Separate seeds keep the other faults of a seed unchanged.
         signals = Random(f"words of {self._plan.seed}")
         limits = Random(f"limits of {self._plan.seed}")
+        cuts = Random(f"cuts of {self._plan.seed}")
         # Runs during the recoveries too, because a limit is checked over several seconds.
         limit_task = asyncio.create_task(self._inject_limits(limits, faults))
         self._tasks.append(limit_task)
+        cut_task = asyncio.create_task(self._inject_cuts(cuts, faults))
+        self._tasks.append(cut_task)
         until_at_s = time.monotonic() + self._plan.seconds
         while time.monotonic() < until_at_s and not ledger.violations:
             request = CrashingRequest(site.gateways, ledger, self._new_random())
@@ -148,6 +155,7 @@
             signal_task.cancel()
             await self._wait_until_recovered(f"after {len(faults.injected)} faults", MAX_RECOVERY_S)
         limit_task.cancel()
+        cut_task.cancel()
         if not ledger.violations:
             await faults.inject_final_loss()
             await self._wait_until_recovered("after the last loss", MAX_RECOVERY_S)
@@ -167,6 +175,13 @@
         if self._plan.has_limits:
             await LimitInjector(lambda: list(self._replicas), random, faults.injected.append).run()
 
+    async def _inject_cuts(self, random: Random, faults: FaultInjector) -> None:
+        """Cut gateways off from all replicas until cancelled, if the plan has cuts."""
+        if self._plan.has_cuts:
+            gateways, links = self._site.gateways, self._ledger.links
+            note = faults.injected.append
+            await LinkInjector(gateways, self._links, links, random, note).run()
+
     def _start_traffic(self, operator: Operator) -> None:
         callers = [
             SoakCaller(gateway, self._ledger, self._new_random())
--- a/src/crowsill_lab/soak/seeded_site.py
+++ b/src/crowsill_lab/soak/seeded_site.py
@@ -52,7 +52,7 @@
 
     def __init__(self, folder: Path, members: int, gateways: int, redirectors: int) -> None:
         self._folder = folder
-        self._ports = free_ports(4)
+        self._ports = free_ports(5)
         self._machines = 0
         self._started: list[ManagedProcess] = []
         self.tolerated_losses = (members - 1) // 2
@@ -73,7 +73,7 @@
     def _new_gateway(self, number: int) -> Gateway:
         gateway = Gateway(number)
         gateway.host = self._new_host()
-        gateway.caller_port, gateway.readiness_port = self._ports[2:]
+        gateway.caller_port, gateway.readiness_port, gateway.peer_port = self._ports[2:]
         return gateway
 
     def with_disks(self) -> list[SeededMember]:
@@ -139,6 +139,7 @@
             "[gateway]",
             f"callers = {_address(gateway.host, gateway.caller_port)}",
             f"ready = {_address(gateway.host, gateway.readiness_port)}",
+            f"peers = {_address(gateway.host, gateway.peer_port)}",
             f"control_seeds = [{self._seed_addresses()}]",
             f"grace_s = {DRAIN_GRACE_S}",
             f"readiness_lag_s = {READINESS_LAG_S}",
--- a/src/crowsill_lab/soak/site.py
+++ b/src/crowsill_lab/soak/site.py
@@ -62,6 +62,7 @@
         host: IP address.
         caller_port: Port for callers.
         readiness_port: Port for readiness probes.
+        peer_port: Port for other gateways.
         starts: Number of starts.
         interruptions: Counts the start and the end of each kill and pause. A request that
             overlaps one may end without a response.
@@ -70,7 +71,7 @@
     def __init__(self, number: int) -> None:
         self.name = f"g{number}"
         self.host = HOST
-        self.caller_port, self.readiness_port = free_ports(2)
+        self.caller_port, self.readiness_port, self.peer_port = free_ports(3)
         self.process: ManagedProcess | None = None
         self.starts = 0
         self.interruptions = 0
@@ -88,6 +89,7 @@
             "[gateway]",
             f"callers = {_address(self.caller_port)}",
             f"ready = {_address(self.readiness_port)}",
+            f"peers = {_address(self.peer_port)}",
             f"control_seeds = [{seeds}]",
             f"grace_s = {DRAIN_GRACE_S}",
             f"readiness_lag_s = {READINESS_LAG_S}",
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -8,6 +8,7 @@
 from crowsill.model.instances import InstanceState
 from crowsill_lab.soak.crashing_request import must_be_quarantined
 from crowsill_lab.soak.ledger import CRASHING_BODY_PREFIX, Ledger, SentRequest
+from crowsill_lab.soak.links import SoakLinks
 from crowsill_lab.soak.replica import SoakReplica
 from crowsill_lab.soak.runner import SoakPlan, run_soak
 from crowsill_lab.soak.tenants import LIMITED, LIMITED_KEY, ROTATING, rotating_key
@@ -29,6 +30,8 @@
 # With this seed replicas advertise rate limits while members and gateways fail. Without grants by
 # the leader a replica that advertised 1 request a second received 159 requests in 4 s.
 LIMITS_SEED = 603
+# With this seed gateways lose their links to all replicas while members and gateways fail.
+CUTS_SEED = 1604
 
 
 def test_every_guarantee_holds_under_overlapping_faults(tmp_path):
@@ -56,6 +59,13 @@
     assert "limit" in {fault.partition(" ")[0] for fault in report.faults}
 
 
+def test_callers_of_gateways_without_links_are_served_under_overlapping_faults(tmp_path):
+    plan = SoakPlan(CUTS_SEED, 18.0, members=3, gateways=4, folder=tmp_path, has_cuts=True)
+    report = run_soak(plan)
+    assert report.violations == [], report.text()
+    assert "cut" in {fault.partition(" ")[0] for fault in report.faults}
+
+
 def test_every_guarantee_holds_under_losses(tmp_path):
     # The soak ends with a loss of all power, of two disks, and of all seeds that know the group.
     # The leader must contact the processes that do not know the group; without that, guarantees
@@ -140,7 +150,7 @@
 
     async def scenario(state):
         ledger = Ledger()
-        replica = SoakReplica(1, None, ledger, Random(1))
+        replica = SoakReplica(1, None, ledger, Random(1), SoakLinks([]))
         replica._state = state
         # A restart needs a site.
         replica.crash_and_restart = lambda: asyncio.sleep(0)
