--- a/src/crowsill_lab/soak/caller.py
+++ b/src/crowsill_lab/soak/caller.py
@@ -10,7 +10,7 @@
 
 from crowsill.gateway.headers import HeaderNames
 from crowsill_lab.soak.ledger import Ledger, SentRequest
-from crowsill_lab.soak.links import FirstTry
+from crowsill_lab.soak.links import CONTACT_S, FirstTry
 from crowsill_lab.soak.operator import HOST_NAME
 from crowsill_lab.soak.replica import response_body
 from crowsill_lab.soak.site import Gateway
@@ -92,10 +92,10 @@
     async def _send_once(self, session: aiohttp.ClientSession) -> None:
         path = "/safe/x" if self._random.random() < IDEMPOTENT_SHARE else "/once/x"
         interruptions = self._gateway.interruptions
-        run, sent_at_s = self._gateway.current_run(), time.monotonic()
+        sent_at_s = time.monotonic()
         key = draw_key(self._random, self._ledger.acknowledged)
         response = await send_request(session, self._gateway, path, self._ledger, key)
-        if key == STEADY_KEY and run == self._gateway.current_run():
+        if key == STEADY_KEY and self._gateway.is_in_touch(sent_at_s - CONTACT_S):
             first_try = FirstTry(self._gateway.name, sent_at_s, response.status == 200)
             self._ledger.links.tries.append(first_try)
         if response.status == 401 and key.tenant != ROTATING:
--- a/src/crowsill_lab/soak/faults.py
+++ b/src/crowsill_lab/soak/faults.py
@@ -114,6 +114,8 @@
         async with self._member_lock, contextlib.AsyncExitStack() as locks:
             for name in sorted(self._gateway_locks):
                 await locks.enter_async_context(self._gateway_locks[name])
+            for gateway in self._site.gateways:
+                locks.enter_context(gateway.disturbance())
             await losses.lose_power()
 
     def _note(self, what: str) -> None:
@@ -153,7 +155,8 @@
         async with self._gateway_locks[gateway.name]:
             self._note(f"kill {gateway.name}")
             gateway.interruptions += 1
-            await self._kill(gateway.process)
+            with gateway.disturbance():
+                await self._kill(gateway.process)
             gateway.interruptions += 1
             gateway.starts += 1
 
@@ -161,13 +164,15 @@
         async with self._gateway_locks[gateway.name]:
             self._note(f"pause {gateway.name}")
             gateway.interruptions += 1
-            await self._pause(gateway.process)
+            with gateway.disturbance():
+                await self._pause(gateway.process)
             gateway.interruptions += 1
 
     async def _stop_gateway(self, gateway: Gateway) -> None:
         async with self._gateway_locks[gateway.name]:
             self._note(f"stop {gateway.name}")
-            await self._stop(gateway.process)
+            with gateway.disturbance():
+                await self._stop(gateway.process)
             gateway.starts += 1
 
     async def _hang_up(self, member: Member, gateway: Gateway) -> None:
--- a/src/crowsill_lab/soak/site.py
+++ b/src/crowsill_lab/soak/site.py
@@ -1,7 +1,10 @@
 """Starts the processes of a soak: control members behind relays, and gateways."""
 
+import contextlib
 import json
 import signal
+import time
+from collections.abc import Iterator
 from pathlib import Path
 
 from crowsill_lab.demo.processes import ManagedProcess, free_ports, module_command, wait_for_port
@@ -66,6 +69,8 @@
         starts: Number of starts.
         interruptions: Counts the start and the end of each kill and pause. A request that
             overlaps one may end without a response.
+        disturbed_at_s: Monotonic time at which its last kill, pause or stop ended; infinite during
+            one.
     """
 
     def __init__(self, number: int) -> None:
@@ -75,6 +80,20 @@
         self.process: ManagedProcess | None = None
         self.starts = 0
         self.interruptions = 0
+        self.disturbed_at_s = float("-inf")
+
+    @contextlib.contextmanager
+    def disturbance(self) -> Iterator[None]:
+        """Mark the time during which the process is killed, paused or stopped."""
+        self.disturbed_at_s = float("inf")
+        try:
+            yield
+        finally:
+            self.disturbed_at_s = time.monotonic()
+
+    def is_in_touch(self, since_s: float) -> bool:
+        """Whether the process has run undisturbed since a monotonic time."""
+        return self.disturbed_at_s <= since_s
 
     def current_run(self) -> GatewayRun:
         """Return the current uninterrupted run."""
