Logs tell how a response was framed and whether it ended inside an event

A transfer coding other than chunked is no longer relayed: its body would reach the caller coded, without the header. The position in an event stream is a pure class that reads pieces of any size (LF, CRLF, CR, comments, byte order mark).

--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -7,13 +7,21 @@
 
 from crowsill.clock import wall_s
 from crowsill.gateway.caller_protocol import CallerConnection
-from crowsill.gateway.headers import HeaderNames, Headers, end_to_end_headers, find_header
+from crowsill.gateway.event_position import EventPosition
+from crowsill.gateway.framing import NO_CONTENT_STATUSES, Framing
+from crowsill.gateway.headers import (
+    HeaderNames,
+    Headers,
+    all_values,
+    end_to_end_headers,
+    find_header,
+)
 from crowsill.gateway.replica_connection import Break, ReplicaConnection
 from crowsill.gateway.replica_signals import ReplicaSignals, read_signals
 from crowsill.gateway.response import LAST_CHUNK, encode_chunk, encode_head
 
 MAX_BUFFERED_BYTES = 256 * 1024
-NO_CONTENT_STATUSES = frozenset((204, 304))
+EVENT_STREAM = b"text/event-stream"
 # Statuses from which a caller concludes that the request did not run. Without the replica's
 # `not_run` header such a response counts as a failure, except 421, and is never relayed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -73,6 +81,8 @@
             time.
         max_gap_s: Longest time between two pieces of the body.
         relayed_bytes: Bytes of the body that were sent to the caller.
+        framing: What ends the body of the response.
+        position: Position in the event stream that the body is; None if it is none.
         signals: What the replica reports about itself in the head of the response.
         on_signals: Called with the status and the signals when the head arrives.
         ended: Resolves to the end of the attempt.
@@ -103,6 +113,8 @@
         self.first_data_at_s: float | None = None
         self.max_gap_s = 0.0
         self._last_data_at_s = 0.0
+        self.framing = Framing.UNKNOWN
+        self.position: EventPosition | None = None
         self.signals = ReplicaSignals()
         self.relayed_bytes = 0
         self.connection: ReplicaConnection | None = None
@@ -132,21 +144,40 @@
         """Whether the request was sent and the exchange ended before the attempt did."""
         return self.sent_at_s > 0.0 and (not self.ended.done() or self.ended.cancelled())
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the body received so far ends inside an event of an event stream."""
+        return self.position is not None and self.position.is_inside_event
+
     # ResponseSink.
 
-    def on_head(self, status: int, reason: bytes, headers: Headers) -> None:
+    def on_head(self, status: int, reason: bytes, headers: Headers, framing: Framing) -> None:
         """Handle the head of the response."""
         self._status, self._reason, self._headers = status, reason, headers
+        self.framing = framing
+        if self._has_events():
+            self.position = EventPosition()
         self.signals = read_signals(status, headers, self._names, wall_s())
         self.on_signals(status, self.signals)
         self._may_relay = self._is_stream and 200 <= status < 300 and self._is_acceptable()
 
+    def _has_events(self) -> bool:
+        """Whether the body is an event stream; one of a stream's route need not say so."""
+        if not 200 <= self._status < 300 or self.framing is Framing.NONE:
+            return False
+        content_type = find_header(self._headers, b"content-type")
+        if content_type is None:
+            return self._is_stream
+        return content_type.partition(b";")[0].strip().lower() == EVENT_STREAM
+
     def _is_acceptable(self) -> bool:
-        """Whether the head has the replica's stamp and a request id, and no content encoding."""
+        """Whether the head has the replica's stamp and a request id, and no encoding."""
         stamped = find_header(self._headers, self._names.stamp) is not None
         encoded = find_header(self._headers, b"content-encoding") is not None
         identified = find_header(self._headers, self._names.request_id) is not None
-        return stamped and identified and not encoded
+        codings = all_values(self._headers, b"transfer-encoding")
+        decoded = all(value.strip().lower() == b"chunked" for value in codings)
+        return stamped and identified and decoded and not encoded
 
     def on_data(self, data: bytes) -> None:
         """Handle a piece of the body: relay it, or buffer it."""
@@ -159,6 +190,8 @@
             self.max_gap_s = max(self.max_gap_s, gap_s)
             self.on_gap(gap_s, now_s)
         self._last_data_at_s = now_s
+        if self.position is not None:
+            self.position.feed(data)
         if self._relaying:
             self._relay(data)
             return
--- a/src/crowsill/gateway/call.py
+++ b/src/crowsill/gateway/call.py
@@ -8,6 +8,7 @@
 from crowsill.clock import monotonic_s, wall_s
 from crowsill.events import Event
 from crowsill.gateway.availability import Availability
+from crowsill.gateway.framing import Framing
 from crowsill.gateway.headers import HeaderNames, Headers
 from crowsill.gateway.pool import ConnectError, ConnectionPool
 from crowsill.gateway.replica_connection import Break
@@ -42,7 +43,7 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
 
-    def on_head(self, status: int, reason: bytes, headers: Headers) -> None:
+    def on_head(self, status: int, reason: bytes, headers: Headers, framing: Framing) -> None:
         self._status = status
         self._headers = headers
 
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -5,6 +5,7 @@
 from crowsill.events import Event
 from crowsill.gateway.attempt import Attempt
 from crowsill.gateway.fingerprint import Fingerprints
+from crowsill.gateway.framing import Framing
 from crowsill.gateway.peers.wire import PeerTerms
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.replica_registry import ReplicaRecord
@@ -140,14 +141,25 @@
             ms=self._age_ms(),
         )
 
-    def log_attempt_failed(self, record: ReplicaRecord, result: str, detail: str) -> None:
-        """Log an attempt without a response to relay."""
+    def log_attempt_failed(
+        self, record: ReplicaRecord, result: str, detail: str, attempt: Attempt | None = None
+    ) -> None:
+        """Log an attempt without a complete response.
+
+        Args:
+            record: The replica.
+            result: How the attempt ended.
+            detail: What failed.
+            attempt: The attempt; None if nothing was sent.
+        """
         log_event(
             Event.ATTEMPT_FAILED,
             request=self.request_id,
             replica=record.instance.instance_id,
             result=result,
             detail=detail,
+            framing=Framing.UNKNOWN if attempt is None else attempt.framing,
+            inside_event=attempt is not None and attempt.is_inside_event,
             failures=record.availability.failures,
             fingerprint=self.fingerprint.hex(),
             ms=self._age_ms(),
@@ -230,6 +242,8 @@
             sendings=attempts,
             first_ms=round(first_ms, 1),
             gap_ms=round(gap_ms, 1),
+            framing=Framing.UNKNOWN if attempt is None else attempt.framing,
+            inside_event=attempt is not None and attempt.is_inside_event,
             late=self._is_late(first_ms, gap_ms),
             returned=self._has_returned(),
             route=self._route_name,
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from crowsill.gateway.framing import Framing, find_framing
 from crowsill.gateway.headers import HeaderNames, Headers, find_header, read_number
 
 # A replica that sends no `Keep-Alive: timeout` is assumed to keep idle connections this long.
@@ -32,7 +33,7 @@
 class ResponseSink(Protocol):
     """Receives one response."""
 
-    def on_head(self, status: int, reason: bytes, headers: Headers) -> None:
+    def on_head(self, status: int, reason: bytes, headers: Headers, framing: Framing) -> None:
         """Handle the head; if it carries a request id, that id matches the request."""
 
     def on_data(self, data: bytes) -> None:
@@ -66,7 +67,7 @@
         self._sink: ResponseSink | None = None
         self._request_id = b""
         self._is_head_request = False
-        self._ends_with_connection = False
+        self._framing = Framing.UNKNOWN
         self._received_eof = False
         self._is_skipping_response = False
         self.is_open = True
@@ -93,12 +94,13 @@
         """End the response in progress: complete if the close delimits its body, else broken."""
         self.is_open = False
         self.is_reusable = False
-        is_interrupted = self._sink is not None and not self._ends_with_connection
+        ends_body = self._framing is Framing.CLOSE and self._received_eof and exc is None
+        is_interrupted = self._sink is not None and not ends_body
         if not self._is_discarded and (exc is not None or is_interrupted):
             self.on_lost()
         if self._sink is None:
             return
-        if self._ends_with_connection and self._received_eof and exc is None:
+        if ends_body:
             self._deliver_end()
             return
         self._deliver_break(Break.RESET if exc is not None else Break.CLOSED)
@@ -146,7 +148,7 @@
         self._sink = sink
         self._request_id = request_id
         self._is_head_request = is_head_request
-        self._ends_with_connection = False
+        self._framing = Framing.UNKNOWN
         self._has_complete_response = False
         if self._transport is not None:
             self._transport.write(message)
@@ -198,13 +200,11 @@
             self.is_reusable = False
             return
         self._is_skipping_response = False
-        framed = find_header(self._headers, b"content-length") is not None
-        chunked = find_header(self._headers, b"transfer-encoding") is not None
-        self._ends_with_connection = not (framed or chunked)
-        if not self._parser.should_keep_alive() or self._ends_with_connection:
+        self._framing = find_framing(status, self._headers, self._is_head_request)
+        if not self._parser.should_keep_alive() or self._framing is Framing.CLOSE:
             self.is_reusable = False
         self._note_idle_time()
-        self._sink.on_head(status, self._reason, self._headers)
+        self._sink.on_head(status, self._reason, self._headers, self._framing)
         if self._is_head_request and self._sink is not None:
             self.is_reusable = False
             self._deliver_end()
--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -10,7 +10,7 @@
 from crowsill.gateway.replica_signals import ReplicaSignals
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import Choice, part_keys
-from crowsill.metrics import GATEWAY_ATTEMPTS
+from crowsill.metrics import GATEWAY_ATTEMPTS, RESPONSE_ENDS
 from crowsill.model.routes import Route
 from crowsill.routing.retry_after import REJECTION_STATUSES
 
@@ -82,7 +82,7 @@
             return
         record.note_failure(self._loop.time())
         self._context.replica_watch.watch_unreachable(record)
-        self._log.log_attempt_failed(record, "silent", "no response")
+        self._log.log_attempt_failed(record, "silent", "no response", attempt)
 
     def note_overload(self, route: Route, attempt: Attempt, sent_at_s: float) -> None:
         """Report an overloaded model if a first event took most of its target."""
@@ -99,6 +99,7 @@
         record, request = choice.record, self._request
         now_s = self._loop.time()
         GATEWAY_ATTEMPTS.labels(end.result).inc()
+        RESPONSE_ENDS.labels(attempt.framing, end.result).inc()
         if attempt.signals.load is not None:
             record.note_load(attempt.signals.load, now_s)
         if end.result is AttemptResult.NOT_RUN:
@@ -114,7 +115,7 @@
             record.note_failure(now_s)
             if end.is_broken:
                 self._context.replica_watch.check(record)
-            self._log.log_attempt_failed(record, end.result, end.detail)
+            self._log.log_attempt_failed(record, end.result, end.detail, attempt)
             return
         if end.status >= MIN_SERVER_ERROR_STATUS:
             record.note_error_response()
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -61,6 +61,13 @@
     ["result"],
     registry=REGISTRY,
 )
+RESPONSE_ENDS = Counter(
+    "crowsill_gateway_response_ends",
+    "Ends of replicas' responses, by what ends their body (unknown, none, length, chunks, close) "
+    "and result (whole, not_run, failed, cut).",
+    ["framing", "result"],
+    registry=REGISTRY,
+)
 REPLICA_SIGNALS = Counter(
     "crowsill_replica_signals",
     "Signals of replicas: requested backoffs, advertised rate limits, reports that an incarnation "
