--- a/src/crowsill/gateway/event_position.py
+++ b/src/crowsill/gateway/event_position.py
@@ -38,7 +38,8 @@
         """Whether a line or an event has begun and is not complete."""
         # After lines that end with CRLF, a final CR lacks its LF.
         lacks_lf = self._line_end == b"\r" and self._previous_line_end == b"\r\n"
-        return self._has_fields or not self._is_line_empty or lacks_lf
+        is_inside_mark = 0 < len(self._expected_mark) < len(_BYTE_ORDER_MARK)
+        return self._has_fields or not self._is_line_empty or lacks_lf or is_inside_mark
 
     def feed(self, data: bytes) -> None:
         """Continue with a piece of the stream."""
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -55,6 +55,7 @@
         self.connections = 0
         self.closed_by_peer = asyncio.Event()
         self._server = None
+        self._writers = set()
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, LOCAL, 0)
@@ -63,6 +64,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -76,12 +78,19 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed_by_peer.set()
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def stop(self):
         if self._server is not None:
             self._server.close()
 
+    async def crash(self):
+        """Close the port and all connections, as the kernel does when a process dies."""
+        await self.stop()
+        for writer in self._writers:
+            writer.close()
+
 
 def instance(replica, number=1, service="plain", **more):
     return Instance(f"i-{number}", service, f"{LOCAL}:{replica.port}", "z1", 8, **more)
@@ -104,6 +113,7 @@
             route("once", RouteKind.AT_MOST_ONCE),
             route("short", RouteKind.AT_MOST_ONCE, timeout_ms=300),
             route("stream", RouteKind.STREAM),
+            route("resumable", RouteKind.STREAM, resumable=True, max_attempts=2),
             route("engine", RouteKind.STREAM, "engines", target_latency_ms=500),
         ],
         [ServiceDefinition("plain", 50), ServiceDefinition("engines", 50, engine)],
