A response that was broken off no longer reaches its caller as complete

Cause: the gateway took a clean end of the connection for the end of a body without length or chunks, whatever its bytes said, and wrote the last chunk. The kernel closes the connections of a process that crashes as cleanly as the process itself would. The class: an end is claimed that is not known.

Change: - A stream that ends inside an event, or without any event where the connection ended it, is interrupted, however it is framed. Streams are relayed in chunks, so that a length can't complete one before its end is known. Where nothing was relayed and the route allows it, another replica runs it. - A response that ended with its connection is confirmed before the caller gets its end: the replica must accept a connection and keep it for a round trip (10 ms at least); one that refuses must keep other connections that it has used for 0.3 s, since a full replica refuses as well. Draining and removed replicas may close their port after their last response. The connection stays in the pool in place of the one that ended. - Callers of HTTP/1.0, who know no chunks, get a stream that ends with the connection. Its socket lingers for 0 s until the end is known, so that a break, also the end of this process, is a reset. - A gateway that passed a request to another one accepts no response without framing from it.

Tests changed: replicas of tests say that their plain text is text/plain, since a stream's route has its answers read as events; the test of a repeated stream has the first attempt fail whichever replica runs it, not the first replica.

--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -89,7 +89,13 @@
     """
 
     def __init__(
-        self, caller: CallerConnection, names: HeaderNames, is_stream: bool, close_after: bool
+        self,
+        caller: CallerConnection,
+        names: HeaderNames,
+        *,
+        is_stream: bool,
+        close_after: bool,
+        allows_chunks: bool,
     ) -> None:
         """Create an attempt.
 
@@ -98,6 +104,7 @@
             names: Header names.
             is_stream: Whether the body is relayed as it arrives.
             close_after: Whether the caller's connection closes after this response.
+            allows_chunks: Whether the caller understands chunks.
         """
         self._loop = asyncio.get_running_loop()
         self.started_at_s = self._loop.time()
@@ -106,6 +113,7 @@
         self._names = names
         self._is_stream = is_stream
         self._close_after = close_after
+        self._allows_chunks = allows_chunks
         self.on_first_data: Callable[[], None] = lambda: None
         self.on_gap: Callable[[float, float], None] = lambda _gap_s, _now_s: None
         self.on_signals: Callable[[int, ReplicaSignals], None] = lambda _status, _signals: None
@@ -125,7 +133,7 @@
         self._body_bytes = 0
         self._may_relay = False
         self._relaying = False
-        self._chunked = False
+        self._relayed_framing = Framing.UNKNOWN
 
     @property
     def is_relaying(self) -> bool:
@@ -210,27 +218,51 @@
         self._relaying = True
         headers = end_to_end_headers(self._headers)
         length = find_header(self._headers, b"content-length")
-        self._chunked = length is None
-        if length is None:
+        # With a length, a stream that ends inside an event would be complete for the caller.
+        if length is not None and self.position is None:
+            self._relayed_framing = Framing.LENGTH
+            headers.append((b"Content-Length", length))
+        elif self._allows_chunks:
+            self._relayed_framing = Framing.CHUNKS
             headers.append((b"Transfer-Encoding", b"chunked"))
         else:
-            headers.append((b"Content-Length", length))
-        if self._close_after:
+            self._relayed_framing = Framing.CLOSE
+            self._caller.begin_response_framed_by_close()
+        if self._close_after or self._relayed_framing is Framing.CLOSE:
             headers.append((b"Connection", b"close"))
         self._caller.write(encode_head(self._status, self._reason, headers))
 
     def _relay(self, data: bytes) -> None:
         self.relayed_bytes += len(data)
-        self._caller.write(encode_chunk(data) if self._chunked else data)
+        is_chunked = self._relayed_framing is Framing.CHUNKS
+        self._caller.write(encode_chunk(data) if is_chunked else data)
 
     def on_end(self) -> None:
-        """Handle the end of a complete response."""
-        if self._relaying:
-            if self._chunked:
-                self._caller.write(LAST_CHUNK)
-            self._end(AttemptEnd(AttemptResult.COMPLETE, self._status, relayed=True))
+        """Handle the end of the body, by its framing.
+
+        A response that ended with its connection must be confirmed before it counts as complete.
+        """
+        if self._ends_early():
+            self.on_break(Break.INSIDE_EVENT)
             return
-        self._end(self._classify())
+        if not self._relaying:
+            self._end(self._classify())
+            return
+        if self.framing is not Framing.CLOSE:
+            self.confirm_end()
+        self._end(AttemptEnd(AttemptResult.COMPLETE, self._status, relayed=True))
+
+    def _ends_early(self) -> bool:
+        """Whether the body is an event stream that lacks the end of an event."""
+        if self.position is None:
+            return False
+        lacks_event = self.framing is Framing.CLOSE and not self.position.has_event
+        return self.position.is_inside_event or lacks_event
+
+    def confirm_end(self) -> None:
+        """Send the caller the end of a response that is known to be complete."""
+        if self._relayed_framing is Framing.CHUNKS:
+            self._caller.write(LAST_CHUNK)
 
     def _classify(self) -> AttemptEnd:
         status, headers = self._status, self._headers
@@ -248,11 +280,17 @@
 
     def on_break(self, reason: Break) -> None:
         """Handle a response that was interrupted."""
+        self._end(self.interrupted(reason))
+
+    def interrupted(self, reason: Break) -> AttemptEnd:
+        """Return the end of the attempt if its response was interrupted."""
         result = AttemptResult.TRUNCATED if self._relaying else AttemptResult.FAILED
-        broken = reason in (Break.CLOSED, Break.RESET)
-        relayed = self._relaying
-        self._end(
-            AttemptEnd(result, self._status, relayed=relayed, detail=reason, is_broken=broken)
+        return AttemptEnd(
+            result,
+            self._status,
+            relayed=self._relaying,
+            detail=reason,
+            is_broken=reason not in (Break.NOT_HTTP, Break.SILENT),
         )
 
     def _end(self, end: AttemptEnd) -> None:
--- a/src/crowsill/gateway/caller_protocol.py
+++ b/src/crowsill/gateway/caller_protocol.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from typing import Protocol
 
 import httptools
@@ -61,6 +63,7 @@
         self.is_busy = False
         self.is_closed = False
         self.received_at_s = 0.0
+        self._is_framed_by_close = False
 
     def _reset_message(self) -> None:
         self._target = b""
@@ -161,6 +164,7 @@
             headers=self._headers,
             body=b"".join(self._body),
             keep_alive=self._parser.should_keep_alive(),
+            allows_chunks=self._parser.get_http_version() != "1.0",
             arrived_at_s=self.received_at_s,
         )
         self._reset_message()
@@ -181,11 +185,29 @@
         if not self.is_closed and self.transport is not None:
             self.transport.write(data)
 
+    def begin_response_framed_by_close(self) -> None:
+        """Have the connection reset, unless `finish` is called: its close ends the response.
+
+        That holds if this process is killed, too.
+        """
+        self._is_framed_by_close = True
+        self._set_linger(is_on=True)
+
+    def _set_linger(self, is_on: bool) -> None:
+        """Set whether closing the socket resets the connection."""
+        if self.transport is not None:
+            linger = struct.pack("ii", is_on, 0)
+            socket_ = self.transport.get_extra_info("socket")
+            socket_.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def finish(self, keep_alive: bool) -> None:
         """End a complete response; continue with the next request, or close."""
         self.is_busy = False
         if self.is_closed:
             return
+        if self._is_framed_by_close:
+            self._set_linger(is_on=False)
+            keep_alive = False
         if not keep_alive:
             self.close()
             return
--- a/src/crowsill/gateway/peers/sender.py
+++ b/src/crowsill/gateway/peers/sender.py
@@ -12,12 +12,13 @@
 from crowsill.gateway.caller_protocol import CallerConnection
 from crowsill.gateway.context import ExchangeContext
 from crowsill.gateway.exchange_log import ExchangeLog
+from crowsill.gateway.framing import Framing
 from crowsill.gateway.headers import find_header, read_number
 from crowsill.gateway.peers.wire import ATTEMPTS, PeerTerms, encode_peer_request
 from crowsill.gateway.pool import ConnectError
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.repeat_guard import RepeatGuard
-from crowsill.gateway.replica_connection import ReplicaConnection
+from crowsill.gateway.replica_connection import Break, ReplicaConnection
 from crowsill.gateway.request import CallerRequest
 from crowsill.metrics import PEER_REQUESTS
 from crowsill.model.instances import Instance
@@ -88,7 +89,13 @@
                 reusable = True
                 return None
             is_stream = route.kind is RouteKind.STREAM
-            attempt = Attempt(self._caller, self._context.names, is_stream, closes_connection)
+            attempt = Attempt(
+                self._caller,
+                self._context.names,
+                is_stream=is_stream,
+                close_after=closes_connection,
+                allows_chunks=self._request.allows_chunks,
+            )
             end = await self._run(peer, connection, attempt, deadline_at_s)
             reusable = end.result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
             return self._note_end(peer, attempt, end)
@@ -132,7 +139,11 @@
         progress.may_have_run = True
         try:
             connection.send(message, request.request_id, request.method == b"HEAD", attempt)
-            return await attempt.ended
+            end = await attempt.ended
+            # Gateways frame their responses.
+            if end.result is AttemptResult.COMPLETE and attempt.framing is Framing.CLOSE:
+                return attempt.interrupted(Break.CLOSED)
+            return end
         finally:
             attempt.connection = None
 
--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -70,6 +70,12 @@
         established = pool.in_use - pool.opening
         return established > 0 or any(connection.is_open for connection in pool.idle)
 
+    def has_used(self, instance_id: str) -> bool:
+        """Whether a connection is open on which the instance has sent anything."""
+        pool = self._pools.get(instance_id)
+        connections = [] if pool is None else [*pool.busy, *pool.idle]
+        return any(connection.is_open and connection.has_received for connection in connections)
+
     def received_at_s(self, instance_id: str) -> float:
         """Return the monotonic time at which anything was last received from an instance.
 
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -22,12 +22,23 @@
 
 
 class Break(StrEnum):
-    """Why a response was interrupted."""
+    """Why a response was interrupted.
+
+    Attributes:
+        CLOSED: The connection was closed before the end that the framing announces.
+        RESET: The connection was lost with an error.
+        NOT_HTTP: The bytes are no HTTP response.
+        SILENT: Nothing was received for too long.
+        INSIDE_EVENT: The body ended inside an event of an event stream, or before the first one.
+        CRASHED: The connection was closed as at the end of the body, because the replica crashed.
+    """
 
     CLOSED = "closed"
     RESET = "reset"
     NOT_HTTP = "not_http"
     SILENT = "silent"
+    INSIDE_EVENT = "inside_event"
+    CRASHED = "crashed"
 
 
 class ResponseSink(Protocol):
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -39,6 +39,10 @@
 SIMULTANEOUS_S = 0.3
 # A replica that sent anything within this time needs no check.
 RECENT_S = 0.5
+# A replica that refuses new connections because it has too many keeps the others open. Those of one
+# that crashed are lost within this time, also if a packet has to be sent again.
+CRASH_DETECTION_S = 0.3
+MIN_CONFIRMATION_S = 0.01
 # The control group records that a replica drains and informs all gateways within half this time.
 DRAIN_REPORT_INTERVAL_S = 0.5
 
@@ -206,6 +210,36 @@
         finally:
             self._checked.discard(record.instance.instance_id)
 
+    async def is_running(self, record: ReplicaRecord) -> bool:
+        """Whether a replica that has closed a connection is still running.
+
+        The connections of a process that crashes are closed like those that it closes itself. A
+        replica that drains may close its port after its last response.
+        """
+        instance = record.instance
+        is_listed = self._registry.find(instance.instance_id) is record
+        if not is_listed or not instance.accepts_work:
+            return True
+        started_s = asyncio.get_running_loop().time()
+        try:
+            connection = await self._pool.open_connection(instance, CONNECT_TIMEOUT_S)
+        except ConnectError as error:
+            return error.is_refused and await self._keeps_connections(instance)
+        try:
+            # A connection that was opened while the replica crashed is reset within a round trip.
+            round_trip_s = asyncio.get_running_loop().time() - started_s
+            await asyncio.sleep(max(MIN_CONFIRMATION_S, round_trip_s))
+            if connection.is_open:
+                return True
+        finally:
+            self._pool.release(instance.instance_id, connection, True)
+        return await self._keeps_connections(instance)
+
+    async def _keeps_connections(self, instance: Instance) -> bool:
+        """Whether a replica that accepts no new connection keeps those that it has."""
+        await asyncio.sleep(CRASH_DETECTION_S)
+        return self._pool.has_used(instance.instance_id)
+
     async def is_own_failure(self, instance: Instance) -> bool:
         """Whether the links of this gateway failed, and not the replica.
 
--- a/src/crowsill/gateway/request.py
+++ b/src/crowsill/gateway/request.py
@@ -23,6 +23,7 @@
         headers: All headers as sent.
         body: The complete body.
         keep_alive: Whether the caller's connection may be reused.
+        allows_chunks: Whether the caller understands chunks; HTTP/1.0 has none.
         arrived_at_s: Monotonic time at which the last byte was read.
         host: `Host` without the port, lower-case.
         path: Path without the query.
@@ -41,6 +42,7 @@
     body: bytes
     keep_alive: bool
     arrived_at_s: float
+    allows_chunks: bool = True
     host: str = ""
     path: str = "/"
     request_id: bytes = b""
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -9,10 +9,11 @@
 from crowsill.gateway.context import ExchangeContext
 from crowsill.gateway.exchange_log import ExchangeLog
 from crowsill.gateway.forwarding import ForwardingTerms, encode_forwarded_request
+from crowsill.gateway.framing import Framing
 from crowsill.gateway.pool import ConnectError
 from crowsill.gateway.progress import PendingPrompt, Probe, Progress
 from crowsill.gateway.repeat_guard import RepeatGuard
-from crowsill.gateway.replica_connection import ReplicaConnection
+from crowsill.gateway.replica_connection import Break, ReplicaConnection
 from crowsill.gateway.replica_feedback import ReplicaFeedback
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.replica_signals import ReplicaSignals
@@ -114,7 +115,7 @@
                 return None
             sent_at_s = self._write_request(route, record, attempt, connection, deadline_at_s)
             silence_check = self._schedule_silence_check(choice, sent_at_s)
-            end = await attempt.ended
+            end = await self._confirm_end(record, attempt, await attempt.ended)
             reusable = end.result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
             if connection.requests == 1:
                 context.replica_watch.note_first_request(record, connection, end.is_broken)
@@ -140,6 +141,17 @@
             if connection is not None:
                 context.pool.release(instance_id, connection, reusable)
 
+    async def _confirm_end(
+        self, record: ReplicaRecord, attempt: Attempt, end: AttemptEnd
+    ) -> AttemptEnd:
+        """Return the end of an attempt; interrupted if the replica's crash ended its response."""
+        if end.result is not AttemptResult.COMPLETE or attempt.framing is not Framing.CLOSE:
+            return end
+        if not await self._context.replica_watch.is_running(record):
+            return attempt.interrupted(Break.CRASHED)
+        attempt.confirm_end()
+        return end
+
     def _log_routed(self, choice: Choice) -> None:
         """Log the chosen replica and the versions of routes and directory it was chosen by."""
         context = self._context
@@ -174,7 +186,13 @@
     ) -> Attempt:
         """Create the current attempt at a replica on a connection."""
         is_stream = route.kind is RouteKind.STREAM
-        attempt = Attempt(self._caller, self._context.names, is_stream, closes_connection)
+        attempt = Attempt(
+            self._caller,
+            self._context.names,
+            is_stream=is_stream,
+            close_after=closes_connection,
+            allows_chunks=self._request.allows_chunks,
+        )
         attempt.connection = connection
         if self._request.model:
             attempt.on_gap = record.note_event_gap
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -34,7 +34,8 @@
 
 def encode_response(request_id, body=b"fine", status="200 OK", extra="", length=True):
     """Encode a valid response of a replica."""
-    lines = [f"HTTP/1.1 {status}", f"{ID}: {request_id}", f"{STAMP}: s1"]
+    head = [f"HTTP/1.1 {status}", f"{ID}: {request_id}", f"{STAMP}: s1"]
+    lines = [*head, "Content-Type: text/plain"]
     if length:
         lines.append(f"Content-Length: {len(body)}")
     if extra:
--- a/tests/test_truncated_streams.py
+++ b/tests/test_truncated_streams.py
@@ -189,11 +189,16 @@
 def test_a_stream_without_an_event_is_repeated_where_its_route_allows_it():
     async def scenario():
         body, _ = encode_events(b"\n")
-        async with world(framed_by_close(b""), framed_by_close(body)) as here:
-            for number in range(6):
-                status, is_complete, got = await fetch(here, "resumable", f"r{number}")
-                assert (status, is_complete, got) == (200, True, body)
-            assert here._replicas[0].requests
+        tried = []
+
+        async def empty_once(headers, writer, number):
+            tried.append(headers[ID])
+            script = framed_by_close(b"" if len(tried) == 1 else body)
+            return await script(headers, writer, number)
+
+        async with world(empty_once, empty_once) as here:
+            assert await fetch(here, "resumable") == (200, True, body)
+            assert tried == ["r1", "r1"]
 
     run(scenario())
 
