A polled back end's response without length is complete only if the back end still runs

A part of an answer would also be recorded for its idempotency key and replayed for good. Such a response is complete once the back end accepts a connection and keeps it for a round trip; else it is truncated, as one that lacks bytes is.

--- a/src/crowsill/backends/http_calls.py
+++ b/src/crowsill/backends/http_calls.py
@@ -26,16 +26,19 @@
     PRIORITY_URGENT,
     STREAM_END,
 )
-from crowsill.clock import wall_s
+from crowsill.clock import monotonic_s, wall_s
 from crowsill.constants import HEADER_IDEMPOTENCY_KEY, HEADER_REQUEST_ID
 from crowsill.errors import Outcome
 from crowsill.model.configuration import Urgency
 from crowsill.model.fleet import ReplicaDescription
 from crowsill.model.request import ClassifiedRequest
 from crowsill.routing.retry_after import REJECTION_STATUSES, parse_longest_delay_s
+from crowsill.transport.leader_client import parse_address
 
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
+MIN_CONFIRMATION_S = 0.01
+NO_CONTENT_STATUSES = (204, 304)
 MIN_SERVER_ERROR_STATUS = 500
 _REASONS = {reason.value: reason for reason in FailureReason}
 
@@ -45,6 +48,7 @@
 
     def __init__(self, response: aiohttp.ClientResponse, expects_end_marker: bool) -> None:
         self._response = response
+        self._address = f"{response.url.host}:{response.url.port}"
         self._content = response.content
         self._expects_end_marker = expects_end_marker
         self._tail = b""
@@ -66,15 +70,20 @@
         except (aiohttp.ClientError, OSError) as error:
             raise TruncatedResponseError(str(error)) from error
         if not chunk:
-            self._finish()
+            await self._finish()
         elif self._expects_end_marker:
             is_long_enough = len(chunk) >= len(STREAM_END)
             self._tail = chunk if is_long_enough else self._tail[-len(STREAM_END) :] + chunk
         return chunk
 
-    def _finish(self) -> None:
-        if self._expects_end_marker and not self._tail.endswith(STREAM_END):
-            raise TruncatedResponseError("the stream ended without its end marker")
+    async def _finish(self) -> None:
+        if self._expects_end_marker:
+            if not self._tail.endswith(STREAM_END):
+                raise TruncatedResponseError("the stream ended without its end marker")
+        elif _is_framed_by_close(self._response) and not await _is_running(self._address):
+            raise TruncatedResponseError(
+                f"the connection closed, and {self._address} accepts no other one"
+            )
         self._response.release()
 
     def close(self) -> None:
@@ -160,6 +169,35 @@
         await self._unpooled.close()
 
 
+def _is_framed_by_close(response: aiohttp.ClientResponse) -> bool:
+    """Whether the body ends with the connection, as it also does if the back end crashes."""
+    if response.status in NO_CONTENT_STATUSES:
+        return False
+    headers = response.headers
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
+
+async def _is_running(address: str) -> bool:
+    """Whether a back end that has closed a connection accepts another one and keeps it open."""
+    started_s = monotonic_s()
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            target = parse_address(address)
+            reader, writer = await asyncio.open_connection(target.host, target.port)
+    except (OSError, TimeoutError):
+        return False
+    try:
+        # A connection that was opened while the back end crashed is reset within a round trip.
+        async with asyncio.timeout(max(MIN_CONFIRMATION_S, monotonic_s() - started_s)):
+            return bool(await reader.read(1))
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
+    finally:
+        writer.close()
+
+
 def _backoff_s(response: aiohttp.ClientResponse) -> float:
     """Return the backoff in seconds that a back end requests with a rejection; 0 if none."""
     if response.status not in REJECTION_STATUSES:
@@ -187,4 +225,5 @@
         detail = f"status {response.status}"
         return Failure(CallFailure(Outcome.UNKNOWN, FailureReason.FAILED, detail, backoff_s))
     content_type = response.headers.get("Content-Type", "")
-    return Success(HttpBackendResponse(response, content_type.startswith(CONTENT_TYPE_STREAM)))
+    expects_end_marker = content_type.startswith(CONTENT_TYPE_STREAM)
+    return Success(HttpBackendResponse(response, expects_end_marker))
