A lost connection that a request still holds hides no crash of its replica

Found while reading: a response that ended with its connection is confirmed while its request holds the lost connection for up to 0.3 s. The pool counted that as an open one, so the crash watch took a crashed replica for a full one that serves the others, and forgot the requests that had run there. Cause: connections in use were counted, not open ones. The pool now looks at each connection. A refused confirmation ends as soon as no used connection is open, not after 0.3 s. Test: a lost connection that is not released; no crash was found before, it is now.

--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -32,7 +32,6 @@
     received_at_s: float = float("-inf")
     lost_at_s: float = float("-inf")
     in_use: int = 0
-    opening: int = 0
 
 
 class ConnectionPool:
@@ -62,20 +61,18 @@
 
     def has_open(self, instance_id: str) -> bool:
         """Whether this process has any open connection to the instance."""
-        pool = self._pools.get(instance_id)
-        if pool is None:
-            return False
-        # Connections that are being opened don't count: other requests may be trying the same
-        # closed port.
-        established = pool.in_use - pool.opening
-        return established > 0 or any(connection.is_open for connection in pool.idle)
+        return any(connection.is_open for connection in self._established(instance_id))
 
     def has_used(self, instance_id: str) -> bool:
         """Whether a connection is open on which the instance has sent anything."""
-        pool = self._pools.get(instance_id)
-        connections = [] if pool is None else [*pool.busy, *pool.idle]
+        connections = self._established(instance_id)
         return any(connection.is_open and connection.has_received for connection in connections)
 
+    def _established(self, instance_id: str) -> list[ReplicaConnection]:
+        """Return the connections to an instance, without those that are being opened."""
+        pool = self._pools.get(instance_id)
+        return [] if pool is None else [*pool.busy, *pool.idle]
+
     def received_at_s(self, instance_id: str) -> float:
         """Return the monotonic time at which anything was last received from an instance.
 
@@ -121,7 +118,6 @@
         """
         pool = self._pools.setdefault(instance.instance_id, _InstancePool())
         pool.in_use += 1
-        pool.opening += 1
         try:
             connection = await self._open(instance, timeout_s)
             pool.busy.add(connection)
@@ -133,8 +129,6 @@
         except BaseException:
             pool.in_use -= 1
             raise
-        finally:
-            pool.opening -= 1
 
     async def _open(self, instance: Instance, timeout_s: float) -> ReplicaConnection:
         address = parse_address(instance.address)
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -42,6 +42,7 @@
 # A replica that refuses new connections because it has too many keeps the others open. Those of one
 # that crashed are lost within this time, also if a packet has to be sent again.
 CRASH_DETECTION_S = 0.3
+CRASH_POLL_S = 0.02
 MIN_CONFIRMATION_S = 0.01
 # The control group records that a replica drains and informs all gateways within half this time.
 DRAIN_REPORT_INTERVAL_S = 0.5
@@ -236,9 +237,13 @@
         return await self._keeps_connections(instance)
 
     async def _keeps_connections(self, instance: Instance) -> bool:
-        """Whether a replica that accepts no new connection keeps those that it has."""
-        await asyncio.sleep(CRASH_DETECTION_S)
-        return self._pool.has_used(instance.instance_id)
+        """Whether a replica that accepts no new connection keeps one that it has used."""
+        end_at_s = asyncio.get_running_loop().time() + CRASH_DETECTION_S
+        while self._pool.has_used(instance.instance_id):
+            if asyncio.get_running_loop().time() >= end_at_s:
+                return True
+            await asyncio.sleep(CRASH_POLL_S)
+        return False
 
     async def is_own_failure(self, instance: Instance) -> bool:
         """Whether the links of this gateway failed, and not the replica.
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -40,6 +40,19 @@
     run(scenario())
 
 
+def test_a_lost_connection_that_is_not_released_yet_hides_no_crash():
+    async def scenario():
+        port, watched = await Port().open(), Watched()
+        await watched.pool.acquire(at(port), 1.0)
+        await asyncio.sleep(0.05)
+        port.crash()
+        watched.watch.note_broken_response(at(port), suspect())
+        await settle(watched)
+        assert watched.crashed == ["i-1"]
+
+    run(scenario())
+
+
 def test_a_replica_with_a_closed_port_and_no_connections_has_crashed():
     async def scenario():
         port, watched = await Port().open(), Watched()
