A draining replica that crashes no longer completes its responses

Cause: took the end of a draining or removed replica for its planned one. Such a replica now has to show that it runs, like any other. A replica that ends in the very moment of its last response without a length, with no connection left, costs that response; nothing tells that from a crash. Test: three cases (told by its response, by the directory, by its removal), failed before, pass.

--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -214,13 +214,10 @@
     async def is_running(self, record: ReplicaRecord) -> bool:
         """Whether a replica that has closed a connection is still running.
 
-        The connections of a process that crashes are closed like those that it closes itself. A
-        replica that drains may close its port after its last response.
+        The connections of a process that crashes are closed like those that it closes itself. That
+        holds while it drains, too.
         """
         instance = record.instance
-        is_listed = self._registry.find(instance.instance_id) is record
-        if not is_listed or not instance.accepts_work:
-            return True
         started_s = asyncio.get_running_loop().time()
         try:
             connection = await self._pool.open_connection(instance, CONNECT_TIMEOUT_S)
@@ -233,7 +230,8 @@
             if connection.is_open:
                 return True
         finally:
-            self._pool.release(instance.instance_id, connection, True)
+            is_listed = self._registry.find(instance.instance_id) is record
+            self._pool.release(instance.instance_id, connection, is_listed)
         return await self._keeps_connections(instance)
 
     async def _keeps_connections(self, instance: Instance) -> bool:
--- a/tests/test_truncated_streams.py
+++ b/tests/test_truncated_streams.py
@@ -186,6 +186,29 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("told", ["by its response", "by the directory", "by its removal"])
+def test_a_response_without_length_is_not_complete_if_its_draining_replica_crashes(told):
+    async def scenario():
+        body, sizes = encode_events(b"\n")
+        headers = ["crowsill-server-leaving: 1"] if told == "by its response" else []
+
+        async def script(got, writer, _number):
+            writer.write(encode_head(got[ID], *headers) + body[: sizes[0]])
+            await writer.drain()
+            if told == "by the directory":
+                here.drain(1)
+            elif told == "by its removal":
+                here.adopt([])
+            await asyncio.sleep(0.05)
+            await here._replicas[0].crash()
+            return False
+
+        async with world(script) as here:
+            assert (await fetch(here, "stream"))[:2] != (200, True)
+
+    run(scenario())
+
+
 def test_a_stream_without_an_event_is_repeated_where_its_route_allows_it():
     async def scenario():
         body, _ = encode_events(b"\n")
