--- a/src/crowsill_lab/soak/faults.py
+++ b/src/crowsill_lab/soak/faults.py
@@ -221,7 +221,7 @@
             self._ledger.note_violation(
                 f"{process.name}: still running {MAX_STOP_S} s after SIGTERM"
             )
-            process.send(signal.SIGKILL)
+            process.send(signal.SIGABRT)
             await asyncio.to_thread(process.wait)
         await asyncio.sleep(self._random.random() * MAX_DOWN_S)
         process.start()
--- a/src/crowsill_lab/soak/operator.py
+++ b/src/crowsill_lab/soak/operator.py
@@ -27,7 +27,7 @@
 
 
 def routes_of(version: int) -> RouteConfiguration:
-    """Return a version: two routes that every version has, and one that only this version has."""
+    """Return a version: three routes that all versions have, and one that only this one has."""
 
     def route(name: str, kind: RouteKind, attempts: int) -> Route:
         share = [WeightedService(SERVICE, 1.0)]
@@ -36,6 +36,7 @@
     routes = [
         route("once", RouteKind.AT_MOST_ONCE, 1),
         route("safe", RouteKind.IDEMPOTENT, 2),
+        route("stream", RouteKind.STREAM, 1),
         route(f"v{version}", RouteKind.AT_MOST_ONCE, 1),
     ]
     services = [ServiceDefinition(SERVICE, 100)]
--- a/src/crowsill_lab/soak/site.py
+++ b/src/crowsill_lab/soak/site.py
@@ -69,6 +69,7 @@
         starts: Number of starts.
         interruptions: Counts the start and the end of each kill and pause. A request that
             overlaps one may end without a response.
+        disturbances: Begin and end of each kill, pause and stop.
         disturbed_at_s: Monotonic time at which its last kill, pause or stop ended; infinite during
             one.
     """
@@ -81,15 +82,18 @@
         self.starts = 0
         self.interruptions = 0
         self.disturbed_at_s = float("-inf")
+        self.disturbances: list[tuple[float, float]] = []
 
     @contextlib.contextmanager
     def disturbance(self) -> Iterator[None]:
         """Mark the time during which the process is killed, paused or stopped."""
+        began_s = time.monotonic()
         self.disturbed_at_s = float("inf")
         try:
             yield
         finally:
             self.disturbed_at_s = time.monotonic()
+            self.disturbances.append((began_s, self.disturbed_at_s))
 
     def is_in_touch(self, since_s: float) -> bool:
         """Whether the process has run undisturbed since a monotonic time."""
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -8,7 +8,7 @@
 from crowsill.model.instances import InstanceState
 from crowsill_lab.soak.crashing_request import must_be_quarantined
 from crowsill_lab.soak.ledger import CRASHING_BODY_PREFIX, Ledger, SentRequest
-from crowsill_lab.soak.links import SoakLinks
+from crowsill_lab.soak.links import LinkFault, SoakLinks
 from crowsill_lab.soak.replica import SoakReplica
 from crowsill_lab.soak.runner import SoakPlan, run_soak
 from crowsill_lab.soak.tenants import LIMITED, LIMITED_KEY, ROTATING, rotating_key
@@ -32,6 +32,8 @@
 LIMITS_SEED = 603
 # With this seed gateways lose their links to all replicas while members and gateways fail.
 CUTS_SEED = 1604
+# With this seed a replica that drains crashes between two pieces of responses without a length.
+STREAMS_SEED = 1804
 
 
 def test_every_guarantee_holds_under_overlapping_faults(tmp_path):
@@ -66,6 +68,22 @@
     assert "cut" in {fault.partition(" ")[0] for fault in report.faults}
 
 
+def test_no_part_of_a_response_reaches_its_caller_as_the_whole(tmp_path):
+    plan = SoakPlan(
+        STREAMS_SEED,
+        18.0,
+        members=3,
+        gateways=3,
+        folder=tmp_path,
+        has_signals=True,
+        has_limits=True,
+        has_cuts=True,
+    )
+    report = run_soak(plan)
+    assert report.violations == [], report.text()
+    assert report.statuses[200] > 100
+
+
 def test_every_guarantee_holds_under_losses(tmp_path):
     # The soak ends with a loss of all power, of two disks, and of all seeds that know the group.
     # The leader must contact the processes that do not know the group; without that, guarantees
@@ -166,3 +184,35 @@
 
     assert asyncio.run(scenario(InstanceState.READY)) == 1
     assert asyncio.run(scenario(InstanceState.DRAINING)) == 0
+
+
+class _Gateway:
+    process = None
+
+    def __init__(self, name):
+        self.name = name
+
+
+def test_only_the_time_without_any_link_is_no_recovery_time(monkeypatch):
+    """A soak reported a gateway that did not serve for 12 s, while all gateways were cut off."""
+    now_s = [100.0]
+    monkeypatch.setattr("crowsill_lab.soak.links.time.monotonic", lambda: now_s[0])
+    links = SoakLinks([_Gateway("g0"), _Gateway("g1")])
+    for names, seconds, expected_s in [
+        (["g0"], 5.0, 0.0),
+        (["g1"], 2.0, 2.0),
+    ]:
+        links.fail(names, LinkFault.RESET)
+        now_s[0] += seconds
+        assert links.all_cut_s() == expected_s
+    links.restore(["g0"])
+    now_s[0] += 3.0
+    assert links.all_cut_s() == 2.0
+    # A connection that lives on can serve.
+    links._connections["open"] = "g0"
+    links.fail(["g0"], LinkFault.NO_NEW)
+    now_s[0] += 4.0
+    assert links.all_cut_s() == 2.0
+    links.forget("open")
+    now_s[0] += 1.0
+    assert links.all_cut_s() == 3.0
