A request that waits for a connection no longer stops its gateway

Cause: a replica that keeps its open connections and refuses new ones, because it is at its limit or the link is cut for new ones, is no candidate while none of them is idle. `_no_replica_reason` called that "closed until a known time". Nothing was closed, so `WaitingRequest._wait_to_open` found nothing to wait for and returned at once, and `Exchange._serve` went round without ever giving the event loop back.

Change: such a replica is full while a connection to it is in use, so that the request waits like others for capacity, and unreachable if none is open, so that it is rejected at once or goes by another gateway. A wait always gives the event loop back. Read for the same fault: all loops of gateway, control, transport, consensus, entry and pipeline that wait for a condition; each awaits a timer or a message every time round.

--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -309,6 +309,7 @@
             max_in_flight=max(MIN_CONNECTIONS, share),
             max_expected_ms=max_expected_ms,
             has_idle=context.pool.has_idle,
+            has_open=context.pool.has_open,
             latency_model=context.registry.latency_model(self._service),
             random=context.random,
             is_urgent=is_urgent(route),
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -46,7 +46,8 @@
     Attributes:
         NO_REPLICA: The service has none that accepts work.
         NO_MODEL: None holds the model or adapter of the request.
-        ALL_FULL: Those that could run it have as many requests as this gateway may send them.
+        ALL_FULL: Those that could run it have as many requests as this gateway may send them, or
+            refuse further connections while all open ones are in use.
         ALL_CLOSED: Those that could run it are backing off or have reached their rate limits.
         ALL_TRIED: The request has been sent to all that could run it.
         UNREACHABLE: The directory lists some that could run it, but this gateway reaches none of
@@ -106,6 +107,7 @@
         max_in_flight: Requests that this gateway may have at one replica.
         max_expected_ms: A request that is expected to take longer is not sent.
         has_idle: Returns whether an idle connection to an instance is open.
+        has_open: Returns whether any connection to an instance is open.
         latency_model: Latency model of the engines of the service.
         random: Random source for ties and for the alternative replica.
         is_urgent: Whether the request cannot wait.
@@ -115,6 +117,7 @@
     max_in_flight: int
     max_expected_ms: float = float("inf")
     has_idle: Callable[[str], bool] = lambda _instance_id: True
+    has_open: Callable[[str], bool] = lambda _instance_id: True
     latency_model: LatencyModel = field(default_factory=LatencyModel)
     random: Random = field(default_factory=lambda: Random(0))
     is_urgent: bool = True
@@ -247,7 +250,11 @@
 
 
 def _no_replica_reason(
-    records: list[ReplicaRecord], request: CallerRequest, tried: set[str]
+    records: list[ReplicaRecord],
+    request: CallerRequest,
+    tried: set[str],
+    limits: SelectionLimits,
+    now_s: float,
 ) -> NoReplicaReason:
     """Return why no replica may be sent the request, regardless of their in-flight requests."""
     accepting = accepting_or_listed(records)
@@ -256,8 +263,27 @@
         return NoReplicaReason.NO_MODEL if accepting else NoReplicaReason.NO_REPLICA
     if not any(accepts(record) for record in with_resources):
         return NoReplicaReason.UNREACHABLE
-    is_tried = all(record.instance.instance_id in tried for record in with_resources)
-    return NoReplicaReason.ALL_TRIED if is_tried else NoReplicaReason.ALL_CLOSED
+    untried = [record for record in with_resources if record.instance.instance_id not in tried]
+    if not untried:
+        return NoReplicaReason.ALL_TRIED
+    return _closed_reason(untried, limits, now_s)
+
+
+def _closed_reason(
+    records: list[ReplicaRecord], limits: SelectionLimits, now_s: float
+) -> NoReplicaReason:
+    """Return why none of the replicas that accept requests may be sent one now."""
+    without_connection = [
+        record
+        for record in records
+        if now_s >= record.availability.opens_at_s(limits.is_urgent)
+        and not record.availability.is_reachable(limits.has_idle(record.instance.instance_id))
+    ]
+    if any(limits.has_open(record.instance.instance_id) for record in without_connection):
+        return NoReplicaReason.ALL_FULL
+    if len(without_connection) == len(records):
+        return NoReplicaReason.UNREACHABLE
+    return NoReplicaReason.ALL_CLOSED
 
 
 def _candidates(
@@ -285,7 +311,7 @@
             record for record in open_replicas if record.availability.non_urgent_opens_at_s <= now_s
         ]
     if not open_replicas:
-        return _no_replica_reason(records, request, tried)
+        return _no_replica_reason(records, request, tried, limits, now_s)
     max_in_flight = limits.max_in_flight
     with_capacity = [
         record
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -28,6 +28,9 @@
 
 CAPACITY_POLL_S = 0.1
 DEMAND_REPEAT_S = 0.3
+# A replica that opened since the choice is tried after this time. Without any wait, a request that
+# is never sent would stop the event loop.
+OPENED_POLL_S = 0.01
 # A stopping process makes callers retry at once: another gateway has the same routes.
 STOPPING_RETRY_AFTER_S = 0.1
 
@@ -103,6 +106,7 @@
         """
         blocking = self._first_to_open()
         if blocking is None:
+            await asyncio.sleep(OPENED_POLL_S)
             return True
         waiting = self._context.registry.waiting_to_open
         key = (blocking.instance.instance_id, self._is_urgent)
