Logs and the soak tell which crash was counted against which request

A soak that reports "crashed 6 replicas" named neither the crashes nor what the group had counted: E210 and E508 gave only a number of requests. Both list the fingerprints now, and the soak prints each crash with its time of day, the replica and the gateway that sent the request.

No behaviour changes; the check of the soak compares the same numbers.

--- a/src/crowsill/control/publisher.py
+++ b/src/crowsill/control/publisher.py
@@ -7,7 +7,7 @@
 from crowsill.logs import log_event
 from crowsill.metrics import DIRECTORY_VERSION, QUARANTINED, REVISION, ROUTES_VERSION
 from crowsill.model.configuration import ConfigurationDelta
-from crowsill.model.suspects import CRASH_LIMIT
+from crowsill.model.suspects import CRASH_LIMIT, fingerprint_list
 from crowsill.state.commands import (
     Acknowledged,
     ChangeConfiguration,
@@ -113,7 +113,10 @@
             log_event(Event.SUSPECTS_CLEARED, requests=",".join(cleared), why=reason)
         if isinstance(command, RecordCrash):
             log_event(
-                Event.CRASH_RECORDED, replica=command.instance_id, requests=len(command.requests)
+                Event.CRASH_RECORDED,
+                replica=command.instance_id,
+                requests=len(command.requests),
+                fingerprints=fingerprint_list(command.requests),
             )
             self._log_quarantined(command)
         self._subscribers.push_suspects(change)
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -15,7 +15,7 @@
 from crowsill.gateway.pool import ConnectError, ConnectionPool
 from crowsill.logs import log_event
 from crowsill.model.instances import Instance
-from crowsill.model.suspects import SuspectChange, SuspectRequest
+from crowsill.model.suspects import SuspectChange, SuspectRequest, fingerprint_list
 from crowsill.transport.messages import Body, Submitted
 from crowsill.transport.replica_messages import ClearRequests, ReportCrash
 
@@ -206,7 +206,12 @@
             self._guard.note_crash(
                 request.fingerprint, instance_id, crashed_at_s - request.ran_s, crashed_at_s
             )
-        log_event(Event.REPLICA_ENDED, replica=instance_id, requests=len(requests))
+        log_event(
+            Event.REPLICA_ENDED,
+            replica=instance_id,
+            requests=len(requests),
+            fingerprints=fingerprint_list(requests),
+        )
         for start in range(0, len(requests), MAX_REQUESTS_PER_REPORT):
             part = requests[start : start + MAX_REQUESTS_PER_REPORT]
             self._start_task(self._report_crash(instance_id, part, crashed_at_s))
--- a/src/crowsill/model/suspects.py
+++ b/src/crowsill/model/suspects.py
@@ -63,6 +63,15 @@
     known_crashes: int = 0
 
 
+def fingerprint_list(requests: list[SuspectRequest]) -> str:
+    r"""Return the fingerprints of requests as logged.
+
+    >>> fingerprint_list([SuspectRequest(b"\x01", "r1", "h/a", "s", 0.1)])
+    '01'
+    """
+    return ",".join(request.fingerprint.hex() for request in requests)
+
+
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
     """The crash history of one suspect request.
 
--- a/src/crowsill_lab/soak/crashing_request.py
+++ b/src/crowsill_lab/soak/crashing_request.py
@@ -64,17 +64,18 @@
             await self._check_path(path, context)
 
     async def _check_path(self, path: str, context: str) -> None:
-        crashes_at_s = self._ledger.crashes_at_s.get((path, self._body), [])
-        if not must_be_quarantined(crashes_at_s, time.monotonic()):
+        crashes = self._ledger.crashes.get((path, self._body), [])
+        if not must_be_quarantined([crash.at_s for crash in crashes], time.monotonic()):
             return
-        count_before = len(crashes_at_s)
+        count_before = len(crashes)
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             for gateway in self._gateways:
                 await self._send(session, gateway, path)
-        if len(crashes_at_s) > count_before:
+        if len(crashes) > count_before:
+            listed = "; ".join(crash.text() for crash in crashes)
             self._ledger.note_violation(
-                f"{context}: {path} {self._body!r} crashed {len(crashes_at_s)} replicas"
+                f"{context}: {path} {self._body!r} crashed {len(crashes)} replicas: {listed}"
             )
 
 
--- a/src/crowsill_lab/soak/ledger.py
+++ b/src/crowsill_lab/soak/ledger.py
@@ -37,6 +37,27 @@
     gateway: GatewayRun | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash that a crashing request caused.
+
+    Attributes:
+        at_s: Monotonic time.
+        instance_id: The incarnation that crashed.
+        gateway: Name of the gateway that sent the request; empty if unknown.
+        wall_time: Time of day, as in the logs.
+    """
+
+    at_s: float
+    instance_id: str = ""
+    gateway: str = ""
+    wall_time: str = ""
+
+    def text(self) -> str:
+        """Return it as printed in a report."""
+        return f"{self.wall_time} {self.instance_id} by {self.gateway or 'unknown'}"
+
+
 @dataclass(slots=True)
 class Ledger:
     """All observations of a soak. All times are monotonic.
@@ -51,7 +72,7 @@
         acknowledged_at_s: Time of each acknowledgement, by version.
         sent: Requests by request id.
         limited_runs: Send and arrival time of each request of the limited tenant.
-        crashes_at_s: Times at which each crashing request crashed a replica, by path and body.
+        crashes: Crashes that each crashing request caused, by path and body.
         signals: Backoffs and drains that replicas requested in their responses.
         limits: Rate limits that replicas advertised in their responses.
         links: Gateways that were cut off from all replicas, and first tries of callers.
@@ -66,7 +87,7 @@
     acknowledged_at_s: dict[int, float] = field(default_factory=dict)
     sent: dict[str, SentRequest] = field(default_factory=dict)
     limited_runs: list[tuple[float, float]] = field(default_factory=list)
-    crashes_at_s: dict[tuple[str, bytes], list[float]] = field(default_factory=dict)
+    crashes: dict[tuple[str, bytes], list[Crash]] = field(default_factory=dict)
     signals: SignalLedger = field(default_factory=SignalLedger)
     limits: LimitLedger = field(default_factory=LimitLedger)
     links: LinkLedger = field(default_factory=LinkLedger)
@@ -93,9 +114,9 @@
         self.limits.note_arrival(instance_id, gateway, now_s)
         return gateway
 
-    def note_crash(self, path: str, body: bytes, now_s: float) -> None:
+    def note_crash(self, path: str, body: bytes, crash: Crash) -> None:
         """Record that a request crashed a replica."""
-        self.crashes_at_s.setdefault((path, body), []).append(now_s)
+        self.crashes.setdefault((path, body), []).append(crash)
 
     def note_acknowledged(self, version: int, now_s: float) -> None:
         """Record that a version of the routes was acknowledged."""
--- a/src/crowsill_lab/soak/replica.py
+++ b/src/crowsill_lab/soak/replica.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 from collections.abc import Sequence
+from datetime import UTC, datetime
 from random import Random
 
 import msgspec
@@ -11,7 +12,7 @@
 from crowsill.gateway.headers import HeaderNames
 from crowsill.model.instances import Instance, InstanceState, ReplicaHeartbeat, instance_id_of
 from crowsill_lab.soak.control_calls import put
-from crowsill_lab.soak.ledger import CRASHING_BODY_PREFIX, Ledger
+from crowsill_lab.soak.ledger import CRASHING_BODY_PREFIX, Crash, Ledger
 from crowsill_lab.soak.links import SoakLinks
 from crowsill_lab.soak.responses import (
     STREAM_PATH,
@@ -199,7 +200,7 @@
                 if body.startswith(CRASHING_BODY_PREFIX):
                     # A draining replica only closes this connection and keeps running: no crash.
                     if self._state is InstanceState.READY:
-                        self._ledger.note_crash(head.split(" ")[1], body, time.monotonic())
+                        self._note_crash(head.split(" ")[1], body, writer)
                     restart = asyncio.create_task(self.crash_and_restart())
                     self._restarts.add(restart)
                     restart.add_done_callback(self._restarts.discard)
@@ -212,6 +213,14 @@
         self._links.forget(writer)
         writer.close()
 
+    def _note_crash(self, path: str, body: bytes, writer: asyncio.StreamWriter) -> None:
+        """Record that a request crashes this replica."""
+        sender = self._links.sender(writer)
+        gateway = "" if sender is None else sender.name
+        wall_time = datetime.now(UTC).strftime("%H:%M:%S.%f")[:-3]
+        crash = Crash(time.monotonic(), self.instance_id, gateway, wall_time)
+        self._ledger.note_crash(path, body, crash)
+
     async def _respond(
         self,
         path: str,
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -180,7 +180,7 @@
         assert await reader.read() == b""
         writer.close()
         server.close()
-        return len(ledger.crashes_at_s)
+        return len(ledger.crashes)
 
     assert asyncio.run(scenario(InstanceState.READY)) == 1
     assert asyncio.run(scenario(InstanceState.DRAINING)) == 0
