A crash during the check of an earlier interrupted response is counted

Cause: responses that replicas break off are common, and each starts a check whether the replica still accepts connections. A response that was broken off while this check connected was forgotten with the earlier ones once the connection was open, though the replica had crashed since.

Change: a check forgets what was interrupted before it connected; the rest is checked again.

--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -156,10 +156,13 @@
         return instance_id in self._crashed
 
     async def _check(self, instance: Instance) -> bool:
+        instance_id = instance.instance_id
         for delay_s in CHECK_DELAYS_S:
             await asyncio.sleep(delay_s)
+            checked = len(self._broken.get(instance_id, ()))
             if not await self._refuses_connections(instance):
-                break
+                # The replica may have crashed since it accepted the connection.
+                return self._forget_broken(instance_id, checked) and await self._check(instance)
             # A replica that refuses because it has too many connections still serves the others.
             if self._pool.has_open(instance.instance_id):
                 continue
@@ -167,10 +170,18 @@
                 break
             self._record_crash(instance)
             return True
-        self._broken.pop(instance.instance_id, None)
-        self._interrupted_at_s.pop(instance.instance_id, None)
+        self._forget_broken(instance_id, len(self._broken.get(instance_id, ())))
         return False
 
+    def _forget_broken(self, instance_id: str, number: int) -> bool:
+        """Forget the first interrupted responses of a replica; return whether any is left."""
+        left = self._broken.pop(instance_id, [])[number:]
+        self._interrupted_at_s.pop(instance_id, None)
+        if left:
+            self._broken[instance_id] = left
+            self._interrupted_at_s[instance_id] = self._loop.time()
+        return bool(left)
+
     async def _is_removed(self, instance: Instance) -> bool:
         """Whether the group removes a replica soon, because its heartbeats ended."""
         end_at_s = self._loop.time() + REMOVAL_WAIT_S
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -53,6 +53,31 @@
     run(scenario())
 
 
+def test_a_crash_during_the_check_of_an_earlier_interruption_is_counted():
+    """The check found the port open and forgot all interruptions, also those after that."""
+
+    async def scenario():
+        port, watched = await Port().open(), Watched()
+        opened = watched.pool.open_connection
+
+        async def open_and_crash(instance, timeout_s):
+            watched.pool.open_connection = opened
+            connection = await opened(instance, timeout_s)
+            port.crash()
+            watched.watch.note_broken_response(at(port), suspect(b"culprit"))
+            return connection
+
+        watched.pool.open_connection = open_and_crash
+        watched.watch.note_broken_response(at(port), suspect(b"earlier"))
+        await until(lambda: not watched.watch.has_pending_reports)
+        assert watched.crashed == ["i-1"]
+        reported = [item.fingerprint for report in watched.reported for item in report.requests]
+        assert reported == [b"culprit"]
+        await watched.watch.stop()
+
+    run(scenario())
+
+
 def test_a_replica_with_a_closed_port_and_no_connections_has_crashed():
     async def scenario():
         port, watched = await Port().open(), Watched()
