A replica that crashes as it begins to drain counts against its requests

Cause: any end of a draining replica was taken for its planned one. A replica that begins to drain still runs what it was sent before, and crashes under it like any other.

The new test fails on the code before.

Change: the end of a draining replica counts as a crash in the first second after this gateway learned of the drain. A planned end comes later, because a draining replica finishes its requests first; it still counts as no crash.

--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import functools
+import math
 from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
 
@@ -42,6 +43,8 @@
 ABANDONED_MEMORY_S = 1.0
 MAX_ABANDONED_PER_INSTANCE = 64
 MAX_REMEMBERED_CRASHES = 1000
+# A draining replica finishes its requests for longer than this before its planned end.
+MIN_DRAIN_S = 1.0
 
 GroupRequest = ReportCrash | ClearRequests
 
@@ -58,6 +61,7 @@
         *,
         is_own_failure: Callable[[Instance], Awaitable[bool]],
         is_listed: Callable[[str], bool],
+        draining_for_s: Callable[[str], float] = lambda _instance_id: math.inf,
     ) -> None:
         """Create a watch.
 
@@ -69,6 +73,7 @@
             on_crashed: Receives the id of each instance that crashed.
             is_own_failure: Whether no other replica is reached from here either.
             is_listed: Whether the directory lists an instance as running.
+            draining_for_s: Returns for how many seconds an instance is known to drain.
         """
         self._pool = pool
         self._guard = guard
@@ -76,6 +81,7 @@
         self._on_crashed = on_crashed
         self._is_own_failure = is_own_failure
         self._is_listed = is_listed
+        self._draining_for_s = draining_for_s
         self._loop = asyncio.get_running_loop()
         self._broken: dict[str, list[SuspectRequest]] = {}
         self._interrupted_at_s: dict[str, float] = {}
@@ -88,8 +94,7 @@
 
     def note_broken_response(self, instance: Instance, request: SuspectRequest) -> None:
         """Check a replica that interrupted its response to a request."""
-        # A draining replica that stops with requests in flight has not crashed.
-        if not instance.accepts_work:
+        if self._may_end_by_plan(instance):
             return
         instance_id = instance.instance_id
         self._broken.setdefault(instance_id, []).append(request)
@@ -99,6 +104,12 @@
         elif instance_id not in self._checks:
             self._start_check(instance)
 
+    def _may_end_by_plan(self, instance: Instance) -> bool:
+        """Whether a replica may stop now, with requests in flight, without having crashed."""
+        if instance.accepts_work:
+            return False
+        return self._draining_for_s(instance.instance_id) >= MIN_DRAIN_S
+
     def _start_check(self, instance: Instance) -> None:
         instance_id = instance.instance_id
         check = asyncio.create_task(self._check(instance))
@@ -123,7 +134,7 @@
         instance_id = instance.instance_id
         if (
             not self._recently_abandoned(instance_id)
-            or not instance.accepts_work
+            or self._may_end_by_plan(instance)
             or instance_id in self._checks
         ):
             return
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -35,6 +35,7 @@
             that.
         availability: Whether it may be sent requests, and if not, why and until when.
         listed_state: Its state in the directory alone.
+        drain_known_at_s: Time when this gateway first learned that it drains; None if it does not.
         in_flight: Own requests without a complete response.
         pending_prompt_tokens: Prompt tokens of own streams before their first event.
         reported_other_requests: Requests of other callers, from the last load report.
@@ -55,6 +56,7 @@
     instance: Instance
     availability: Availability = field(default_factory=Availability)
     listed_state: InstanceState = InstanceState.READY
+    drain_known_at_s: float | None = None
     in_flight: int = 0
     pending_prompt_tokens: int = 0
     reported_other_requests: float = 0.0
@@ -72,19 +74,27 @@
 
     def __post_init__(self) -> None:
         """Apply the state in the directory."""
-        self.note_listing(self.instance)
+        self.listed_state = self.instance.state
+        self.availability.note_listing(not self.instance.accepts_work)
+        self.instance = self._with_reported_drain(self.instance)
 
     def note_draining(self, now_s: float) -> bool:
         """Record that it reported that it drains; return whether that is new."""
         is_new = self.availability.note_draining(now_s)
         self.instance = self._with_reported_drain(self.instance)
+        self._note_drain_known(now_s)
         return is_new
 
-    def note_listing(self, instance: Instance) -> None:
+    def _note_drain_known(self, now_s: float) -> None:
+        if self.drain_known_at_s is None and not self.instance.accepts_work:
+            self.drain_known_at_s = now_s
+
+    def note_listing(self, instance: Instance, now_s: float) -> None:
         """Apply its entry in the directory."""
         self.listed_state = instance.state
         self.availability.note_listing(not instance.accepts_work)
         self.instance = self._with_reported_drain(instance)
+        self._note_drain_known(now_s)
 
     def _with_reported_drain(self, instance: Instance) -> Instance:
         """Return the instance as draining if the replica reported that in a response."""
@@ -210,6 +220,13 @@
         record = self._records.get(instance_id)
         return record is not None and not record.availability.is_draining
 
+    def draining_for_s(self, instance_id: str, now_s: float) -> float:
+        """Return for how long a replica is known to drain; infinite if it is not listed."""
+        record = self._records.get(instance_id)
+        if record is None:
+            return float("inf")
+        return 0.0 if record.drain_known_at_s is None else now_s - record.drain_known_at_s
+
     def excluded(self, now_s: float) -> list[ExcludedReplica]:
         """Return at most `MAX_REPORTED_EXCLUSIONS` excluded replicas, by order of the reasons."""
         order = list(ExclusionReason)
@@ -310,7 +327,7 @@
         if record is None:
             known = self._former_availability.pop(instance.instance_id, None) or Availability()
             record = self._records[instance.instance_id] = ReplicaRecord(instance, known)
-        record.note_listing(instance)
+        record.note_listing(instance, now_s)
         record.availability.missing_resources.clear()
         record.note_loading_models(now_s)
         return not record.instance.accepts_work
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -145,6 +145,9 @@
             self._on_crashed,
             is_own_failure=self.replica_watch.is_own_failure,
             is_listed=self.registry.is_listed,
+            draining_for_s=lambda instance_id: self.registry.draining_for_s(
+                instance_id, asyncio.get_running_loop().time()
+            ),
         )
         listen = self._settings.callers
         self._server = await loop.create_server(
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -17,7 +17,15 @@
 from crowsill.transport.replica_messages import ReportCrash
 from tests.control_group import until
 from tests.crash_world import Port, Watched, at, settle, suspect
-from tests.gateway_world import LOCAL, close_connection, never_respond, run, world
+from tests.gateway_world import (
+    ID,
+    LOCAL,
+    close_connection,
+    encode_response,
+    never_respond,
+    run,
+    world,
+)
 
 
 async def _break_at(played, times):
@@ -132,6 +140,28 @@
     run(scenario())
 
 
+def test_a_replica_that_crashes_as_it_begins_to_drain_makes_its_requests_suspects():
+    """Its planned end comes later; a request that crashed draining replicas was never counted."""
+
+    async def scenario():
+        async def script(headers, writer, number):
+            if number == 1:
+                await asyncio.sleep(30)
+            writer.write(encode_response(headers[ID], extra="crowsill-server-leaving: 1"))
+            return True
+
+        async with world(script) as played:
+            running = await played.caller()
+            running.send("once", "r1", b"crashing")
+            await until(lambda: played._replicas[0].requests)
+            await (await played.caller()).request("once", "r2", b"other")
+            await played._replicas[0].crash()
+            await running.head()
+            await until(lambda: played.role.crash_guard.has_suspects, 2.0)
+
+    run(scenario())
+
+
 def test_a_disconnected_gateway_counts_by_itself_and_reports_later():
     async def scenario():
         watched = Watched(is_connected=False)
