Soak: a crashed replica ends at once, with all of its connections

The soak's own fault, found by trace. Its replicas closed the connection of the crashing request first and the port and the other connections some event loop passes later, tens to hundreds of ms beside load; a connection that the event loop had accepted just before was never closed and went on being served. A process that dies loses all of them at once.

Requests on such a connection also counted for the next incarnation.

The checks are as they were; the crash itself is stricter. New test: a connection that was accepted before the crash is not served.

--- a/src/crowsill_lab/soak/replica.py
+++ b/src/crowsill_lab/soak/replica.py
@@ -82,6 +82,7 @@
         self._port = 0
         self._heartbeat_task: asyncio.Task[None] | None = None
         self._is_restarting = False
+        self._is_down = False
         self._shed_until_at_s = float("-inf")
         self._reports_draining = False
         self._limit_per_s: float | None = None
@@ -99,6 +100,7 @@
         self._shed_until_at_s = float("-inf")
         self._reports_draining = False
         self._limit_per_s = None
+        self._is_down = False
         self._started_ms = max(self._started_ms + 1, int(time.time() * 1000))
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self._port = self._server.sockets[0].getsockname()[1]
@@ -109,14 +111,19 @@
         if self._is_restarting or self._state is not InstanceState.READY:
             return
         self._is_restarting = True
-        await self.stop()
-        for writer in self._writers:
-            writer.transport.abort()
+        self._end_process()
         down_s = MIN_DOWN_S + self._random.random() * (MAX_DOWN_S - MIN_DOWN_S)
         await asyncio.sleep(down_s)
         self._is_restarting = False
         await self.start()
 
+    def _end_process(self) -> None:
+        """Close the port and all connections at once, as the kernel does for a dead process."""
+        self._is_down = True
+        self._stop_serving()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def drain(self) -> None:
         """Report draining in heartbeats, serve for another `DRAIN_S`, and stop."""
         while self._is_restarting:
@@ -150,6 +157,9 @@
 
     async def stop(self) -> None:
         """Stop listening and sending heartbeats."""
+        self._stop_serving()
+
+    def _stop_serving(self) -> None:
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
         if self._server is not None:
@@ -187,6 +197,10 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # The event loop cancels this task when it shuts down.
         expected_errors = (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError)
+        if self._is_down:
+            # Accepted by the event loop before the port was closed.
+            writer.transport.abort()
+            return
         if not self._links.accept(writer):
             return
         self._writers.add(writer)
@@ -197,10 +211,13 @@
                 pairs = [line.split(": ", 1) for line in lines if ": " in line]
                 headers = {name.lower(): value for name, value in pairs}
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
+                if writer.transport.is_closing():
+                    break
                 if body.startswith(CRASHING_BODY_PREFIX):
                     # A draining replica only closes this connection and keeps running: no crash.
                     if self._state is InstanceState.READY:
                         self._note_crash(head.split(" ")[1], body, writer)
+                        self._end_process()
                     restart = asyncio.create_task(self.crash_and_restart())
                     self._restarts.add(restart)
                     restart.add_done_callback(self._restarts.discard)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,6 +1,7 @@
 """Short fault soaks with fixed seeds, and tests that the checks of a soak can fail."""
 
 import asyncio
+import contextlib
 from random import Random
 
 import pytest
@@ -186,6 +187,27 @@
     assert asyncio.run(scenario(InstanceState.DRAINING)) == 0
 
 
+def test_a_crashed_replica_of_a_soak_serves_no_connection_that_it_had_accepted():
+    """Such a connection showed gateways a running replica, and counted for its next incarnation."""
+
+    async def scenario():
+        ledger = Ledger()
+        replica = SoakReplica(1, None, ledger, Random(1), SoakLinks([]))
+        server = replica._server = await asyncio.start_server(replica._serve, "127.0.0.1", 0)
+        connections = [
+            await asyncio.open_connection(*server.sockets[0].getsockname()) for _ in range(2)
+        ]
+        replica._end_process()
+        for reader, writer in connections:
+            writer.write(b"POST /safe/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                assert await asyncio.wait_for(reader.read(), 2.0) == b""
+            writer.close()
+        assert not ledger.runs
+
+    asyncio.run(scenario())
+
+
 class _Gateway:
     process = None
 
