One gateway at a time runs a suspect, and the group remembers the run

Copies went through several gateways at one moment, and what a killed gateway alone had seen was counted by nobody.

Cause: each gateway kept one copy of a suspect running, so a group of N ran N; and a crash counted only if the gateway that ran the request lived to report it. Of suspects, the group knew what had crashed, not what was running.

Change: before it sends a suspect, a gateway asks the group (one log entry, for suspects only). A request with two crashes shares its replica with no other suspect, so that a third crash names its cause. When any gateway reports the crash of a replica, or a replica that did not drain registers its next incarnation, the runs recorded there count, whether or not their gateway reports. Without a leader, a request with one crash is sent as before (most did not cause it); one with two is rejected as not run.

Left open: the first crash of a request, if its gateway is killed before it has reported it.

--- a/src/crowsill/control/publisher.py
+++ b/src/crowsill/control/publisher.py
@@ -7,7 +7,7 @@
 from crowsill.logs import log_event
 from crowsill.metrics import DIRECTORY_VERSION, QUARANTINED, REVISION, ROUTES_VERSION
 from crowsill.model.configuration import ConfigurationDelta
-from crowsill.model.suspects import CRASH_LIMIT, fingerprint_list
+from crowsill.model.suspects import CRASH_LIMIT, SuspectChange, fingerprint_list
 from crowsill.state.commands import (
     Acknowledged,
     ChangeConfiguration,
@@ -33,6 +33,7 @@
         self._machine = machine
         self._subscribers = subscribers
         self._is_routes_push_scheduled = False
+        self._suspects_version = 0
 
     def on_applied(self, command: Command, result: CommandResult) -> None:
         """Publish the effect of an applied command."""
@@ -57,9 +58,7 @@
 
     def _publish_change(self, command: Command) -> None:
         """Push a command's change to gateways."""
-        if isinstance(command, RecordCrash | ClearSuspects):
-            self._publish_suspects(command)
-            return
+        self._publish_suspects(command)
         directory = self._machine.directory
         match command:
             case PublishRoutes():
@@ -100,12 +99,13 @@
         if isinstance(command, DirectoryCommand):
             self._subscribers.push_directory(directory.last_change)
 
-    def _publish_suspects(self, command: RecordCrash | ClearSuspects) -> None:
-        """Push to gateways the requests during which replicas crashed."""
+    def _publish_suspects(self, command: Command) -> None:
+        """Push to gateways the requests during which replicas crashed, if they have changed."""
         record = self._machine.crashes
         change = record.last_change
-        if change is None:
+        if change is None or change.version <= self._suspects_version:
             return
+        self._suspects_version = change.version
         QUARANTINED.set(sum(suspect.is_quarantined for suspect in record.suspects))
         cleared = [item.fingerprint.hex() for item in change.changed if not item.crashed_instances]
         if cleared:
@@ -118,21 +118,21 @@
                 requests=len(command.requests),
                 fingerprints=fingerprint_list(command.requests),
             )
-            self._log_quarantined(command)
+        self._log_quarantined(change)
         self._subscribers.push_suspects(change)
 
-    def _log_quarantined(self, command: RecordCrash) -> None:
+    def _log_quarantined(self, change: SuspectChange) -> None:
         """Log each request that this crash has put into quarantine."""
-        for request in command.requests:
-            suspect = self._machine.crashes.find(request.fingerprint)
+        for item in change.changed:
+            suspect = self._machine.crashes.find(item.fingerprint)
             if suspect is None or len(suspect.counted_crashes) != CRASH_LIMIT:
                 continue
             log_event(
                 Event.REQUEST_QUARANTINED,
-                fingerprint=request.fingerprint.hex(),
-                request=request.request_id,
-                place=request.host_and_path,
-                service=request.service,
+                fingerprint=item.fingerprint.hex(),
+                request=suspect.request.request_id,
+                place=suspect.request.host_and_path,
+                service=suspect.request.service,
                 replicas=",".join(suspect.crashed_instances),
             )
 
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from crowsill.clock import PROCESS_STARTED_S, monotonic_s
+from crowsill.clock import PROCESS_STARTED_S, monotonic_s, wall_s
 from crowsill.control.announcer import GroupAnnouncer, accept_referral
 from crowsill.control.crash_commands import to_crash_command
 from crowsill.control.draining_replicas import DrainingReplicas
@@ -18,7 +18,7 @@
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.settings import Address
-from crowsill.state.commands import CrashCommand, PublishRoutes
+from crowsill.state.commands import Acknowledged, CrashCommand, PublishRoutes
 from crowsill.transport.connection import Connection, ConnectionLostError
 from crowsill.transport.group_contacts import GroupContacts
 from crowsill.transport.leader_client import format_address
@@ -43,20 +43,24 @@
     Ping,
     Pong,
     SubmitCommand,
+    Submitted,
 )
 from crowsill.transport.replica_messages import (
     ClearRequests,
+    CrashRequest,
     DemandNotice,
     DrainingInstances,
+    FinishSuspectRun,
     ReplicaGrantRequest,
     ReplicaLimitsNotice,
     ReportCrash,
     SeenInstances,
+    StartSuspectRun,
     SuspectInstances,
 )
 from crowsill.transport.stream import LocalIdentity
 
-GatewayRequest = Heartbeat | GrantRequest | ReplicaGrantRequest | ReportCrash | ClearRequests
+GatewayRequest = Heartbeat | GrantRequest | ReplicaGrantRequest | CrashRequest
 
 LEADER_REPLY_TIMEOUT_S = 1.0
 FORWARD_TIMEOUT_S = 3.0
@@ -288,8 +292,11 @@
             case ReplicaGrantRequest():
                 grants = self.reports.replica_grants
                 return await grants.handle(request, driver, self.leader_stream)
-            case ReportCrash() | ClearRequests():
-                return await self._commit_crash_command(to_crash_command(request))
+            case ReportCrash() | ClearRequests() | StartSuspectRun() | FinishSuspectRun():
+                command = to_crash_command(request)
+                if not driver.machine.may_have_effect(command, wall_s()):
+                    return Submitted(Acknowledged(False))
+                return await self._commit_crash_command(command)
             case _:
                 return await self._on_heartbeat(connection, request, driver)
 
--- a/src/crowsill/gateway/context.py
+++ b/src/crowsill/gateway/context.py
@@ -15,6 +15,7 @@
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.routing_table import GatewayRoutingTable
+from crowsill.gateway.suspect_runs import SuspectRunClient
 from crowsill.routing.shared_budget import SharedRetryBudget
 
 
@@ -32,6 +33,7 @@
     fingerprints: Fingerprints
     crash_guard: CrashGuard
     crash_watch: CrashWatch
+    suspect_runs: SuspectRunClient
     peers: Peers
     replica_watch: ReplicaWatch
 
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -18,7 +18,7 @@
 from crowsill.model.instances import Instance
 from crowsill.model.suspects import SuspectChange, SuspectRequest, fingerprint_list
 from crowsill.transport.messages import Body, Submitted
-from crowsill.transport.replica_messages import ClearRequests, ReportCrash
+from crowsill.transport.replica_messages import ClearRequests, FinishSuspectRun, ReportCrash
 
 # Delays before each check whether the replica's port is open. The close of one connection may be
 # received before that of the others.
@@ -46,7 +46,7 @@
 # A draining replica finishes its requests for longer than this before its planned end.
 MIN_DRAIN_S = 1.0
 
-GroupRequest = ReportCrash | ClearRequests
+GroupRequest = ReportCrash | ClearRequests | FinishSuspectRun
 
 
 class CrashWatch:
@@ -263,6 +263,18 @@
         for request in requests:
             self._guard.drop_own_crash(request.fingerprint, instance_id)
 
+    def report_run_end(self, instance_id: str, message: FinishSuspectRun) -> None:
+        """Report that the run of a suspect has ended, unless its replica has crashed."""
+        self._start_task(self._report_run_end(instance_id, message))
+
+    async def _report_run_end(self, instance_id: str, message: FinishSuspectRun) -> None:
+        check = self._checks.get(instance_id)
+        if check is not None:
+            await asyncio.wait([check])
+        # The report of a crash ends the runs on the replica.
+        if instance_id not in self._crashed:
+            await self._report(lambda: message)
+
     def note_success(self, fingerprint: bytes) -> None:
         """Note a complete response, which clears the request of suspicion."""
         if self._guard.note_success(fingerprint, self._loop.time()):
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -36,17 +36,18 @@
     RoutesUpdate,
 )
 from crowsill.transport.replica_messages import (
-    ClearRequests,
+    CrashRequest,
     DemandNotice,
     DrainingInstances,
     ReplicaGrantRequest,
     ReplicaLimitsNotice,
-    ReportCrash,
     SuspectInstances,
     SuspectsUpdate,
 )
 from crowsill.transport.stream import LocalIdentity, ProtocolError
 
+GroupQuery = GrantRequest | ReplicaGrantRequest | CrashRequest
+
 HEARTBEAT_S = 0.5
 HEARTBEAT_TIMEOUT_S = 0.8
 INITIAL_RETRY_S = 0.05
@@ -290,7 +291,7 @@
 
     async def query(
         self,
-        message: GrantRequest | ReplicaGrantRequest | ReportCrash | ClearRequests,
+        message: GroupQuery,
         timeout_s: float,
     ) -> Body | None:
         """Send a request to the group; return the reply, or None if there was none.
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -9,6 +9,7 @@
 from crowsill.gateway.rejection import Rejection
 from crowsill.gateway.replica_feedback import MIN_SERVER_ERROR_STATUS
 from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.suspect_runs import RunPermission
 from crowsill.model.instances import Instance
 from crowsill.model.suspects import MAX_HOST_AND_PATH_LENGTH, SuspectRequest
 
@@ -22,11 +23,17 @@
 MAX_REMEMBERED_BODY_BYTES = 1024
 DUPLICATE_POLL_S = 0.05
 DUPLICATE_RETRY_S = 1.0
+NO_LEADER_RETRY_S = 0.5
 _DUPLICATE_RUNNING = Rejection(
     ErrorKind.OVERLOADED,
     "a duplicate of this request is running, and a replica crashed while running it before",
     DUPLICATE_RETRY_S,
 )
+_NOT_GRANTED = Rejection(
+    ErrorKind.NOT_READY,
+    "replicas crashed while running it, and no leader confirmed that no other gateway runs it",
+    NO_LEADER_RETRY_S,
+)
 
 
 class RepeatGuard:
@@ -39,6 +46,9 @@
         self._loop = asyncio.get_running_loop()
         self._cached_fingerprint: bytes | None = None
         self._known_crashes = 0
+        self._run_id = ""
+        self._run_refused_at_s: float | None = None
+        self._rejection: Rejection | None = None
 
     @property
     def _fingerprint(self) -> bytes:
@@ -62,6 +72,8 @@
         Duplicates sent concurrently would each crash a replica before all gateways know the count.
         """
         guard = self._context.crash_guard
+        if self._rejection is not None:
+            return self._rejection
         end_at_s = self._loop.time() + MAX_DUPLICATE_WAIT_S
         while (
             guard.has_suspects
@@ -83,9 +95,45 @@
         guard.begin_attempt(self._fingerprint)
         return True
 
-    def finish_attempt(self) -> None:
+    def finish_attempt(self, instance: Instance) -> None:
         """Unregister an attempt that has ended."""
         self._context.crash_guard.finish_attempt(self._fingerprint)
+        if self._run_id:
+            self._context.suspect_runs.end(self._run_id, instance.instance_id)
+            self._run_id = ""
+
+    async def may_run(self, instance: Instance) -> bool:
+        """Whether the request may be sent to a replica now; a suspect needs the group's permission.
+
+        If it may not, the caller chooses a replica again; `await_duplicate` then returns a
+        rejection if the request has waited long enough. Without a leader, a request with a single
+        crash is sent all the same: most of these did not cause it.
+        """
+        guard = self._context.crash_guard
+        if not guard.is_suspect(self._fingerprint):
+            return True
+        permission, self._run_id = await self._context.suspect_runs.start(
+            self._suspect_request(self._loop.time()), instance.instance_id
+        )
+        if permission is RunPermission.GRANTED:
+            return True
+        if permission is RunPermission.UNKNOWN:
+            if guard.may_repeat(self._fingerprint):
+                return True
+            self._rejection = _NOT_GRANTED
+            return False
+        self._run_id = ""
+        await self._wait_after_refusal()
+        return False
+
+    async def _wait_after_refusal(self) -> None:
+        now_s = self._loop.time()
+        if self._run_refused_at_s is None:
+            self._run_refused_at_s = now_s
+        if now_s - self._run_refused_at_s >= MAX_DUPLICATE_WAIT_S:
+            self._rejection = _DUPLICATE_RUNNING
+            return
+        await self._context.wait_for_change(DUPLICATE_POLL_S)
 
     def note_attempt_end(self, instance: Instance, end: AttemptEnd, sent_at_s: float) -> None:
         """Report how an attempt ended.
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -30,6 +30,7 @@
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.gateway.running_exchanges import RunningExchanges
+from crowsill.gateway.suspect_runs import SuspectRunClient
 from crowsill.logs import log_event
 from crowsill.metrics import READY, REQUESTS_FROM_PEERS, ROUTES_VERSION
 from crowsill.model.peers import PeerOffer
@@ -149,6 +150,7 @@
                 instance_id, asyncio.get_running_loop().time()
             ),
         )
+        self.suspect_runs = SuspectRunClient(self._follower.query, self.crash_watch)
         listen = self._settings.callers
         self._server = await loop.create_server(
             lambda: CallerConnection(self), listen.host, listen.port, backlog=BACKLOG
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -66,6 +66,8 @@
         """
         is_tracked = self._repeat_guard.begin_attempt()
         try:
+            if is_tracked and not await self._repeat_guard.may_run(choice.record.instance):
+                return None
             grant_expires_at_s = await self._acquire_grant(route, choice.record)
             if grant_expires_at_s is None:
                 return None
@@ -75,7 +77,7 @@
             )
         finally:
             if is_tracked:
-                self._repeat_guard.finish_attempt()
+                self._repeat_guard.finish_attempt(choice.record.instance)
 
     async def _send_with_grant(
         self,
--- /dev/null
+++ b/src/crowsill/gateway/suspect_runs.py
@@ -0,0 +1,66 @@
+"""Asks the control group before a suspect is sent: one gateway at a time runs it.
+
+The group remembers the run, so that a crash counts even if this gateway is killed before it can
+report it.
+"""
+
+import secrets
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+
+from crowsill.gateway.crash_watch import CrashWatch
+from crowsill.model.suspects import SuspectRequest
+from crowsill.state.commands import Acknowledged
+from crowsill.transport.messages import Body, Submitted
+from crowsill.transport.replica_messages import FinishSuspectRun, StartSuspectRun
+
+# A commit takes a few round trips between zones.
+RESPONSE_TIMEOUT_S = 0.4
+RUN_ID_BYTES = 8
+
+
+class RunPermission(StrEnum):
+    """The group's answer to a request to run a suspect.
+
+    Attributes:
+        GRANTED: It may run.
+        REFUSED: It is running elsewhere, or another suspect is running on the replica.
+        UNKNOWN: No leader answered in time.
+    """
+
+    GRANTED = "granted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class SuspectRunClient:
+    """Starts and ends runs of suspects at the control group."""
+
+    def __init__(
+        self, query: Callable[[StartSuspectRun, float], Awaitable[Body | None]], watch: CrashWatch
+    ) -> None:
+        """Create a client.
+
+        Args:
+            query: Sends a request to the control group; returns the reply, or None if there was
+                none within the given seconds.
+            watch: Detects crashes, and repeats reports until the group has accepted them.
+        """
+        self._query = query
+        self._watch = watch
+
+    async def start(self, request: SuspectRequest, instance_id: str) -> tuple[RunPermission, str]:
+        """Ask whether a suspect may run on a replica; return the answer and the id of the run.
+
+        The run must be ended, whatever the answer is: a reply may have been lost.
+        """
+        run_id = secrets.token_hex(RUN_ID_BYTES)
+        reply = await self._query(StartSuspectRun(run_id, request, instance_id), RESPONSE_TIMEOUT_S)
+        if not isinstance(reply, Submitted) or not isinstance(reply.result, Acknowledged):
+            return RunPermission.UNKNOWN, run_id
+        is_granted = reply.result.accepted
+        return (RunPermission.GRANTED if is_granted else RunPermission.REFUSED), run_id
+
+    def end(self, run_id: str, instance_id: str) -> None:
+        """Report the end of a run, once it is known that its replica has not crashed."""
+        self._watch.report_run_end(instance_id, FinishSuspectRun(run_id))
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -235,7 +235,33 @@
     completed_ago_s: list[float] = []
 
 
-CrashCommand = RecordCrash | ClearSuspects
+class BeginSuspectRun(msgspec.Struct, frozen=True, array_like=True, tag="begin-suspect-run"):
+    """Record that a suspect begins to run on a replica, unless another run excludes it.
+
+    Attributes:
+        run_id: Id of the run, chosen by its gateway.
+        request: The suspect.
+        instance_id: The incarnation that is to run it.
+    """
+
+    run_id: str
+    request: SuspectRequest
+    instance_id: str
+    at_s: float = 0.0
+
+
+class EndSuspectRun(msgspec.Struct, frozen=True, array_like=True, tag="end-suspect-run"):
+    """Record that the run of a suspect has ended and its replica has not crashed.
+
+    Attributes:
+        run_id: Id of the run.
+    """
+
+    run_id: str
+    at_s: float = 0.0
+
+
+CrashCommand = RecordCrash | ClearSuspects | BeginSuspectRun | EndSuspectRun
 # State that a leader records for its successors.
 LeaderRecord = RecordControlAddress | RecordMissingModels | RecordQuotaUse
 DirectoryCommand = RecordHeartbeat | DrainInstance | RemoveInstance | OfferModels
@@ -257,6 +283,8 @@
     | RecordQuotaUse
     | RecordCrash
     | ClearSuspects
+    | BeginSuspectRun
+    | EndSuspectRun
 )
 
 
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -6,19 +6,21 @@
 
 from crowsill.constants import CLAIM_RETENTION_S
 from crowsill.model.configuration import Configuration
+from crowsill.model.suspects import SuspectRequest
 from crowsill.state.claim_archive import ClaimBucket
 from crowsill.state.claims import Claim, ClaimTable
 from crowsill.state.commands import (
     AbandonHolders,
     Acknowledged,
+    BeginSuspectRun,
     ChangeConfiguration,
     ClaimKey,
     ClearSuspects,
     Command,
     CommandResult,
     CrashCommand,
-    DirectoryCommand,
     DrainInstance,
+    EndSuspectRun,
     LeaderRecord,
     OfferModels,
     OpenClaim,
@@ -42,6 +44,7 @@
 from crowsill.state.orders import Order, OrderTable
 from crowsill.state.quota_use import QuotaUse
 from crowsill.state.route_store import RouteDocument, RouteStore
+from crowsill.state.suspect_runs import SuspectRun, SuspectRuns
 
 
 class _MachineSnapshot(msgspec.Struct, frozen=True):
@@ -59,6 +62,7 @@
     missing_ages_s: dict[str, float] = {}
     quota_use: dict[str, list[float]] = {}
     crashes: CrashRecordSnapshot = CrashRecordSnapshot()
+    suspect_runs: list[SuspectRun] = []
 
 
 class StateMachine:
@@ -74,6 +78,7 @@
         missing_models: Requests for models that no engine had loaded.
         quota_use: Units that tenants were recently granted.
         crashes: Requests that were running when replicas crashed.
+        suspect_runs: Runs of such requests that are in progress.
     """
 
     def __init__(self, claim_retention_s: float = CLAIM_RETENTION_S) -> None:
@@ -86,6 +91,7 @@
         self.missing_models = MissingModels()
         self.quota_use = QuotaUse()
         self.crashes = CrashRecord()
+        self.suspect_runs = SuspectRuns()
 
     def apply(self, command: Command) -> CommandResult:
         """Apply one committed command and return its result."""
@@ -114,18 +120,39 @@
         match command:
             case PublishRoutes():
                 return self.routes.submit(command.document)
-            case RecordHeartbeat() | DrainInstance() | RemoveInstance() | OfferModels():
+            case RecordHeartbeat():
+                return self._record_heartbeat(command) is not None
+            case DrainInstance() | RemoveInstance() | OfferModels():
                 return self._change_directory(command) is not None
-            case RecordCrash() | ClearSuspects():
+            case RecordCrash() | ClearSuspects() | BeginSuspectRun() | EndSuspectRun():
                 return self._apply_crash(command)
             case _:
                 return self._apply_leader_record(command)
 
-    def _change_directory(self, command: DirectoryCommand) -> DirectoryChange | None:
-        """Apply a command about a replica; return the change, or None."""
+    def _record_heartbeat(self, command: RecordHeartbeat) -> DirectoryChange | None:
+        """Record a heartbeat; return the change, or None.
+
+        A replica that is replaced while it runs a suspect, and did not drain, has crashed. Its
+        gateway may be unable to report that.
+        """
+        running = [
+            instance_id
+            for instance_id in sorted(self.suspect_runs.instance_ids())
+            if (reported := self.directory.find_reported(instance_id)) is not None
+            and reported.accepts_work
+        ]
+        change = self.directory.record(command.heartbeat)
+        if change is not None:
+            for instance_id in running:
+                if instance_id in change.removed:
+                    self._count_crash(instance_id, [], command.at_s)
+        return change
+
+    def _change_directory(
+        self, command: DrainInstance | RemoveInstance | OfferModels
+    ) -> DirectoryChange | None:
+        """Apply another command about a replica; return the change, or None."""
         match command:
-            case RecordHeartbeat():
-                return self.directory.record(command.heartbeat)
             case DrainInstance():
                 return self.directory.drain(command.instance_id)
             case RemoveInstance():
@@ -135,16 +162,66 @@
 
     def _apply_crash(self, command: CrashCommand) -> bool:
         """Apply a command about suspect requests; return whether it changed anything."""
-        if isinstance(command, ClearSuspects):
-            for fingerprint, ago_s in zip(
-                command.fingerprints, command.completed_ago_s, strict=False
-            ):
-                self.crashes.note_completion(fingerprint, command.at_s - ago_s)
-            return self.crashes.clear(command.fingerprints) is not None
-        return (
-            self.crashes.record(command.instance_id, command.requests, command.at_s - command.ago_s)
-            is not None
-        )
+        match command:
+            case BeginSuspectRun():
+                return self._may_run(command, command.at_s) and self.suspect_runs.begin(
+                    self._to_run(command, command.at_s)
+                )
+            case EndSuspectRun():
+                return self.suspect_runs.end(command.run_id)
+            case ClearSuspects():
+                for fingerprint, ago_s in zip(
+                    command.fingerprints, command.completed_ago_s, strict=False
+                ):
+                    self.crashes.note_completion(fingerprint, command.at_s - ago_s)
+                self.suspect_runs.end_requests(command.fingerprints)
+                return self.crashes.clear(command.fingerprints) is not None
+            case RecordCrash():
+                crashed_at_s = command.at_s - command.ago_s
+                return self._count_crash(command.instance_id, command.requests, crashed_at_s)
+
+    def _count_crash(
+        self, instance_id: str, reported: list[SuspectRequest], crashed_at_s: float
+    ) -> bool:
+        """Count a crash against the requests that ran there; return whether anything changed.
+
+        Args:
+            instance_id: The incarnation that crashed.
+            reported: Requests that a gateway reported as running there.
+            crashed_at_s: Wall-clock time of the crash.
+        """
+        known = {request.fingerprint for request in reported}
+        running = [
+            msgspec.structs.replace(
+                run.request,
+                ran_s=max(0.0, crashed_at_s - run.started_at_s),
+                known_crashes=run.crashes,
+            )
+            for run in self.suspect_runs.take_at(instance_id)
+            if run.request.fingerprint not in known
+        ]
+        return self.crashes.record(instance_id, [*reported, *running], crashed_at_s) is not None
+
+    def may_have_effect(self, command: CrashCommand, now_s: float) -> bool:
+        """Whether a command about suspects would have any effect, as far as this member knows.
+
+        Args:
+            command: The command.
+            now_s: Current wall-clock time.
+        """
+        return not isinstance(command, BeginSuspectRun) or self._may_run(command, now_s)
+
+    def _may_run(self, command: BeginSuspectRun, now_s: float) -> bool:
+        suspect = self.crashes.find(command.request.fingerprint)
+        if suspect is not None and suspect.is_quarantined:
+            return False
+        return self.suspect_runs.may_begin(self._to_run(command, now_s))
+
+    def _to_run(self, command: BeginSuspectRun, now_s: float) -> SuspectRun:
+        suspect = self.crashes.find(command.request.fingerprint)
+        recorded = 0 if suspect is None else len(suspect.counted_crashes)
+        crashes = max(recorded, command.request.known_crashes)
+        return SuspectRun(command.run_id, command.request, command.instance_id, crashes, now_s)
 
     def _apply_leader_record(self, command: LeaderRecord) -> bool:
         """Apply what a leader recorded for its successors; return whether it changed anything."""
@@ -174,6 +251,7 @@
                 missing_ages_s=self.missing_models.ages_s,
                 quota_use=self.quota_use.units,
                 crashes=self.crashes.dump(),
+                suspect_runs=self.suspect_runs.dump(),
             )
         )
 
@@ -189,6 +267,7 @@
         self.missing_models.record(snapshot.missing_models, snapshot.missing_ages_s)
         self.quota_use.load(snapshot.quota_use)
         self.crashes.load(snapshot.crashes)
+        self.suspect_runs.load(snapshot.suspect_runs)
 
     def digest(self) -> str:
         """Return a hash of the state, equal on all members that applied the same entries."""
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -30,10 +30,12 @@
     ClearRequests,
     DemandNotice,
     DrainingInstances,
+    FinishSuspectRun,
     ReplicaGrantRequest,
     ReplicaLimitsNotice,
     ReportCrash,
     SeenInstances,
+    StartSuspectRun,
     SuspectInstances,
     SuspectsUpdate,
 )
@@ -315,6 +317,8 @@
     | SuspectsUpdate
     | ReportCrash
     | ClearRequests
+    | StartSuspectRun
+    | FinishSuspectRun
     | ReplicaGrantRequest
     | ReplicaLimitsNotice
 )
--- a/src/crowsill/transport/replica_messages.py
+++ b/src/crowsill/transport/replica_messages.py
@@ -49,6 +49,35 @@
     completed_ago_s: list[float] = msgspec.field(default_factory=list, name="whole_ago_s")
 
 
+class StartSuspectRun(msgspec.Struct, frozen=True, tag="start-suspect-run"):
+    """A gateway asks for permission to run a suspect on a replica.
+
+    The response is `Submitted`, whose result tells whether the run may begin. A follower forwards
+    the request to the leader.
+
+    Attributes:
+        run_id: Id of the run, chosen by the gateway.
+        request: The suspect.
+        instance_id: The incarnation that is to run it.
+    """
+
+    run_id: str
+    request: SuspectRequest
+    instance_id: str
+
+
+class FinishSuspectRun(msgspec.Struct, frozen=True, tag="finish-suspect-run"):
+    """A gateway reports that the run of a suspect has ended without a crash of its replica.
+
+    A follower forwards it to the leader.
+    """
+
+    run_id: str
+
+
+CrashRequest = ReportCrash | ClearRequests | StartSuspectRun | FinishSuspectRun
+
+
 class ReplicaGrantRequest(msgspec.Struct, frozen=True, tag="replica-grant-request"):
     """A gateway requests permission to send one request to a replica that advertises a rate limit.
 
