A delayed report of a crash no longer hides the next crash

Cause: a report tells how long ago the crash was, as of its sending. A report that waits for a leader makes its crash look as late as the commit. The next crash then looks simultaneous, and simultaneous crashes count once.

Change: a gateway repeats a report that took longer than 0.15 s to be accepted; the group keeps the earlier time, since delays only make a crash look later, and counts a crash again that it had taken for simultaneous.

--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -9,6 +9,7 @@
 import math
 from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from crowsill.clock import monotonic_s
 from crowsill.events import Event
@@ -35,6 +36,10 @@
 # A report that is not accepted within this time is dropped: without a leader no other gateway could
 # learn of it, and the next crash during the same request is reported again.
 MAX_REPORT_TIME_S = 15.0
+# A report that was accepted after a longer time may have been delayed on its way, so that the group
+# assumes a later crash. It is repeated, at most so often.
+MAX_REPORT_DELAY_S = 0.15
+MAX_REPEATED_REPORTS = 3
 # Successes within this time are reported in one message.
 CLEAR_BATCH_DELAY_S = 0.05
 MAX_REQUESTS_PER_REPORT = 64
@@ -90,7 +95,7 @@
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._crashed: OrderedDict[str, None] = OrderedDict()
         self._cleared: set[bytes] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Future[float | None]] = set()
 
     def note_broken_response(self, instance: Instance, request: SuspectRequest) -> None:
         """Check a replica that interrupted its response to a request."""
@@ -256,9 +261,12 @@
     async def _report_crash(
         self, instance_id: str, requests: list[SuspectRequest], crashed_at_s: float
     ) -> None:
-        await self._report(
-            lambda: ReportCrash(instance_id, requests, self._loop.time() - crashed_at_s)
-        )
+        for _ in range(1 + MAX_REPEATED_REPORTS):
+            taken_s = await self._report(
+                lambda: ReportCrash(instance_id, requests, self._loop.time() - crashed_at_s)
+            )
+            if taken_s is None or taken_s <= MAX_REPORT_DELAY_S:
+                break
         # Reported or dropped: from now on only the group's record counts.
         for request in requests:
             self._guard.drop_own_crash(request.fingerprint, instance_id)
@@ -308,21 +316,23 @@
             fingerprints, [self._guard.seconds_since_success(item, now_s) for item in fingerprints]
         )
 
-    async def _report(self, make_request: Callable[[], GroupRequest]) -> None:
+    async def _report(self, make_request: Callable[[], GroupRequest]) -> float | None:
+        """Report until the group accepts it; return how long that took, or None if it did not."""
         end_at_s = monotonic_s() + MAX_REPORT_TIME_S
-        while monotonic_s() < end_at_s:
+        while (sent_at_s := monotonic_s()) < end_at_s:
             if isinstance(await self._query(make_request(), RESPONSE_TIMEOUT_S), Submitted):
-                return
+                return monotonic_s() - sent_at_s
             await asyncio.sleep(REPORT_RETRY_S)
+        return None
 
-    def _start_task(self, work: Awaitable[None]) -> None:
+    def _start_task(self, work: Awaitable[float | None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def stop(self) -> None:
         """Cancel running checks and reports."""
-        tasks = [*self._tasks, *self._checks.values()]
+        tasks: list[asyncio.Future[Any]] = [*self._tasks, *self._checks.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -86,6 +86,7 @@
         """
         changed: dict[bytes, list[str]] = {}
         for request in requests:
+            self._correct_time(instance_id, request.fingerprint, crashed_at_s)
             counted = self._count(instance_id, request, crashed_at_s)
             if counted is None:
                 continue
@@ -99,6 +100,21 @@
             changed[self._forget_one()] = []
         return self._changed(changed)
 
+    def _correct_time(self, instance_id: str, fingerprint: bytes, crashed_at_s: float) -> None:
+        """Record an earlier time of the last crash counted against a request.
+
+        A delay on the way of a report makes a crash look later than it was, never earlier.
+        """
+        known = self._suspects.get(fingerprint)
+        if (
+            known is not None
+            and known.crashed_instances[-1] == instance_id
+            and crashed_at_s < known.last_crash_at_s
+        ):
+            self._suspects[fingerprint] = msgspec.structs.replace(
+                known, last_crash_at_s=crashed_at_s
+            )
+
     def _count(
         self, instance_id: str, request: SuspectRequest, crashed_at_s: float
     ) -> Suspect | None:
