A run that was granted and never sent is no evidence

Cause: a crash counted at once against the runs recorded at that replica.

Change: after a crash, the gateway of a recorded run has two seconds to report how it ended; only its silence counts. No other run of the request begins meanwhile. A gateway that is connected to the group but finds no leader waits for up to a second before it sends a request with one crash; one that is connected to no member sends it at once, as before.

--- a/src/crowsill/control/publisher.py
+++ b/src/crowsill/control/publisher.py
@@ -37,6 +37,7 @@
 
     def on_applied(self, command: Command, result: CommandResult) -> None:
         """Publish the effect of an applied command."""
+        self._publish_suspects(command)
         if isinstance(result, Acknowledged) and result.accepted:
             self._publish_change(command)
         if not isinstance(command, ChangeConfiguration):
@@ -58,7 +59,6 @@
 
     def _publish_change(self, command: Command) -> None:
         """Push a command's change to gateways."""
-        self._publish_suspects(command)
         directory = self._machine.directory
         match command:
             case PublishRoutes():
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -289,6 +289,10 @@
         connection = self._connection
         return connection is not None and connection.push(notice)
 
+    def is_connected(self) -> bool:
+        """Whether a member of the group is connected."""
+        return self._connection is not None
+
     async def query(
         self,
         message: GroupQuery,
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -47,7 +47,7 @@
         self._cached_fingerprint: bytes | None = None
         self._known_crashes = 0
         self._run_id = ""
-        self._run_refused_at_s: float | None = None
+        self._run_asked_at_s: float | None = None
         self._rejection: Rejection | None = None
 
     @property
@@ -106,8 +106,8 @@
         """Whether the request may be sent to a replica now; a suspect needs the group's permission.
 
         If it may not, the caller chooses a replica again; `await_duplicate` then returns a
-        rejection if the request has waited long enough. Without a leader, a request with a single
-        crash is sent all the same: most of these did not cause it.
+        rejection if the request has waited long enough. If no leader answers, a request with a
+        single crash is sent all the same: most of these did not cause it.
         """
         guard = self._context.crash_guard
         if not guard.is_suspect(self._fingerprint):
@@ -117,24 +117,22 @@
         )
         if permission is RunPermission.GRANTED:
             return True
-        if permission is RunPermission.UNKNOWN:
-            if guard.may_repeat(self._fingerprint):
+        if self._run_asked_at_s is None:
+            self._run_asked_at_s = self._loop.time()
+        has_waited = self._loop.time() - self._run_asked_at_s >= MAX_DUPLICATE_WAIT_S
+        if permission in (RunPermission.NO_LEADER, RunPermission.NO_GROUP):
+            is_final = has_waited or permission is RunPermission.NO_GROUP
+            if is_final and guard.may_repeat(self._fingerprint):
                 return True
-            self._rejection = _NOT_GRANTED
-            return False
+            self._context.suspect_runs.end(self._run_id, instance.instance_id)
         self._run_id = ""
-        await self._wait_after_refusal()
+        if has_waited:
+            is_running = permission is RunPermission.REFUSED
+            self._rejection = _DUPLICATE_RUNNING if is_running else _NOT_GRANTED
+        else:
+            await self._context.wait_for_change(DUPLICATE_POLL_S)
         return False
 
-    async def _wait_after_refusal(self) -> None:
-        now_s = self._loop.time()
-        if self._run_refused_at_s is None:
-            self._run_refused_at_s = now_s
-        if now_s - self._run_refused_at_s >= MAX_DUPLICATE_WAIT_S:
-            self._rejection = _DUPLICATE_RUNNING
-            return
-        await self._context.wait_for_change(DUPLICATE_POLL_S)
-
     def note_attempt_end(self, instance: Instance, end: AttemptEnd, sent_at_s: float) -> None:
         """Report how an attempt ended.
 
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -150,7 +150,9 @@
                 instance_id, asyncio.get_running_loop().time()
             ),
         )
-        self.suspect_runs = SuspectRunClient(self._follower.query, self.crash_watch)
+        self.suspect_runs = SuspectRunClient(
+            self._follower.query, self._follower.is_connected, self.crash_watch
+        )
         listen = self._settings.callers
         self._server = await loop.create_server(
             lambda: CallerConnection(self), listen.host, listen.port, backlog=BACKLOG
--- a/src/crowsill/gateway/suspect_runs.py
+++ b/src/crowsill/gateway/suspect_runs.py
@@ -25,28 +25,35 @@
     Attributes:
         GRANTED: It may run.
         REFUSED: It is running elsewhere, or another suspect is running on the replica.
-        UNKNOWN: No leader answered in time.
+        NO_LEADER: No leader answered in time.
+        NO_GROUP: This gateway is connected to no member of the group.
     """
 
     GRANTED = "granted"
     REFUSED = "refused"
-    UNKNOWN = "unknown"
+    NO_LEADER = "no_leader"
+    NO_GROUP = "no_group"
 
 
 class SuspectRunClient:
     """Starts and ends runs of suspects at the control group."""
 
     def __init__(
-        self, query: Callable[[StartSuspectRun, float], Awaitable[Body | None]], watch: CrashWatch
+        self,
+        query: Callable[[StartSuspectRun, float], Awaitable[Body | None]],
+        is_connected: Callable[[], bool],
+        watch: CrashWatch,
     ) -> None:
         """Create a client.
 
         Args:
             query: Sends a request to the control group; returns the reply, or None if there was
                 none within the given seconds.
+            is_connected: Whether a member of the group is connected.
             watch: Detects crashes, and repeats reports until the group has accepted them.
         """
         self._query = query
+        self._is_connected = is_connected
         self._watch = watch
 
     async def start(self, request: SuspectRequest, instance_id: str) -> tuple[RunPermission, str]:
@@ -55,9 +62,11 @@
         The run must be ended, whatever the answer is: a reply may have been lost.
         """
         run_id = secrets.token_hex(RUN_ID_BYTES)
+        if not self._is_connected():
+            return RunPermission.NO_GROUP, run_id
         reply = await self._query(StartSuspectRun(run_id, request, instance_id), RESPONSE_TIMEOUT_S)
         if not isinstance(reply, Submitted) or not isinstance(reply.result, Acknowledged):
-            return RunPermission.UNKNOWN, run_id
+            return RunPermission.NO_LEADER, run_id
         is_granted = reply.result.accepted
         return (RunPermission.GRANTED if is_granted else RunPermission.REFUSED), run_id
 
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -164,6 +164,7 @@
         """Apply a command about suspect requests; return whether it changed anything."""
         match command:
             case BeginSuspectRun():
+                self._count_unreported(command.at_s)
                 return self._may_run(command, command.at_s) and self.suspect_runs.begin(
                     self._to_run(command, command.at_s)
                 )
@@ -190,17 +191,21 @@
             reported: Requests that a gateway reported as running there.
             crashed_at_s: Wall-clock time of the crash.
         """
-        known = {request.fingerprint for request in reported}
-        running = [
-            msgspec.structs.replace(
-                run.request,
-                ran_s=max(0.0, crashed_at_s - run.started_at_s),
-                known_crashes=run.crashes,
+        self.suspect_runs.note_crash(
+            instance_id, [request.fingerprint for request in reported], crashed_at_s
+        )
+        return self.crashes.record(instance_id, reported, crashed_at_s) is not None
+
+    def _count_unreported(self, now_s: float) -> None:
+        """Count the crashes under runs whose gateways did not report in time."""
+        for run in self.suspect_runs.take_unreported(now_s):
+            if run.crashed_at_s is None:
+                continue
+            ran_s = max(0.0, run.crashed_at_s - run.started_at_s)
+            request = msgspec.structs.replace(
+                run.request, ran_s=ran_s, known_crashes=max(run.crashes, run.request.known_crashes)
             )
-            for run in self.suspect_runs.take_at(instance_id)
-            if run.request.fingerprint not in known
-        ]
-        return self.crashes.record(instance_id, [*reported, *running], crashed_at_s) is not None
+            self.crashes.record(run.instance_id, [request], run.crashed_at_s)
 
     def may_have_effect(self, command: CrashCommand, now_s: float) -> bool:
         """Whether a command about suspects would have any effect, as far as this member knows.
--- a/src/crowsill/state/suspect_runs.py
+++ b/src/crowsill/state/suspect_runs.py
@@ -13,6 +13,9 @@
 # A run whose gateway has not reported its end counts as ended after this time. Most responses are
 # complete sooner; a longer one only loses the protection against a second copy.
 RUN_LIFETIME_S = 10.0
+# After a crash of its replica, the gateway has this time to report how the run ended. It may not
+# have sent the request at all.
+MAX_REPORT_DELAY_S = 2.0
 # Each run takes about 200 bytes in a snapshot.
 MAX_RUNS = 4096
 
@@ -26,6 +29,7 @@
         instance_id: The incarnation that runs it.
         crashes: Number of replicas that were known to have crashed while they ran the request.
         started_at_s: Wall-clock time at which the run was recorded.
+        crashed_at_s: Wall-clock time at which its replica crashed; None if it has not.
     """
 
     run_id: str
@@ -33,6 +37,7 @@
     instance_id: str
     crashes: int
     started_at_s: float
+    crashed_at_s: float | None = None
 
     @property
     def must_be_alone(self) -> bool:
@@ -51,8 +56,10 @@
     (True, False, True)
     >>> runs.begin(run("3", b"g")), runs.begin(run("4", b"h", crashes=2))
     (True, False)
-    >>> [item.run_id for item in runs.take_at("a")], runs.begin(run("4", b"h", crashes=2))
-    (['1', '3'], True)
+    >>> runs.note_crash("a", [b"g"], 1.0), [run.run_id for run in runs.take_unreported(3.0)]
+    (None, ['1'])
+    >>> runs.begin(run("4", b"h", crashes=2))
+    True
     >>> runs.begin(run("5", b"h", "b", started_at_s=9.0))
     False
     >>> runs.begin(run("5", b"h", "b", started_at_s=10.0))
@@ -72,7 +79,7 @@
         return not any(
             _excludes(known, run)
             for known in self._runs.values()
-            if not _has_expired(known, run.started_at_s) and known.run_id != run.run_id
+            if not _has_ended(known, run.started_at_s) and known.run_id != run.run_id
         )
 
     def begin(self, run: SuspectRun) -> bool:
@@ -101,12 +108,32 @@
         """Return the incarnations that run a suspect."""
         return {run.instance_id for run in self._runs.values()}
 
-    def take_at(self, instance_id: str) -> list[SuspectRun]:
-        """Remove and return the runs on a replica that has crashed."""
-        ended = [run for run in self._runs.values() if run.instance_id == instance_id]
-        for run in ended:
+    def note_crash(self, instance_id: str, reported: list[bytes], crashed_at_s: float) -> None:
+        """Record that a replica has crashed; the gateways of its other runs may still report.
+
+        Args:
+            instance_id: The incarnation that crashed.
+            reported: Fingerprints of the requests that were reported as running there.
+            crashed_at_s: Wall-clock time of the crash.
+        """
+        for key, run in list(self._runs.items()):
+            if run.instance_id != instance_id:
+                continue
+            if key in reported:
+                del self._runs[key]
+            elif run.crashed_at_s is None:
+                self._runs[key] = msgspec.structs.replace(run, crashed_at_s=crashed_at_s)
+
+    def take_unreported(self, now_s: float) -> list[SuspectRun]:
+        """Remove and return runs whose replica crashed and whose gateway has not reported in time.
+
+        Args:
+            now_s: Current wall-clock time.
+        """
+        unreported = [run for run in self._runs.values() if _is_unreported(run, now_s)]
+        for run in unreported:
             del self._runs[run.request.fingerprint]
-        return ended
+        return unreported
 
     def dump(self) -> list[SuspectRun]:
         """Return the state for a snapshot."""
@@ -117,9 +144,13 @@
         self._runs = OrderedDict((run.request.fingerprint, run) for run in runs)
 
 
-def _has_expired(run: SuspectRun, now_s: float) -> bool:
+def _has_ended(run: SuspectRun, now_s: float) -> bool:
     # The absolute difference bounds the lifetime also if the wall clock jumps back.
-    return abs(now_s - run.started_at_s) >= RUN_LIFETIME_S
+    return abs(now_s - run.started_at_s) >= RUN_LIFETIME_S or _is_unreported(run, now_s)
+
+
+def _is_unreported(run: SuspectRun, now_s: float) -> bool:
+    return run.crashed_at_s is not None and abs(now_s - run.crashed_at_s) >= MAX_REPORT_DELAY_S
 
 
 def _excludes(known: SuspectRun, run: SuspectRun) -> bool:
