--- a/src/crowsill/daemon.py
+++ b/src/crowsill/daemon.py
@@ -22,6 +22,8 @@
 from crowsill.event_loop import run_daemon_loop
 from crowsill.events import Event
 from crowsill.logs import configure_logs, flush_logs, log_event
+from crowsill.loop_watch import LoopStall, LoopWatch
+from crowsill.metrics import EVENT_LOOP_LAG_S
 from crowsill.platform_ports import PlatformPorts
 from crowsill.settings import ControlSettings, Settings, load_settings
 from crowsill.transport.stream import load_cluster_key
@@ -80,9 +82,14 @@
             return EXIT_STORAGE
         started_ms = round((monotonic_s() - PROCESS_STARTED_S) * 1000.0)
         log_event(Event.DAEMON_STARTED, zone=self._settings.zone, start_ms=started_ms)
-        watcher = asyncio.create_task(self._watch_settings())
+        loop_watch = LoopWatch(EVENT_LOOP_LAG_S.observe, _log_stall)
+        watchers = [
+            asyncio.create_task(self._watch_settings()),
+            asyncio.create_task(loop_watch.run()),
+        ]
         failure = await self._wait()
-        watcher.cancel()
+        for watcher in watchers:
+            watcher.cancel()
         if failure is not None:
             log_event(Event.INTERNAL_ERROR, where="control", error=repr(failure))
             return EXIT_FAILED
@@ -197,6 +204,10 @@
         return EXIT_STOPPED if finished else EXIT_DRAIN_LIMIT
 
 
+def _log_stall(stall: LoopStall) -> None:
+    log_event(Event.LOOP_STALLED, lag_s=round(stall.lag_s, 3), cpu_s=round(stall.cpu_s, 3))
+
+
 def tune_garbage_collector() -> None:
     """Exclude imported objects from collections, and collect young objects less often.
 
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -38,6 +38,13 @@
     READINESS_CHANGED = EventDefinition(104, "INFO", "The readiness of this process changed.")
     INTERNAL_ERROR = EventDefinition(105, "ERROR", "An unexpected error occurred.")
 
+    LOOP_STALLED = EventDefinition(
+        106,
+        "WARNING",
+        "The event loop ran nothing for some time; the line tells how much of it used the "
+        "processor.",
+    )
+
     REQUEST_ROUTED = EventDefinition(
         200, "INFO", "A request was sent to a replica; the line gives the reason."
     )
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -143,6 +143,12 @@
     buckets=_LATENCY_BUCKETS_S,
     registry=REGISTRY,
 )
+EVENT_LOOP_LAG_S = Histogram(
+    "crowsill_event_loop_lag_seconds",
+    "Time for which the event loop of the process kept a timer waiting.",
+    buckets=_LATENCY_BUCKETS_S,
+    registry=REGISTRY,
+)
 ORDERS = Counter(
     "crowsill_orders",
     "Orders to engines by kind and result.",
