A crash is counted although one connection to its replica is lost later

Cause: a gateway gave up the check of an interrupted response after 0.3 s if one connection to the replica was still open, and took it for a replica at its limit of connections. A connection whose last packet has to be sent again is lost 0.2 to 0.6 s after the others. The gateway then told the group that the run of the suspect had ended without a crash, though another one had reported it.

Change: one more check after another 0.5 s; and a gateway tells whether the run it ends was interrupted, which counts if the group knows of the crash.

--- a/src/crowsill/control/crash_commands.py
+++ b/src/crowsill/control/crash_commands.py
@@ -32,4 +32,4 @@
         case StartSuspectRun():
             return BeginSuspectRun(request.run_id, request.request, request.instance_id)
         case FinishSuspectRun():
-            return EndSuspectRun(request.run_id)
+            return EndSuspectRun(request.run_id, request.is_interrupted)
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -22,8 +22,8 @@
 from crowsill.transport.replica_messages import ClearRequests, FinishSuspectRun, ReportCrash
 
 # Delays before each check whether the replica's port is open. The close of one connection may be
-# received before that of the others.
-CHECK_DELAYS_S = (0.05, 0.05, 0.2)
+# received before that of the others: a lost packet is sent again after 0.2 s, and then 0.4 s later.
+CHECK_DELAYS_S = (0.05, 0.05, 0.2, 0.5)
 CHECK_TIMEOUT_S = 0.5
 # How long a caller's request waits for the check: one round trip and a second check.
 MAX_CRASH_CHECK_WAIT_S = 0.3
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -47,6 +47,7 @@
         self._cached_fingerprint: bytes | None = None
         self._known_crashes = 0
         self._run_id = ""
+        self._is_interrupted = False
         self._run_asked_at_s: float | None = None
         self._rejection: Rejection | None = None
 
@@ -99,7 +100,8 @@
         """Unregister an attempt that has ended."""
         self._context.crash_guard.finish_attempt(self._fingerprint)
         if self._run_id:
-            self._context.suspect_runs.end(self._run_id, instance.instance_id)
+            runs = self._context.suspect_runs
+            runs.end(self._run_id, instance.instance_id, self._is_interrupted)
             self._run_id = ""
 
     async def may_run(self, instance: Instance) -> bool:
@@ -110,6 +112,7 @@
         single crash is sent all the same: most of these did not cause it.
         """
         guard = self._context.crash_guard
+        self._is_interrupted = False
         if not guard.is_suspect(self._fingerprint):
             return True
         permission, self._run_id = await self._context.suspect_runs.start(
@@ -143,6 +146,7 @@
         """
         watch, guard = self._context.crash_watch, self._context.crash_guard
         if end.is_broken:
+            self._is_interrupted = True
             watch.note_broken_response(instance, self._suspect_request(sent_at_s))
             return
         succeeded = end.result is AttemptResult.COMPLETE and end.status < MIN_SERVER_ERROR_STATUS
@@ -152,6 +156,7 @@
 
     def note_abandoned(self, instance: Instance, sent_at_s: float) -> None:
         """Report an attempt whose caller disconnected, or whose deadline passed, before its end."""
+        self._is_interrupted = True
         self._context.crash_watch.note_abandoned(instance, self._suspect_request(sent_at_s))
 
     def _suspect_request(self, sent_at_s: float) -> SuspectRequest:
--- a/src/crowsill/gateway/suspect_runs.py
+++ b/src/crowsill/gateway/suspect_runs.py
@@ -70,6 +70,12 @@
         is_granted = reply.result.accepted
         return (RunPermission.GRANTED if is_granted else RunPermission.REFUSED), run_id
 
-    def end(self, run_id: str, instance_id: str) -> None:
-        """Report the end of a run, once it is known that its replica has not crashed."""
-        self._watch.report_run_end(instance_id, FinishSuspectRun(run_id))
+    def end(self, run_id: str, instance_id: str, is_interrupted: bool = False) -> None:
+        """Report the end of a run, unless its replica is found to have crashed.
+
+        Args:
+            run_id: Id of the run.
+            instance_id: The incarnation that ran the request.
+            is_interrupted: Whether it received the request and did not complete its response.
+        """
+        self._watch.report_run_end(instance_id, FinishSuspectRun(run_id, is_interrupted))
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -251,13 +251,15 @@
 
 
 class EndSuspectRun(msgspec.Struct, frozen=True, array_like=True, tag="end-suspect-run"):
-    """Record that the run of a suspect has ended and its replica has not crashed.
+    """Record that the run of a suspect has ended, and that its gateway saw no crash.
 
     Attributes:
         run_id: Id of the run.
+        is_interrupted: Whether the replica received the request and did not complete its response.
     """
 
     run_id: str
+    is_interrupted: bool = False
     at_s: float = 0.0
 
 
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -169,7 +169,10 @@
                     self._to_run(command, command.at_s)
                 )
             case EndSuspectRun():
-                return self.suspect_runs.end(command.run_id)
+                run = self.suspect_runs.end(command.run_id)
+                if run is not None and command.is_interrupted:
+                    self._count_run(run)
+                return run is not None
             case ClearSuspects():
                 for fingerprint, ago_s in zip(
                     command.fingerprints, command.completed_ago_s, strict=False
@@ -199,13 +202,17 @@
     def _count_unreported(self, now_s: float) -> None:
         """Count the crashes under runs whose gateways did not report in time."""
         for run in self.suspect_runs.take_unreported(now_s):
-            if run.crashed_at_s is None:
-                continue
-            ran_s = max(0.0, run.crashed_at_s - run.started_at_s)
-            request = msgspec.structs.replace(
-                run.request, ran_s=ran_s, known_crashes=max(run.crashes, run.request.known_crashes)
-            )
-            self.crashes.record(run.instance_id, [request], run.crashed_at_s)
+            self._count_run(run)
+
+    def _count_run(self, run: SuspectRun) -> None:
+        """Count the crash of a run's replica against its request, if the replica has crashed."""
+        if run.crashed_at_s is None:
+            return
+        ran_s = max(0.0, run.crashed_at_s - run.started_at_s)
+        request = msgspec.structs.replace(
+            run.request, ran_s=ran_s, known_crashes=max(run.crashes, run.request.known_crashes)
+        )
+        self.crashes.record(run.instance_id, [request], run.crashed_at_s)
 
     def may_have_effect(self, command: CrashCommand, now_s: float) -> bool:
         """Whether a command about suspects would have any effect, as far as this member knows.
--- a/src/crowsill/state/suspect_runs.py
+++ b/src/crowsill/state/suspect_runs.py
@@ -92,12 +92,12 @@
             self._runs.popitem(last=False)
         return True
 
-    def end(self, run_id: str) -> bool:
-        """Record that a run has ended; return whether it was in progress."""
-        ended = [key for key, run in self._runs.items() if run.run_id == run_id]
-        for key in ended:
-            del self._runs[key]
-        return bool(ended)
+    def end(self, run_id: str) -> SuspectRun | None:
+        """Remove and return a run that has ended; None if it is not in progress."""
+        for key, run in self._runs.items():
+            if run.run_id == run_id:
+                return self._runs.pop(key)
+        return None
 
     def end_requests(self, fingerprints: list[bytes]) -> None:
         """Record that requests have completed."""
--- a/src/crowsill/transport/replica_messages.py
+++ b/src/crowsill/transport/replica_messages.py
@@ -67,12 +67,17 @@
 
 
 class FinishSuspectRun(msgspec.Struct, frozen=True, tag="finish-suspect-run"):
-    """A gateway reports that the run of a suspect has ended without a crash of its replica.
+    """A gateway reports that the run of a suspect has ended, and that it saw no crash.
 
     A follower forwards it to the leader.
+
+    Attributes:
+        run_id: Id of the run.
+        is_interrupted: Whether the replica received the request and did not complete its response.
     """
 
     run_id: str
+    is_interrupted: bool = False
 
 
 CrashRequest = ReportCrash | ClearRequests | StartSuspectRun | FinishSuspectRun
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -128,6 +128,25 @@
     run(scenario())
 
 
+def test_a_crash_is_counted_although_one_connection_is_lost_later():
+    """Its last packet had to be sent again; the replica was taken for one at its limit."""
+
+    async def scenario():
+        port, watched = await Port().open(), Watched()
+        connection = await watched.pool.acquire(at(port), 1.0)
+        watched.pool.release("i-1", connection, True)
+        await asyncio.sleep(0.05)
+        port.close()
+        watched.watch.note_broken_response(at(port), suspect())
+        await asyncio.sleep(0.6)
+        port.crash()
+        await until(lambda: not watched.watch.has_pending_reports)
+        assert watched.crashed == ["i-1"]
+        await watched.watch.stop()
+
+    run(scenario())
+
+
 def test_a_draining_replica_has_not_crashed():
     async def scenario():
         port, watched = await Port().open(), Watched()
--- a/tests/test_suspect_runs.py
+++ b/tests/test_suspect_runs.py
@@ -71,6 +71,16 @@
     assert crashes_of(machine) == ["z@1"]
 
 
+def test_an_interrupted_run_counts_if_another_gateway_saw_the_crash():
+    """Its gateway kept one connection for longer, and took the replica for a running one."""
+    machine = StateMachine()
+    machine.apply(RecordCrash("z@1", [suspect()], 0.0, at_s=5.0))
+    machine.apply(begin("r1"))
+    machine.apply(RecordCrash("a@1", [suspect(b"g")], 0.0, at_s=11.0))
+    machine.apply(EndSuspectRun("r1", is_interrupted=True))
+    assert crashes_of(machine) == ["z@1", "a@1"]
+
+
 def test_a_delayed_report_of_a_crash_does_not_hide_the_next_one():
     record = CrashRecord()
     record.record("a@1", [suspect(ran_s=0.01)], 5.0)
