A crash that a gateway reports while nobody leads outlives the gateway

Cause: a gateway repeated its report until a leader accepted it, and was stopped or killed before there was one. While nobody leads it has no confirmed member and sent the report to nobody.

--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -355,6 +355,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        if self._service is not None:
+            await self._service.crash_reports.stop()
         self._links.close()
         if self._server is not None:
             await self._server.stop()
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from crowsill.clock import PROCESS_STARTED_S, monotonic_s, wall_s
+from crowsill.clock import PROCESS_STARTED_S, monotonic_s
 from crowsill.control.announcer import GroupAnnouncer, accept_referral
-from crowsill.control.crash_commands import to_crash_command
+from crowsill.control.crash_reports import CrashReports
 from crowsill.control.draining_replicas import DrainingReplicas
 from crowsill.control.driver import ConsensusDriver
 from crowsill.control.gateway_reports import GatewayReports
@@ -18,7 +18,7 @@
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.settings import Address
-from crowsill.state.commands import Acknowledged, CrashCommand, PublishRoutes
+from crowsill.state.commands import PublishRoutes
 from crowsill.transport.connection import Connection, ConnectionLostError
 from crowsill.transport.group_contacts import GroupContacts
 from crowsill.transport.leader_client import format_address
@@ -43,7 +43,6 @@
     Ping,
     Pong,
     SubmitCommand,
-    Submitted,
 )
 from crowsill.transport.replica_messages import (
     ClearRequests,
@@ -136,6 +135,7 @@
             lambda: None if self.driver is None else self.driver.machine.directory,
             self.submit_or_forward,
         )
+        self.crash_reports = CrashReports(self.submit_or_forward)
         self._relay = FreshnessRelay(self._query_leader)
         # Zones of members by identity, as reported by their streams.
         self._zones = {local.identity: local.zone}
@@ -293,20 +293,10 @@
                 grants = self.reports.replica_grants
                 return await grants.handle(request, driver, self.leader_stream)
             case ReportCrash() | ClearRequests() | StartSuspectRun() | FinishSuspectRun():
-                command = to_crash_command(request)
-                if not driver.machine.may_have_effect(command, wall_s()):
-                    return Submitted(Acknowledged(False))
-                return await self._commit_crash_command(command)
+                return await self.crash_reports.handle(request, driver.machine)
             case _:
                 return await self._on_heartbeat(connection, request, driver)
 
-    async def _commit_crash_command(self, crash_command: CrashCommand) -> Body:
-        """Commit what a gateway observed; a second commit changes nothing."""
-        try:
-            return await self.submit_or_forward(SubmitCommand(crash_command))
-        except ConnectionLostError:
-            return NotLeader(None)
-
     async def _on_heartbeat(
         self, connection: Connection, heartbeat: Heartbeat, driver: ConsensusDriver
     ) -> Body:
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -41,6 +41,7 @@
     DrainingInstances,
     ReplicaGrantRequest,
     ReplicaLimitsNotice,
+    ReportCrash,
     SuspectInstances,
     SuspectsUpdate,
 )
@@ -115,7 +116,9 @@
         self._contacts = GroupContacts(seeds, random)
         self._hooks = hooks
         self._random = random
+        # The stream to a member that has confirmed current state, and one that may not have yet.
         self._connection: Connection | None = None
+        self._open_connection: Connection | None = None
         self._last_failed: Address | None = None
         # Monotonic time from which members of the own zone are preferred.
         self._prefer_own_zone_at_s = monotonic_s() + ZONE_SWITCH_SPREAD_S * random.random()
@@ -173,6 +176,7 @@
             self._note_member_failed(address)
             return False
         reader = asyncio.create_task(connection.run())
+        self._open_connection = connection
         was_confirmed = False
         try:
             while not connection.is_closed and await self._heartbeat(connection):
@@ -203,7 +207,7 @@
 
     def note_disconnected(self) -> None:
         """Discard what was confirmed on a stream that has ended."""
-        self._connection = None
+        self._connection = self._open_connection = None
         self._pending_freshness = None
 
     async def _heartbeat(self, connection: Connection) -> bool:
@@ -305,6 +309,9 @@
             timeout_s: How long to wait for the reply.
         """
         connection = self._connection
+        if connection is None and isinstance(message, ReportCrash):
+            # Any member keeps the report until there is a leader.
+            connection = self._open_connection
         if connection is None:
             return None
         try:
