A gateway without links asks a peer again that reached nothing a moment ago

Cause: peers report twice a second which services they don't reach, through members that may have no leader for seconds. While the last reports of all peers named the service, a cut-off gateway asked none of them.

Change: if all peers reported so, one of them is asked all the same, every 0.05 s at most; a peer that serves a request counts as reaching the service from then on. A peer that reaches nothing still says so at once.

Result: tests/test_peer_registry.py (3 tests) and test_peer_requests pass.

--- a/src/crowsill/gateway/peers/registry.py
+++ b/src/crowsill/gateway/peers/registry.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from crowsill.model.peers import PeerOffer
 
 # The group reports offers twice a second. Without the group, old ones are still worth a try: a peer
@@ -13,6 +15,9 @@
 FAILURE_PAUSE_S = 2.0
 # Traffic between zones is paid for, so a peer of another zone must have this many requests less.
 OTHER_ZONE_REQUESTS = 20
+# Offers may be seconds old. If all peers reported that they reach no replica of a service, one of
+# them is asked all the same, at most so often.
+PROBE_INTERVAL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -41,6 +46,7 @@
         self._random = random
         self._known: dict[str, _KnownPeer] = {}
         self._in_flight: Counter[str] = Counter()
+        self._probed_at_s: dict[str, float] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -66,9 +72,11 @@
         if known is not None:
             known.failing_until_s = now_s + FAILURE_PAUSE_S
 
-    def note_sent(self, address: str) -> None:
+    def note_sent(self, offer: PeerOffer, service: str, now_s: float) -> None:
         """Count a request that is passed to a peer, until `note_ended`."""
-        self._in_flight[address] += 1
+        self._in_flight[offer.address] += 1
+        if self._is_probe(offer, service):
+            self._probed_at_s[service] = now_s
 
     def note_ended(self, address: str) -> None:
         """End the count of one request at a peer."""
@@ -100,6 +108,28 @@
             return near or far
         return far if self._load(far) + OTHER_ZONE_REQUESTS < self._load(near) else near
 
+    def choose_probe(self, service: str, now_s: float) -> PeerOffer | None:
+        """Return a peer that may reach a service again, although it reported otherwise, or None.
+
+        Args:
+            service: The service.
+            now_s: Current monotonic time in seconds.
+        """
+        if now_s - self._probed_at_s.get(service, float("-inf")) < PROBE_INTERVAL_S:
+            return None
+        offers = [known.offer for known in self._known.values() if known.failing_until_s <= now_s]
+        return self._less_loaded([offer for offer in offers if self._is_probe(offer, service)])
+
+    def _is_probe(self, offer: PeerOffer, service: str) -> bool:
+        return service in offer.unreachable_services
+
+    def note_reaches(self, address: str, service: str) -> None:
+        """Record that a peer has served a request, so that it reaches the service."""
+        known = self._known.get(address)
+        if known is not None and self._is_probe(known.offer, service):
+            left = [item for item in known.offer.unreachable_services if item != service]
+            known.offer = msgspec.structs.replace(known.offer, unreachable_services=left)
+
     def _less_loaded(self, offers: list[PeerOffer]) -> PeerOffer | None:
         if not offers:
             return None
--- a/src/crowsill/gateway/peers/sender.py
+++ b/src/crowsill/gateway/peers/sender.py
@@ -19,6 +19,7 @@
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.repeat_guard import RepeatGuard
 from crowsill.gateway.replica_connection import Break, ReplicaConnection
+from crowsill.gateway.replica_feedback import MIN_SERVER_ERROR_STATUS
 from crowsill.gateway.request import CallerRequest
 from crowsill.metrics import PEER_REQUESTS
 from crowsill.model.instances import Instance
@@ -61,7 +62,11 @@
         tried = self._progress.tried_peers
         if len(tried) >= MAX_PEERS:
             return None
-        return self._context.peers.registry.choose(self._log.service, tried, self._loop.time())
+        registry, service = self._context.peers.registry, self._log.service
+        peer = registry.choose(service, tried, self._loop.time())
+        if peer is not None or tried:
+            return peer
+        return registry.choose_probe(service, self._loop.time())
 
     async def send(
         self, route: Route, deadline_at_s: float, closes_connection: bool
@@ -77,7 +82,7 @@
         if peer is None:
             return None
         self._progress.tried_peers.add(peer.address)
-        self._context.peers.registry.note_sent(peer.address)
+        self._context.peers.registry.note_sent(peer, self._log.service, self._loop.time())
         connection = None
         reusable = False
         try:
@@ -161,6 +166,8 @@
             return None
         progress.attempts += 1
         progress.runs += 1
+        if end.result is AttemptResult.COMPLETE and end.status < MIN_SERVER_ERROR_STATUS:
+            self._context.peers.registry.note_reaches(peer.address, self._log.service)
         if end.result is not AttemptResult.COMPLETE:
             self._log.log_peer_failed(peer.address, end.result, end.detail)
         return end
--- /dev/null
+++ b/tests/test_peer_registry.py
@@ -0,0 +1,40 @@
+"""Which peer is asked to serve a request.
+
+Guards against callers that were rejected for seconds after another gateway reached replicas again:
+the last report said that none does, and nobody was asked.
+"""
+
+from random import Random
+
+from crowsill.gateway.peers.registry import PROBE_INTERVAL_S, PeerRegistry
+from crowsill.model.peers import PeerOffer
+
+
+def registry_of(*offers):
+    registry = PeerRegistry("z", Random(1))
+    registry.note_offers(list(offers), 10.0)
+    return registry
+
+
+def test_a_peer_that_reported_to_reach_nothing_is_asked_now_and_then():
+    offer = PeerOffer("a:1", "z", 0, ["till"])
+    registry = registry_of(offer)
+    assert registry.choose("till", set(), 10.0) is None
+    assert registry.choose_probe("till", 10.0) is offer
+    registry.note_sent(offer, "till", 10.0)
+    assert registry.choose_probe("till", 10.0 + PROBE_INTERVAL_S / 2) is None
+    assert registry.choose_probe("till", 10.0 + PROBE_INTERVAL_S) is offer
+
+
+def test_a_peer_that_has_served_a_request_is_used_again_at_once():
+    registry = registry_of(PeerOffer("a:1", "z", 0, ["other", "till"]))
+    registry.note_reaches("a:1", "till")
+    chosen = registry.choose("till", set(), 10.0)
+    assert chosen is not None and chosen.unreachable_services == ["other"]
+    assert registry.choose_probe("till", 10.0) is None
+
+
+def test_a_peer_that_reaches_the_service_is_no_probe():
+    registry = registry_of(PeerOffer("a:1", "z"), PeerOffer("b:1", "z", 0, ["till"]))
+    assert registry.choose("till", set(), 10.0).address == "a:1"
+    assert registry.choose_probe("till", 10.0).address == "b:1"
