A caller that leaves while its gateway asks for a run blocks no further run

Found by reading the diff. The id of a run was known to the request only once the group had answered; if its caller left before, the run stayed recorded for 10 s, and others with the same body were rejected as duplicates meanwhile. The id is known before the question now, and the run is ended in any case.

--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -115,9 +115,10 @@
         self._is_interrupted = False
         if not guard.is_suspect(self._fingerprint):
             return True
-        permission, self._run_id = await self._context.suspect_runs.start(
-            self._suspect_request(self._loop.time()), instance.instance_id
-        )
+        runs = self._context.suspect_runs
+        self._run_id = runs.new_run_id()
+        request = self._suspect_request(self._loop.time())
+        permission = await runs.start(self._run_id, request, instance.instance_id)
         if permission is RunPermission.GRANTED:
             return True
         if self._run_asked_at_s is None:
@@ -127,7 +128,7 @@
             is_final = has_waited or permission is RunPermission.NO_GROUP
             if is_final and guard.may_repeat(self._fingerprint):
                 return True
-            self._context.suspect_runs.end(self._run_id, instance.instance_id)
+            runs.end(self._run_id, instance.instance_id)
         self._run_id = ""
         if has_waited:
             is_running = permission is RunPermission.REFUSED
--- a/src/crowsill/gateway/suspect_runs.py
+++ b/src/crowsill/gateway/suspect_runs.py
@@ -56,19 +56,23 @@
         self._is_connected = is_connected
         self._watch = watch
 
-    async def start(self, request: SuspectRequest, instance_id: str) -> tuple[RunPermission, str]:
-        """Ask whether a suspect may run on a replica; return the answer and the id of the run.
+    def new_run_id(self) -> str:
+        """Return the id of a new run."""
+        return secrets.token_hex(RUN_ID_BYTES)
 
-        The run must be ended, whatever the answer is: a reply may have been lost.
+    async def start(self, run_id: str, request: SuspectRequest, instance_id: str) -> RunPermission:
+        """Ask whether a suspect may run on a replica.
+
+        Unless it is refused, the run must be ended, also if this call is cancelled: the reply may
+        have been lost.
         """
-        run_id = secrets.token_hex(RUN_ID_BYTES)
         if not self._is_connected():
-            return RunPermission.NO_GROUP, run_id
+            return RunPermission.NO_GROUP
         reply = await self._query(StartSuspectRun(run_id, request, instance_id), RESPONSE_TIMEOUT_S)
         if not isinstance(reply, Submitted) or not isinstance(reply.result, Acknowledged):
-            return RunPermission.NO_LEADER, run_id
+            return RunPermission.NO_LEADER
         is_granted = reply.result.accepted
-        return (RunPermission.GRANTED if is_granted else RunPermission.REFUSED), run_id
+        return RunPermission.GRANTED if is_granted else RunPermission.REFUSED
 
     def end(self, run_id: str, instance_id: str, is_interrupted: bool = False) -> None:
         """Report the end of a run, unless its replica is found to have crashed.
--- a/tests/test_suspect_runs.py
+++ b/tests/test_suspect_runs.py
@@ -222,9 +222,9 @@
             guard.note_crash(b"any", "i-9", 0.0, 1.0)
             asked = []
 
-            async def refuse(_request, instance_id):
+            async def refuse(_run_id, _request, instance_id):
                 asked.append(instance_id)
-                return RunPermission.REFUSED, "r"
+                return RunPermission.REFUSED
 
             played.role.suspect_runs.start = refuse
             status, _, body = await (await played.caller()).request("once", "r1", b"same")
@@ -234,12 +234,35 @@
     run(scenario())
 
 
+def test_a_caller_that_leaves_while_its_gateway_asks_blocks_no_further_run():
+    async def scenario():
+        async with world(respond_ok) as played:
+            guard, runs = played.role.crash_guard, played.role.suspect_runs
+            guard.is_suspect = lambda fingerprint: True
+            guard.note_crash(b"any", "i-9", 0.0, 1.0)
+            asked, ended = [], []
+
+            async def never_answer(run_id, _request, _instance_id):
+                asked.append(run_id)
+                await asyncio.sleep(30)
+
+            runs.start = never_answer
+            runs.end = lambda run_id, *_more: ended.append(run_id)
+            caller = await played.caller()
+            caller.send("once", "r1", b"same")
+            await until(lambda: asked)
+            caller.disconnect()
+            await until(lambda: ended == asked)
+
+    run(scenario())
+
+
 def test_the_end_of_a_run_is_reported_once_its_replica_is_known_to_go_on():
     async def scenario():
         port, watched = await Port().open(), Watched()
         client = SuspectRunClient(watched._query, lambda: True, watched.watch)
-        permission, run_id = await client.start(suspect(), "i-1")
-        assert permission is RunPermission.GRANTED
+        run_id = client.new_run_id()
+        assert await client.start(run_id, suspect(), "i-1") is RunPermission.GRANTED
         watched.watch.note_broken_response(at(port), suspect())
         client.end(run_id, "i-1")
         await until(lambda: FinishSuspectRun(run_id) in watched.reported)
