A crash that another gateway recorded is not taken for lost links

Cause: a gateway that loses two replicas at one moment and reaches no other takes that for a loss of its own links, and waits for the group to remove the replica. Nobody led, and it gave up after 3 s; that other gateways had recorded the crash of the same replica did not count.

Change: a crash of the replica in the group's record confirms it, within 6 s.

--- a/src/crowsill/gateway/crash_guard.py
+++ b/src/crowsill/gateway/crash_guard.py
@@ -75,6 +75,10 @@
         """Whether a replica has crashed while it ran the request."""
         return self.crash_count(fingerprint) > 0
 
+    def has_crashed(self, instance_id: str) -> bool:
+        """Whether the group has recorded a crash of an instance for any request."""
+        return any(instance_id in instance_ids for instance_ids in self._recorded.values())
+
     def may_repeat(self, fingerprint: bytes) -> bool:
         """Whether a gateway may retry the request without the caller sending it again."""
         return self.crash_count(fingerprint) < RETRY_CRASH_LIMIT
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -27,9 +27,10 @@
 CHECK_TIMEOUT_S = 0.5
 # How long a caller's request waits for the check: one round trip and a second check.
 MAX_CRASH_CHECK_WAIT_S = 0.3
-# A gateway that reaches no replica can't tell a crash from a loss of its own links. The group
-# removes a replica that crashed from the directory within about this time.
-REMOVAL_WAIT_S = 3.0
+# A gateway that reaches no replica can't tell a crash from a loss of its own links. Within this
+# time, the group removes a replica that crashed from the directory, or records its crash for
+# another gateway, also if it has to elect a leader first.
+REMOVAL_WAIT_S = 6.0
 REMOVAL_POLL_S = 0.1
 RESPONSE_TIMEOUT_S = 0.8
 REPORT_RETRY_S = 0.05
@@ -182,7 +183,7 @@
             # A replica that refuses because it has too many connections still serves the others.
             if self._pool.has_open(instance.instance_id):
                 continue
-            if await self._is_own_failure(instance) and not await self._is_removed(instance):
+            if await self._is_own_failure(instance) and not await self._is_confirmed(instance):
                 break
             self._record_crash(instance)
             return True
@@ -198,10 +199,11 @@
             self._interrupted_at_s[instance_id] = self._loop.time()
         return bool(left)
 
-    async def _is_removed(self, instance: Instance) -> bool:
-        """Whether the group removes a replica soon, because its heartbeats ended."""
+    async def _is_confirmed(self, instance: Instance) -> bool:
+        """Whether the group soon removes a replica, or records its crash for another gateway."""
         end_at_s = self._loop.time() + REMOVAL_WAIT_S
-        while self._is_listed(instance.instance_id):
+        instance_id = instance.instance_id
+        while self._is_listed(instance_id) and not self._guard.has_crashed(instance_id):
             if self._loop.time() >= end_at_s:
                 return False
             await asyncio.sleep(REMOVAL_POLL_S)
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -280,6 +280,25 @@
     run(scenario())
 
 
+def test_a_gateway_that_reaches_no_replica_takes_the_word_of_another_one_for_a_crash():
+    """Two replicas crashed at one moment; the one that its request crashed was never counted."""
+
+    async def scenario():
+        port, watched = await Port().open(), Watched()
+        watched.has_lost_links = True
+        port.crash()
+        watched.watch.note_broken_response(at(port), suspect(b"culprit"))
+        await settle(watched)
+        record = CrashRecord()
+        record.record("i-1", [suspect(b"other")], 1.0)
+        watched.watch.adopt(record.last_change, False)
+        await until(lambda: not watched.watch._checks)
+        assert watched.crashed == ["i-1"]
+        await watched.watch.stop()
+
+    run(scenario())
+
+
 def test_a_stopping_gateway_reports_a_crash_first():
     """A crash that only a stopping gateway observed must be reported before it stops.
 
