A common body is not quarantined for crashes of a request that runs briefly

Cause: such streams run for up to a second, so they are there when another request crashes their replica, and in the first seconds none may be complete. A crash was excused only by a request that was quarantined already; the cause of the crashes had two of them by then.

Change: a request with two or more crashes that ran at most a quarter as long at each of them excuses one crash of a request that is to be quarantined. It must have run briefly at each: one that runs for any time does so by chance at one.

--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -13,6 +13,7 @@
 from crowsill.model.suspects import (
     COMPLETION_VALIDITY_S,
     CRASH_LIMIT,
+    RETRY_CRASH_LIMIT,
     Suspect,
     SuspectChange,
     SuspectCrashes,
@@ -174,6 +175,8 @@
     def _excuse_long_running(self) -> dict[bytes, list[str]]:
         """Excuse each quarantined request from one crash that a shorter-running request caused.
 
+        The other one is quarantined as well, or ran for a short time at several crashes.
+
         A request that crashes replicas does so soon after it starts, whereas requests that run
         beside it were sent at any time before. Without this rule, identical requests of many
         callers that have not completed yet are quarantined and can no longer complete: a soak test
@@ -184,7 +187,7 @@
         Returns:
             The counted crashes of each request for which they changed.
         """
-        shortest_run_s: dict[str, float] = {}
+        shortest_run_s = self._repeated_run_times_s()
         changed: dict[bytes, list[str]] = {}
         quarantined = [item for item in self._suspects.items() if item[1].is_quarantined]
         for key, suspect in sorted(quarantined, key=lambda item: max(item[1].ran_s, default=0.0)):
@@ -204,6 +207,21 @@
                 )
         return changed
 
+    def _repeated_run_times_s(self) -> dict[str, float]:
+        """Return how long the likely causes of each crash run at most.
+
+        A request that ran at the crashes of several replicas, and for a short time at each, is the
+        likely cause of all of them before it is quarantined.
+        """
+        times_s: dict[str, float] = {}
+        for suspect in self._suspects.values():
+            if len(suspect.counted_crashes) < RETRY_CRASH_LIMIT or not suspect.ran_s:
+                continue
+            longest_s = max(suspect.ran_s)
+            for instance_id in suspect.counted_crashes:
+                times_s[instance_id] = min(longest_s, times_s.get(instance_id, math.inf))
+        return times_s
+
     def _forget_one(self) -> bytes:
         """Remove the oldest of the suspects with the fewest crashes; return its fingerprint."""
         fingerprint = min(
--- a/tests/test_suspect_runs.py
+++ b/tests/test_suspect_runs.py
@@ -276,3 +276,25 @@
         await watched.watch.stop()
 
     run(scenario())
+
+
+def test_a_stream_is_not_quarantined_for_crashes_of_a_request_that_always_runs_briefly():
+    """Streams with one body ran at three crashes in the first seconds; none was complete yet."""
+    record = CrashRecord()
+    record.record("a@1", [suspect(b"culprit", 0.01), suspect(b"stream", 0.3)], 1.0)
+    record.record("b@1", [suspect(b"culprit", 0.02), suspect(b"stream", 0.4)], 2.0)
+    record.record("c@1", [suspect(b"stream", 0.2)], 3.0)
+    assert len(record.find(b"stream").counted_crashes) == CRASH_LIMIT - 1
+    record.record("d@1", [suspect(b"culprit", 0.01)], 4.0)
+    assert record.find(b"culprit").is_quarantined
+    # The excuse is for one crash only.
+    record.record("e@1", [suspect(b"stream", 0.2)], 5.0)
+    assert record.find(b"stream").is_quarantined
+
+
+def test_a_request_is_not_excused_by_one_that_ran_at_its_crashes_for_any_time():
+    record = CrashRecord()
+    record.record("a@1", [suspect(b"culprit", 0.04), suspect(b"other", 0.005)], 1.0)
+    record.record("b@1", [suspect(b"culprit", 0.04), suspect(b"other", 0.07)], 2.0)
+    record.record("c@1", [suspect(b"culprit", 0.04)], 3.0)
+    assert record.find(b"culprit").is_quarantined
