--- a/src/crowsill/state/suspect_runs.py
+++ b/src/crowsill/state/suspect_runs.py
@@ -69,11 +69,6 @@
     def __init__(self) -> None:
         self._runs: OrderedDict[bytes, SuspectRun] = OrderedDict()
 
-    @property
-    def has_any(self) -> bool:
-        """Whether any run is in progress."""
-        return bool(self._runs)
-
     def may_begin(self, run: SuspectRun) -> bool:
         """Whether a run may begin beside those that are in progress."""
         return not any(
