Checks of replicas are logged and counted with their reason and result

Cause: no line told whether a gateway had checked a replica, why, and with what result, so a gateway whose checks pass although nothing is answered could not be told from one that never checks.

Change: E222 and crowsill_gateway_replica_checks. No logic changes.

--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -115,6 +115,9 @@
     PEER_FAILED = EventDefinition(
         221, "INFO", "A gateway to which a request was passed did not serve it."
     )
+    REPLICA_CHECKED = EventDefinition(
+        222, "INFO", "This gateway has checked whether it reaches a replica; the line says why."
+    )
 
     ROLE_CHANGED = EventDefinition(300, "INFO", "This control member changed its role.")
     LOG_TAIL_CUT = EventDefinition(
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -9,6 +9,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from enum import StrEnum
 from random import Random
 
 from crowsill.events import Event
@@ -17,6 +18,7 @@
 from crowsill.gateway.replica_connection import ReplicaConnection
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.logs import log_event
+from crowsill.metrics import REPLICA_CHECKS
 from crowsill.model.instances import Instance, InstanceState
 from crowsill.transport.replica_messages import DrainingInstances, SuspectInstances
 
@@ -48,6 +50,38 @@
 DRAIN_REPORT_INTERVAL_S = 0.5
 
 
+class CheckReason(StrEnum):
+    """Why a replica is checked.
+
+    Attributes:
+        SILENT: It has sent nothing for much longer than expected since a request.
+        INTERRUPTED: It interrupted a response.
+        IDLE_LOST: An idle connection to it was lost with an error.
+        OTHERS_FAILED: Other replicas have failed.
+    """
+
+    SILENT = "silent"
+    INTERRUPTED = "interrupted"
+    IDLE_LOST = "idle_lost"
+    OTHERS_FAILED = "others_failed"
+
+
+class CheckResult(StrEnum):
+    """Result of a check.
+
+    Attributes:
+        REACHED: A connection was opened and stayed open.
+        REFUSED: The connection was refused.
+        NOT_OPENED: No connection could be opened.
+        CLOSED: The connection was closed at once.
+    """
+
+    REACHED = "reached"
+    REFUSED = "refused"
+    NOT_OPENED = "not_opened"
+    CLOSED = "closed"
+
+
 class ReplicaWatch:
     """The replicas of one gateway that are excluded for now."""
 
@@ -131,17 +165,17 @@
     def check_if_silent(self, record: ReplicaRecord, since_s: float) -> None:
         """Check a replica that has sent nothing since a monotonic time."""
         if self._pool.received_at_s(record.instance.instance_id) < since_s:
-            self._start_check(record)
+            self._start_check(record, CheckReason.SILENT)
 
     def check(self, record: ReplicaRecord) -> None:
         """Check a replica that interrupted a response."""
-        self._start_check(record)
+        self._start_check(record, CheckReason.INTERRUPTED)
 
     def check_lost_connection(self, instance_id: str) -> None:
         """Check a replica whose idle connection was lost with an error."""
         record = self._registry.find(instance_id)
         if record is not None and len(self._checked) < CHECKED_REPLICAS:
-            self._start_check(record)
+            self._start_check(record, CheckReason.IDLE_LOST)
 
     def _exclude(self, record: ReplicaRecord) -> bool:
         """Exclude a replica; return whether it was not excluded before."""
@@ -186,7 +220,7 @@
         if len(self._failed_at_s) == 1:
             unproven = self._random.sample(unproven, min(CHECKED_REPLICAS, len(unproven)))
         for record in unproven:
-            self._start_check(record)
+            self._start_check(record, CheckReason.OTHERS_FAILED)
 
     def _has_proof(self, instance_id: str, is_refused: bool, now_s: float) -> bool:
         """Whether a replica is known not to fail as another one has failed."""
@@ -194,22 +228,35 @@
             return True
         return now_s - self._pool.received_at_s(instance_id) < RECENT_S
 
-    def _start_check(self, record: ReplicaRecord) -> None:
+    def _start_check(self, record: ReplicaRecord, reason: CheckReason) -> None:
         instance_id = record.instance.instance_id
         if instance_id in self._checked or not self._links.is_reachable(record):
             return
         self._checked.add(instance_id)
-        self._start_task(self._check(record))
+        self._start_task(self._check(record, reason))
 
-    async def _check(self, record: ReplicaRecord) -> None:
+    async def _check(self, record: ReplicaRecord, reason: CheckReason) -> None:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        result = CheckResult.REACHED
         try:
             if not await self._can_connect(record):
+                result = CheckResult.CLOSED
                 self._exclude(record)
                 self._check_others(record, is_refused=False)
         except ConnectError as error:
+            result = CheckResult.REFUSED if error.is_refused else CheckResult.NOT_OPENED
             self.note_connect_failed(record, error)
         finally:
             self._checked.discard(record.instance.instance_id)
+        REPLICA_CHECKS.labels(result).inc()
+        log_event(
+            Event.REPLICA_CHECKED,
+            replica=record.instance.instance_id,
+            reason=reason,
+            result=result,
+            took_s=round(loop.time() - started_s, 3),
+        )
 
     async def is_running(self, record: ReplicaRecord) -> bool:
         """Whether a replica that has closed a connection is still running.
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -143,6 +143,12 @@
     buckets=_LATENCY_BUCKETS_S,
     registry=REGISTRY,
 )
+REPLICA_CHECKS = Counter(
+    "crowsill_gateway_replica_checks",
+    "Checks whether this gateway reaches a replica, by result.",
+    ["result"],
+    registry=REGISTRY,
+)
 EVENT_LOOP_LAG_S = Histogram(
     "crowsill_event_loop_lag_seconds",
     "Time for which the event loop of the process kept a timer waiting.",
