--- a/tests/partitioned_site.py
+++ b/tests/partitioned_site.py
@@ -44,7 +44,7 @@
 
     Failures: "reset" resets connections and refuses new ones, "silent" carries nothing and opens no
     new ones, "no_new" refuses new ones and carries what is open, "accepted" resets connections also
-    after it has accepted them.
+    after it has accepted them, "mute" accepts new ones and carries nothing.
     """
 
     def __init__(self, target_port):
@@ -96,6 +96,9 @@
                 queued.connect_ex((LOCAL, self.port))
                 self._queued.append(queued)
             return
+        if how == "mute":
+            self._carries.clear()
+            return
         self._resets = how == "accepted"
         if not self._resets:
             self._stop_listening()
@@ -152,11 +155,29 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True)
+class Placement:
+    """What one replica serves: models, and also the plain service or not."""
+
+    models: tuple[str, ...] = ("m",)
+    plain: bool = True
+
+
 class PartitionedSite:
     """Three members, some gateways, replicas, and a link for each pair of gateway and replica."""
 
-    def __init__(self, folder, gateways=4, replicas=3, configuration=None, script=None, zones=None):
+    def __init__(
+        self,
+        folder,
+        gateways=4,
+        replicas=3,
+        configuration=None,
+        script=None,
+        zones=None,
+        placement=None,
+    ):
         self.group = ControlGroup(folder)
+        self._placement = placement or [Placement()] * replicas
         self.runs = {}
         self.replicas = [Replica(script or self._run) for _ in range(replicas)]
         self.gateways = []
@@ -205,7 +226,7 @@
         self.list_replicas(role, number)
         return role
 
-    def list_replicas(self, role, number, models=("m",)):
+    def list_replicas(self, role, number):
         """Tell a gateway the replicas, each at the address of its own link."""
         plain = [
             msgspec.structs.replace(
@@ -220,10 +241,11 @@
                 item,
                 instance_id=f"{item.instance_id}e",
                 service="engines",
-                models=[LoadedModel(name) for name in models],
+                models=[LoadedModel(name) for name in placed.models],
             )
-            for item in plain
+            for item, placed in zip(plain, self._placement, strict=True)
         ]
+        plain = [item for item, placed in zip(plain, self._placement, strict=True) if placed.plain]
         change = DirectoryChange(role.registry.version + 1, [*plain, *engines], [])
         role._on_directory(role.registry.adopt(change, True, time.monotonic()))
 
--- /dev/null
+++ b/tests/test_partitioned_gateways_at_scale.py
@@ -0,0 +1,117 @@
+"""Gateways of a large site that reach no replica, for each way in which their links can fail."""
+
+import asyncio
+import time
+from random import Random
+
+import msgspec
+import pytest
+
+from crowsill.model.routes import ModelWeights
+from tests.gateway_world import routes
+from tests.partitioned_site import PartitionedSite, Placement, served_share
+
+# Time after which a machine knows what has changed around it; the users' bound.
+CONTACT_S = 3.0
+PLAYED_S = 6.0
+GATEWAYS = 16
+ENGINES = 48
+PLAIN_REPLICAS = 5
+MODELS = 32
+MODELS_PER_ENGINE = 3
+INTERVAL_S = 0.012
+# Share of requests by route, as weights.
+ROUTES = {"engine": 7, "once": 2, "safe": 1}
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 120))
+
+
+def placement(engines=ENGINES):
+    """Place each model on several engines; the first replicas also serve the plain service."""
+    return [
+        Placement(
+            tuple(
+                f"m{(index * MODELS_PER_ENGINE + offset) % MODELS}"
+                for offset in range(MODELS_PER_ENGINE)
+            ),
+            index < PLAIN_REPLICAS,
+        )
+        for index in range(engines)
+    ]
+
+
+def configuration():
+    """Return the usual routes, with engines that may load all models."""
+    base = routes()
+    models = [ModelWeights(f"m{number}", 100.0, load_s=30.0) for number in range(MODELS)]
+    services = [
+        item
+        if item.engine is None
+        else msgspec.structs.replace(
+            item, engine=msgspec.structs.replace(item.engine, models=models)
+        )
+        for item in base.services
+    ]
+    return msgspec.structs.replace(base, services=services)
+
+
+def large_site(folder, gateways=GATEWAYS, engines=ENGINES):
+    return PartitionedSite(
+        folder,
+        gateways=gateways,
+        replicas=engines,
+        configuration=configuration(),
+        placement=placement(engines),
+    )
+
+
+async def send_mix(site, for_s, prefix, random, interval_s=INTERVAL_S):
+    """Send requests of all routes to all gateways in turn; return their first tries."""
+    started_at_s = time.monotonic()
+    names, weights = list(ROUTES), list(ROUTES.values())
+    tasks = []
+    while time.monotonic() < started_at_s + for_s:
+        number = len(tasks) % len(site.gateways)
+        (route,) = random.choices(names, weights)
+        headers = ()
+        if route == "engine":
+            headers = (f"crowsill-model: m{random.randrange(MODELS)}", "crowsill-token-counts: 9,9")
+        request_id = f"{prefix}-{route}-{len(tasks)}"
+        sending = site.try_once(number, route, request_id, started_at_s, headers)
+        tasks.append(asyncio.create_task(sending))
+        await asyncio.sleep(interval_s)
+    return await asyncio.gather(*tasks)
+
+
+def check_no_request_ran_too_often(site, tries):
+    for item in tries:
+        allowed = 2 if "-safe-" in item.request_id else 1
+        assert site.runs.get(item.request_id, 0) <= allowed, item
+        assert item.status not in (503, 429, 421) or item.request_id not in site.runs, item
+
+
+@pytest.mark.parametrize("how", ["mute", "silent", "reset", "accepted", "no_new"])
+@pytest.mark.parametrize("cut_off", [5, 14])
+def test_callers_of_many_gateways_without_any_replica_are_served(tmp_path, cut_off, how):
+    # Where a listener accepts connections and says nothing more, every check of a replica passed.
+    async def scenario():
+        random = Random(1)
+        async with large_site(tmp_path) as site:
+            assert served_share(await send_mix(site, 1.5, "before", random)) == 1.0
+            site.cut(range(cut_off), how)
+            tries = await send_mix(site, PLAYED_S, "cut", random)
+            late = [item for item in tries if item.sent_s >= CONTACT_S]
+            here = [item for item in late if item.gateway < cut_off]
+            early = [item for item in tries if item.sent_s < CONTACT_S and item.gateway < cut_off]
+            print(f"\n{how} {cut_off}: {served_share(early):.3f}, then {served_share(here):.3f}")
+            others = [item for item in late if item.gateway >= cut_off]
+            check_no_request_ran_too_often(site, tries)
+            assert served_share(others) > 0.98
+            assert served_share(here) > 0.98
+            site.restore(range(cut_off))
+            await asyncio.sleep(CONTACT_S)
+            assert served_share(await send_mix(site, 1.5, "after", random)) > 0.98
+
+    run(scenario())
