A check of a replica asks for a response, not only for a connection

Cause: a check opened a connection and asked whether it stays open. An opened connection also counted as received data.

Change: services name a path that replicas answer to GET without running a request (the health check; for engines the report, which takes no slot). A check sends it on its new connection, and any byte of the replica within 0.5 s counts. Without such a path the check is as before. A replica that accepts and is silent may be slow, too: it is excluded while another gateway reaches the service, and used where none does and something was received of the service within 3 s.

--- a/src/crowsill/gateway/availability.py
+++ b/src/crowsill/gateway/availability.py
@@ -97,7 +97,8 @@
         in_flight_at_shed: Accepted requests of this process when it last asked for a backoff.
         shed_backoff_s: Length of that backoff; 0 if it never asked for one.
         is_listed_draining: Whether the directory lists it as draining.
-        is_unreachable: Whether the last attempt to connect to it failed, and no connection is open.
+        is_unreachable: Whether the last check did not reach it.
+        is_silent: Whether it accepted a connection in that check, but sent nothing: it may be slow.
         refuses_connections: Whether it refused the last new connection while others were open; it
             gets requests on those.
         failures: Responses that it interrupted, in a row.
@@ -131,6 +132,7 @@
     shed_backoff_s: float = 0.0
     is_listed_draining: bool = False
     is_unreachable: bool = False
+    is_silent: bool = False
     refuses_connections: bool = False
     failures: int = 0
     failure_pause_ends_at_s: float = float("-inf")
@@ -203,6 +205,10 @@
             return Exclusion(ExclusionReason.FAILING, self.failure_pause_ends_at_s)
         return None
 
+    def may_be_slow(self, now_s: float) -> bool:
+        """Whether only its silence speaks against sending requests to it."""
+        return self.is_silent and not self.is_draining and self.urgent_opens_at_s <= now_s
+
     def accepts_on_open_connection(self, now_s: float) -> bool:
         """Whether a request may be sent on an open connection; checked right before it is sent."""
         return not self.is_draining and not self.is_backing_off(now_s)
@@ -318,9 +324,10 @@
         pause_s = min(MAX_FAILURE_PAUSE_S, INITIAL_FAILURE_PAUSE_S * 2.0 ** (self.failures - 1))
         self.failure_pause_ends_at_s = now_s + pause_s
 
-    def note_unreachable(self) -> None:
-        """Record that no connection could be made, and that none is open."""
+    def note_unreachable(self, is_silent: bool = False) -> None:
+        """Record that it is not reached; `is_silent` if it accepts connections and is silent."""
         self.is_unreachable = True
+        self.is_silent = is_silent
         self._update_available_at()
 
     def note_refuses_connections(self) -> None:
@@ -334,6 +341,7 @@
 
     def _note_response(self) -> None:
         self.is_unreachable = False
+        self.is_silent = False
         self._update_available_at()
 
     def forget_attempt_results(self) -> None:
--- a/src/crowsill/gateway/call.py
+++ b/src/crowsill/gateway/call.py
@@ -3,16 +3,14 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from crowsill.clock import monotonic_s, wall_s
 from crowsill.events import Event
 from crowsill.gateway.availability import Availability
-from crowsill.gateway.framing import Framing
-from crowsill.gateway.headers import HeaderNames, Headers
+from crowsill.gateway.headers import HeaderNames
 from crowsill.gateway.pool import ConnectError, ConnectionPool
-from crowsill.gateway.replica_connection import Break
 from crowsill.gateway.replica_signals import read_signals
+from crowsill.gateway.response_collector import CallResponse, ResponseCollector
 from crowsill.logs import log_event
 from crowsill.model.instances import Instance
 
@@ -20,47 +18,6 @@
 MAX_REMEMBERED_BACKOFFS = 4000
 
 
-@dataclass(frozen=True, slots=True)
-class CallResponse:
-    """A complete response."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-class _ResponseCollector:
-    """Collects one response; implements `ResponseSink`.
-
-    Attributes:
-        ended: Resolves to the response, or None if it was interrupted.
-    """
-
-    def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.ended: asyncio.Future[CallResponse | None] = loop.create_future()
-        self._status = 0
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-
-    def on_head(self, status: int, reason: bytes, headers: Headers, framing: Framing) -> None:
-        self._status = status
-        self._headers = headers
-
-    def on_data(self, data: bytes) -> None:
-        self._body.append(data)
-
-    def on_end(self) -> None:
-        self._end(CallResponse(self._status, self._headers, b"".join(self._body)))
-
-    def on_break(self, reason: Break) -> None:
-        self._end(None)
-
-    def _end(self, response: CallResponse | None) -> None:
-        if not self.ended.done():
-            self.ended.set_result(response)
-
-
 class ReplicaCaller:
     """Sends single calls to replicas and reads the signals in their responses.
 
@@ -124,7 +81,7 @@
             connection = await self._pool.acquire(instance, timeout_s)
         except ConnectError:
             return None
-        collector = _ResponseCollector()
+        collector = ResponseCollector()
         response: CallResponse | None = None
         try:
             # Checked again: opening the connection may have taken a second.
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -45,6 +45,8 @@
 # Counts all attempts; `Route.max_attempts` bounds those that a replica may have run.
 MAX_ATTEMPTS = 4
 CONNECTION_SHARE = 0.9
+# A service whose replicas have sent nothing for longer than this is not merely slow.
+MAX_SLOW_S = 3.0
 MIN_CONNECTIONS = 2
 # A stopping process accepts a stream only if it would end in time at this multiple of its expected
 # duration.
@@ -204,10 +206,13 @@
                 self._reject(rejection)
                 return
             choice = self._choose(route)
+            if not isinstance(choice, Choice) and self._can_ask_peer():
+                is_ended = await self._serve_by_peer(route, deadline_at_s)
+                continue
+            if not isinstance(choice, Choice) and self._may_use_silent():
+                choice = self._choose(route, includes_silent=True)
             if isinstance(choice, Choice):
                 is_ended = await self._serve_by_replica(route, choice, deadline_at_s, waiting)
-            elif self._can_ask_peer():
-                is_ended = await self._serve_by_peer(route, deadline_at_s)
             elif not (self._may_wait(choice) and await waiting.wait(choice)):
                 self._give_up(waiting, choice, route)
                 return
@@ -293,7 +298,18 @@
         )
         return self._loop.time() + duration_s * STREAM_DURATION_MARGIN > stop_at_s
 
-    def _choose(self, route: Route) -> Choice | NoReplicaReason:
+    def _may_use_silent(self) -> bool:
+        """Whether silent replicas may be used: no other gateway reaches any, and links work."""
+        # The gateway that passed a request on decides itself whether its own replicas are slow.
+        if self._terms is not None:
+            return False
+        since_s = self._loop.time() - MAX_SLOW_S
+        return any(
+            self._context.pool.received_at_s(record.instance.instance_id) >= since_s
+            for record in self._context.registry.of_service(self._service)
+        )
+
+    def _choose(self, route: Route, includes_silent: bool = False) -> Choice | NoReplicaReason:
         context = self._context
         table = context.table
         definition = None if table is None else table.services.get(self._service)
@@ -310,6 +326,7 @@
             max_expected_ms=max_expected_ms,
             has_idle=context.pool.has_idle,
             has_open=context.pool.has_open,
+            includes_silent=includes_silent,
             latency_model=context.registry.latency_model(self._service),
             random=context.random,
             is_urgent=is_urgent(route),
--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -74,9 +74,10 @@
         return [] if pool is None else [*pool.busy, *pool.idle]
 
     def received_at_s(self, instance_id: str) -> float:
-        """Return the monotonic time at which anything was last received from an instance.
+        """Return the monotonic time at which bytes were last received from an instance.
 
-        An opened connection counts as received; without any connection the time is minus infinity.
+        A connection that was opened alone shows nothing: middleboxes accept connections, too.
+        Before any bytes, the time is minus infinity.
         """
         pool = self._pools.get(instance_id)
         if pool is None:
@@ -121,7 +122,6 @@
         try:
             connection = await self._open(instance, timeout_s)
             pool.busy.add(connection)
-            pool.received_at_s = connection.received_at_s
             return connection
         except (OSError, TimeoutError) as error:
             pool.in_use -= 1
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -64,7 +64,7 @@
         is_open: Whether the connection is open.
         is_reusable: Whether another request may be sent on it.
         idle_expires_at_s: Monotonic time until which it may be reused while idle.
-        received_at_s: Monotonic time at which it was opened or bytes were last received.
+        received_at_s: Monotonic time at which bytes were last received; minus infinity before.
         has_received: Whether any bytes were received on it.
         requests: Number of requests that were sent on it.
         on_lost: Called when it is lost with an error, or during a response.
@@ -84,7 +84,7 @@
         self.is_open = True
         self.is_reusable = True
         self.idle_expires_at_s = 0.0
-        self.received_at_s = self._loop.time()
+        self.received_at_s = float("-inf")
         self.has_received = False
         self.requests = 0
         self.on_lost: Callable[[], None] = lambda: None
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -9,16 +9,21 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Coroutine
-from enum import StrEnum
 from random import Random
 
 from crowsill.events import Event
 from crowsill.gateway.link_state import LinkState
 from crowsill.gateway.pool import CONNECT_TIMEOUT_S, ConnectError, ConnectionPool
+from crowsill.gateway.replica_check import (
+    LONG_MIN_OPEN_S,
+    MIN_OPEN_S,
+    CheckReason,
+    CheckResult,
+    ReplicaChecker,
+)
 from crowsill.gateway.replica_connection import ReplicaConnection
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.logs import log_event
-from crowsill.metrics import REPLICA_CHECKS
 from crowsill.model.instances import Instance, InstanceState
 from crowsill.transport.replica_messages import DrainingInstances, SuspectInstances
 
@@ -28,11 +33,7 @@
 MAX_RECONNECTS_PER_S = 8.0
 # Reached again, replicas are taken back at random times within this one, not all at once.
 RESTORE_SPREAD_S = 0.3
-# A connection that a middlebox accepts and resets at once does not show that a replica is reached.
-PROBATION_S = 0.05
-# After a new connection was reset before any response, the next one must stay open for longer to
-# count as accepted. So many in a row count as refused.
-LONG_PROBATION_S = 0.5
+# So many new connections in a row that were reset before any response count as refused.
 MAX_EARLY_RESETS = 3
 # Replicas that are checked when a first one fails, and the time for which failures are related.
 CHECKED_REPLICAS = 2
@@ -50,38 +51,6 @@
 DRAIN_REPORT_INTERVAL_S = 0.5
 
 
-class CheckReason(StrEnum):
-    """Why a replica is checked.
-
-    Attributes:
-        SILENT: It has sent nothing for much longer than expected since a request.
-        INTERRUPTED: It interrupted a response.
-        IDLE_LOST: An idle connection to it was lost with an error.
-        OTHERS_FAILED: Other replicas have failed.
-    """
-
-    SILENT = "silent"
-    INTERRUPTED = "interrupted"
-    IDLE_LOST = "idle_lost"
-    OTHERS_FAILED = "others_failed"
-
-
-class CheckResult(StrEnum):
-    """Result of a check.
-
-    Attributes:
-        REACHED: A connection was opened and stayed open.
-        REFUSED: The connection was refused.
-        NOT_OPENED: No connection could be opened.
-        CLOSED: The connection was closed at once.
-    """
-
-    REACHED = "reached"
-    REFUSED = "refused"
-    NOT_OPENED = "not_opened"
-    CLOSED = "closed"
-
-
 class ReplicaWatch:
     """The replicas of one gateway that are excluded for now."""
 
@@ -90,6 +59,7 @@
         registry: ReplicaRegistry,
         pool: ConnectionPool,
         links: LinkState,
+        checker: ReplicaChecker,
         *,
         notify: Callable[[SuspectInstances | DrainingInstances], bool],
         on_change: Callable[[], None],
@@ -101,6 +71,7 @@
             registry: The known replicas.
             pool: Connections to them.
             links: Services that this gateway does not reach.
+            checker: Checks replicas.
             notify: Sends a notice to the control group; returns whether it could be sent.
             on_change: Called when a replica may be sent requests again, or no longer.
             random: Source of the replicas that are checked.
@@ -108,6 +79,7 @@
         self._registry = registry
         self._pool = pool
         self._links = links
+        self._checker = checker
         self._notify = notify
         self._on_change = on_change
         self._random = random
@@ -177,7 +149,7 @@
         if record is not None and len(self._checked) < CHECKED_REPLICAS:
             self._start_check(record, CheckReason.IDLE_LOST)
 
-    def _exclude(self, record: ReplicaRecord) -> bool:
+    def _exclude(self, record: ReplicaRecord, is_silent: bool = False) -> bool:
         """Exclude a replica; return whether it was not excluded before."""
         # A removed record is not watched, so nothing would clear the mark if its incarnation were
         # listed again.
@@ -185,7 +157,7 @@
             return False
         if record.availability.is_unreachable:
             return False
-        record.availability.note_unreachable()
+        record.availability.note_unreachable(is_silent)
         self._links.update()
         self._report_suspect(record)
         self._watch(record)
@@ -236,27 +208,22 @@
         self._start_task(self._check(record, reason))
 
     async def _check(self, record: ReplicaRecord, reason: CheckReason) -> None:
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        result = CheckResult.REACHED
         try:
-            if not await self._can_connect(record):
-                result = CheckResult.CLOSED
-                self._exclude(record)
-                self._check_others(record, is_refused=False)
-        except ConnectError as error:
-            result = CheckResult.REFUSED if error.is_refused else CheckResult.NOT_OPENED
-            self.note_connect_failed(record, error)
+            result = await self._run_check(record, reason)
         finally:
             self._checked.discard(record.instance.instance_id)
-        REPLICA_CHECKS.labels(result).inc()
-        log_event(
-            Event.REPLICA_CHECKED,
-            replica=record.instance.instance_id,
-            reason=reason,
-            result=result,
-            took_s=round(loop.time() - started_s, 3),
-        )
+        if result is CheckResult.REACHED:
+            return
+        if result is CheckResult.REFUSED:
+            self._close_to_new_connections(record)
+        else:
+            self._exclude(record, result is CheckResult.UNANSWERED)
+        self._check_others(record, result is CheckResult.REFUSED)
+
+    async def _run_check(self, record: ReplicaRecord, reason: CheckReason) -> CheckResult:
+        is_suspect = self._early_resets[record.instance.instance_id] > 0
+        min_open_s = LONG_MIN_OPEN_S if is_suspect else MIN_OPEN_S
+        return await self._checker.check(record, reason, min_open_s)
 
     async def is_running(self, record: ReplicaRecord) -> bool:
         """Whether a replica that has closed a connection is still running.
@@ -301,33 +268,19 @@
         if not any(self._was_lost_at(item.instance.instance_id, lost_at_s) for item in others):
             return False
         sample = self._random.sample(others, min(CHECKED_REPLICAS, len(others)))
-        return not any(await asyncio.gather(*(self._is_reached(record) for record in sample)))
+        return not any(
+            await asyncio.gather(
+                *(self._is_reached(record, CheckReason.CRASH) for record in sample)
+            )
+        )
 
     def _was_lost_at(self, instance_id: str, at_s: float) -> bool:
         """Whether a connection to a replica was lost, or failed to open, at about a given time."""
         times = (self._pool.lost_at_s(instance_id), self._failed_at_s.get(instance_id, -math.inf))
         return any(abs(lost_at_s - at_s) <= SIMULTANEOUS_S for lost_at_s in times)
 
-    async def _is_reached(self, record: ReplicaRecord) -> bool:
-        """Whether a connection to a replica can be opened and stays open."""
-        try:
-            return await self._can_connect(record)
-        except ConnectError:
-            return False
-
-    async def _can_connect(self, record: ReplicaRecord) -> bool:
-        """Open a connection to a replica; return whether it stays open.
-
-        Raises:
-            ConnectError: No connection could be opened.
-        """
-        connection = await self._pool.open_connection(record.instance, CONNECT_TIMEOUT_S)
-        is_suspect = self._early_resets[record.instance.instance_id] > 0
-        try:
-            await asyncio.sleep(LONG_PROBATION_S if is_suspect else PROBATION_S)
-            return connection.is_open
-        finally:
-            self._pool.release(record.instance.instance_id, connection, True)
+    async def _is_reached(self, record: ReplicaRecord, reason: CheckReason) -> bool:
+        return await self._run_check(record, reason) is CheckResult.REACHED
 
     # Return.
 
@@ -343,7 +296,7 @@
         try:
             while self._registry.find(instance_id) is record and record.instance.accepts_work:
                 await self._wait_to_reconnect()
-                if await self._is_reached(record):
+                if await self._is_reached(record, CheckReason.EXCLUDED):
                     break
                 self._report_suspect(record)
             else:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -24,6 +24,7 @@
 from crowsill.gateway.pool import ConnectionPool
 from crowsill.gateway.quota import QuotaGrantClient
 from crowsill.gateway.ready_server import ReadyServer
+from crowsill.gateway.replica_check import ReplicaChecker
 from crowsill.gateway.replica_grants import ReplicaGrants
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
@@ -134,6 +135,7 @@
             self.registry,
             self.pool,
             self._links,
+            ReplicaChecker(self.pool, lambda: self._table),
             notify=self._follower.send_notice,
             on_change=self._notify_change,
             random=self.random,
--- a/src/crowsill/gateway/routing_table.py
+++ b/src/crowsill/gateway/routing_table.py
@@ -43,6 +43,11 @@
         """Version of the configuration."""
         return self.configuration.version
 
+    def probe_path(self, service: str) -> str:
+        """Return the path by which replicas of a service are checked; empty if there is none."""
+        definition = self.services.get(service)
+        return "" if definition is None else definition.probe_path
+
     def urgency(self, route: Route) -> float:
         """Return how urgent it is to keep a route's models loaded, from 0 to 1."""
         if is_urgent(route):
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -111,6 +111,7 @@
         latency_model: Latency model of the engines of the service.
         random: Random source for ties and for the alternative replica.
         is_urgent: Whether the request cannot wait.
+        includes_silent: Whether a replica against which only its silence speaks may be chosen.
     """
 
     zone: str
@@ -121,6 +122,7 @@
     latency_model: LatencyModel = field(default_factory=LatencyModel)
     random: Random = field(default_factory=lambda: Random(0))
     is_urgent: bool = True
+    includes_silent: bool = False
 
 
 def part_keys(request: CallerRequest) -> list[PromptPartKey]:
@@ -298,7 +300,10 @@
     open_replicas = [
         record
         for record in records
-        if record.availability.available_at_s <= now_s
+        if (
+            record.availability.available_at_s <= now_s
+            or (limits.includes_silent and record.availability.may_be_slow(now_s))
+        )
         and (
             not record.availability.refuses_connections
             or limits.has_idle(record.instance.instance_id)
--- a/src/crowsill/model/routes.py
+++ b/src/crowsill/model/routes.py
@@ -119,11 +119,14 @@
         name: Unique name.
         max_connections: Connections that one replica accepts from all callers together.
         engine: Set for a service of model engines.
+        probe_path: Path that its replicas answer to `GET` without running a request, by which
+            gateways check whether they reach them; empty if there is none.
     """
 
     name: str
     max_connections: int
     engine: EngineLimits | None = None
+    probe_path: str = ""
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -157,6 +160,11 @@
     services = {service.name for service in configuration.services}
     if len(services) != len(configuration.services):
         faults.append("two services share a name")
+    faults.extend(
+        f"service {service.name}: the probe path must begin with a slash and contain no spaces"
+        for service in configuration.services
+        if service.probe_path and not _is_path(service.probe_path)
+    )
     faults.extend(tenant_faults(configuration.tenants))
     names: set[str] = set()
     hosts_and_prefixes: set[tuple[str, str]] = set()
@@ -172,6 +180,11 @@
     return faults
 
 
+def _is_path(text: str) -> bool:
+    """Whether a text can stand as the path of a request line."""
+    return text.startswith("/") and text.isascii() and text.isprintable() and " " not in text
+
+
 def _route_faults(route: Route, services: set[str]) -> list[str]:
     faults: list[str] = []
     prefix = route.path_prefix
--- a/tests/partitioned_site.py
+++ b/tests/partitioned_site.py
@@ -37,6 +37,7 @@
 WORK_S = 0.02
 CHUNK_BYTES = 65536
 CLOSE = "Connection: close"
+PROBE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
 class FailingLink:
@@ -179,6 +180,9 @@
         self.group = ControlGroup(folder)
         self._placement = placement or [Placement()] * replicas
         self.runs = {}
+        self.probes = 0
+        self.work_s = WORK_S
+        self.probe_s = 0.0
         self.replicas = [Replica(script or self._run) for _ in range(replicas)]
         self.gateways = []
         self.links = []
@@ -187,8 +191,13 @@
         self.configuration = configuration or routes()
 
     async def _run(self, headers, writer, _number):
+        if ID not in headers:
+            self.probes += 1
+            await asyncio.sleep(self.probe_s)
+            writer.write(PROBE_RESPONSE)
+            return True
         self.note_run(headers)
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(self.work_s)
         writer.write(encode_response(headers[ID]))
         return True
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -213,6 +213,8 @@
             return 200, [], json.dumps(report).encode()
         if (method, path) == ("POST", "/order"):
             return self._order(json.loads(body)), [], b""
+        if (method, path) == ("GET", "/health"):
+            return 200, [f"X-Crowsill-Instance-Id: {self.instance_id}"], b""
         echoed = [f"{ID}: {headers[ID.lower()]}"]
         model = headers.get("x-crowsill-model", "").partition("/")[0]
         if self.models is not None and model not in self.models:
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -14,6 +14,7 @@
 
 from crowsill.gateway.availability import MAX_PROBES, Availability, Exclusion, ExclusionReason
 from crowsill.gateway.link_state import LinkState
+from crowsill.gateway.replica_check import ReplicaChecker
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.request import CallerRequest
@@ -231,6 +232,7 @@
             registry,
             NoPool(),
             LinkState(registry, lambda _instance_id: False),
+            ReplicaChecker(NoPool(), lambda: None),
             notify=lambda _notice: True,
             on_change=lambda: None,
             random=Random(1),
--- a/tests/test_partitioned_gateways_at_scale.py
+++ b/tests/test_partitioned_gateways_at_scale.py
@@ -46,15 +46,15 @@
     """Return the usual routes, with engines that may load all models."""
     base = routes()
     models = [ModelWeights(f"m{number}", 100.0, load_s=30.0) for number in range(MODELS)]
-    services = [
-        item
-        if item.engine is None
-        else msgspec.structs.replace(
-            item, engine=msgspec.structs.replace(item.engine, models=models)
-        )
-        for item in base.services
-    ]
-    return msgspec.structs.replace(base, services=services)
+    services = []
+    for service in base.services:
+        engine = service.engine
+        if engine is not None:
+            engine = msgspec.structs.replace(engine, models=models)
+        services.append(msgspec.structs.replace(service, engine=engine, probe_path="/health"))
+    # A longer target than the slow replicas of a test need.
+    patient = [msgspec.structs.replace(item, target_latency_ms=2500) for item in base.routes]
+    return msgspec.structs.replace(base, services=services, routes=patient)
 
 
 def large_site(folder, gateways=GATEWAYS, engines=ENGINES):
@@ -115,3 +115,18 @@
             assert served_share(await send_mix(site, 1.5, "after", random)) > 0.98
 
     run(scenario())
+
+
+def test_a_service_that_is_slow_everywhere_is_not_taken_for_lost_links(tmp_path):
+    # Every gateway excluded every replica that did not answer a check in time.
+    async def scenario():
+        random = Random(1)
+        async with large_site(tmp_path, gateways=6, engines=12) as site:
+            assert served_share(await send_mix(site, 1.5, "before", random, 0.03)) == 1.0
+            site.work_s = site.probe_s = 2.0
+            tries = await send_mix(site, PLAYED_S, "slow", random, 0.03)
+            check_no_request_ran_too_often(site, tries)
+            print(f"\nslow: {served_share(tries):.3f}")
+            assert served_share(tries) > 0.98
+
+    run(scenario())
--- a/tests/test_platform_closes.py
+++ b/tests/test_platform_closes.py
@@ -35,7 +35,7 @@
                 headers = {name.lower(): value for name, value in headers.items()}
                 await reader.readexactly(int(headers.get("content-length", 0)))
                 path = first.split(" ")[1]
-                if path in ("/report", "/order"):
+                if path in ("/report", "/order", "/health"):
                     await self._control(path, writer)
                     continue
                 await self._work(headers[ID.lower()], path, reader, writer)
