A gateway without links finds that out within about a second, service by service

Cause: after two failures within 2 s no further check began, whatever failed later, and a check that was not answered led to the next ones only after its whole 0.5 s.

Change: a second failure of one service starts checks of all its replicas, at most once a second; a check unanswered for 0.2 s already starts those of a few others, one of each other service. Services that answer are not checked as a whole any more.

--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -1,8 +1,8 @@
 """Watches replicas that are sent nothing, until they are reachable, open again or removed.
 
 A replica that can't be reached may have failed, or this gateway may have lost its own links. So a
-few others are checked at the same time, and all others once two have failed. No caller's request is
-spent on that.
+few others are checked at the same time, and all of a service once two of it have failed. No
+caller's request is spent on that.
 """
 
 import asyncio
@@ -35,9 +35,15 @@
 RESTORE_SPREAD_S = 0.3
 # So many new connections in a row that were reset before any response count as refused.
 MAX_EARLY_RESETS = 3
-# Replicas that are checked when a first one fails, and the time for which failures are related.
+# Replicas that are checked when a first one fails, of its service and of each other one, and the
+# time for which failures are related.
 CHECKED_REPLICAS = 2
+CHECKED_OF_OTHER_SERVICES = 1
 RELATED_FAILURES_S = 2.0
+# While replicas of a service fail, all others are checked at most so often.
+MIN_CHECK_INTERVAL_S = 1.0
+# A replica that takes longer than this to answer a check may fail it, so others are checked, too.
+LATE_RESPONSE_S = 0.2
 # Connections that are lost within this time are lost at the same moment.
 SIMULTANEOUS_S = 0.3
 # A replica that sent anything within this time needs no check.
@@ -87,6 +93,7 @@
         self._checked: set[str] = set()
         self._watched: set[str] = set()
         self._failed_at_s: dict[str, float] = {}
+        self._all_checked_at_s: dict[str, float] = {}
         self._early_resets: Counter[str] = Counter()
         self._restored = asyncio.Event()
 
@@ -172,27 +179,63 @@
     # Checks.
 
     def _check_others(self, failed: ReplicaRecord, is_refused: bool) -> None:
-        """Check whether other replicas fail as well."""
+        """Check whether other replicas fail as well.
+
+        A first failure starts checks of a few replicas, a second one of the same service those of
+        all its replicas.
+        """
         now_s = asyncio.get_running_loop().time()
+        service = failed.instance.service
+        is_second = now_s - self._last_failed_at_s(service, failed) < RELATED_FAILURES_S
+        self._note_failed(failed, now_s)
+        if is_second:
+            if self._is_due(service, now_s):
+                self._start_checks(self._unproven(service, is_refused, now_s))
+            return
+        for name in {record.instance.service for record in self._registry.listed()}:
+            unproven = self._unproven(name, is_refused, now_s)
+            count = CHECKED_REPLICAS if name == service else CHECKED_OF_OTHER_SERVICES
+            self._start_checks(self._random.sample(unproven, min(count, len(unproven))))
+
+    def _note_failed(self, record: ReplicaRecord, now_s: float) -> None:
         self._failed_at_s = {
             instance_id: at_s
             for instance_id, at_s in self._failed_at_s.items()
             if now_s - at_s < RELATED_FAILURES_S
         }
-        self._failed_at_s[failed.instance.instance_id] = now_s
-        if len(self._failed_at_s) > 2:
-            # The second failure has started the checks of all.
-            return
-        unproven = [
+        self._failed_at_s[record.instance.instance_id] = now_s
+
+    def _start_checks(self, records: list[ReplicaRecord]) -> None:
+        for record in records:
+            self._start_check(record, CheckReason.OTHERS_FAILED)
+
+    def _last_failed_at_s(self, service: str, failed: ReplicaRecord) -> float:
+        """Return the monotonic time of the last failure of another replica of a service."""
+        return max(
+            (
+                self._failed_at_s.get(record.instance.instance_id, -math.inf)
+                for record in self._registry.of_service(service)
+                if record is not failed
+            ),
+            default=-math.inf,
+        )
+
+    def _is_due(self, service: str, now_s: float) -> bool:
+        """Whether all replicas of a service may be checked again; if so, count it as done now."""
+        if now_s - self._all_checked_at_s.get(service, -math.inf) < MIN_CHECK_INTERVAL_S:
+            return False
+        self._all_checked_at_s[service] = now_s
+        return True
+
+    def _unproven(self, service: str, is_refused: bool, now_s: float) -> list[ReplicaRecord]:
+        """Return the replicas of a service that may fail as another one has failed."""
+        return [
             record
-            for record in self._registry.listed()
-            if self._links.is_reachable(record)
+            for record in self._registry.of_service(service)
+            if not record.availability.is_draining
+            and self._links.is_reachable(record)
             and not self._has_proof(record.instance.instance_id, is_refused, now_s)
         ]
-        if len(self._failed_at_s) == 1:
-            unproven = self._random.sample(unproven, min(CHECKED_REPLICAS, len(unproven)))
-        for record in unproven:
-            self._start_check(record, CheckReason.OTHERS_FAILED)
 
     def _has_proof(self, instance_id: str, is_refused: bool, now_s: float) -> bool:
         """Whether a replica is known not to fail as another one has failed."""
@@ -208,9 +251,12 @@
         self._start_task(self._check(record, reason))
 
     async def _check(self, record: ReplicaRecord, reason: CheckReason) -> None:
+        loop = asyncio.get_running_loop()
+        late = loop.call_later(LATE_RESPONSE_S, self._check_others, record, False)
         try:
             result = await self._run_check(record, reason)
         finally:
+            late.cancel()
             self._checked.discard(record.instance.instance_id)
         if result is CheckResult.REACHED:
             return
