A model whose engines are out of this gateway's reach is not taken for missing

What callers saw: a gateway that had lost most of its links rejected requests with 'no replica holds the model yet' and up to 31 s in Retry-After, though engines that hold it are listed and serve others: 56 rejections in 6 s (accepted and reset, 14 of 16 gateways), and each was reported as demand for a load.

Cause: where no reachable replica holds the model and any other is reachable, the reason was 'no model', whatever the unreachable ones hold.

Change: if an unreachable replica holds it and under half of the listed ones are reached, the reason is that they are not reached. A single replica that failed does not hide a missing model.

Test: fails before with 'no_model' in place of 'unreachable'.

--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -261,6 +261,10 @@
     """Return why no replica may be sent the request, regardless of their in-flight requests."""
     accepting = accepting_or_listed(records)
     with_resources = [record for record in accepting if has_resources(record, request)]
+    if not with_resources and accepting:
+        is_held = is_running_elsewhere(records, request, limits.has_idle)
+        if is_held and _has_lost_most_links(records, limits):
+            return NoReplicaReason.UNREACHABLE
     if not with_resources:
         return NoReplicaReason.NO_MODEL if accepting else NoReplicaReason.NO_REPLICA
     if not any(accepts(record) for record in with_resources):
@@ -271,6 +275,16 @@
     return _closed_reason(untried, limits, now_s)
 
 
+def _has_lost_most_links(records: list[ReplicaRecord], limits: SelectionLimits) -> bool:
+    """Whether most listed replicas are not reached, as if this gateway had lost its links."""
+    listed = [record for record in records if not record.availability.is_draining]
+    reached = sum(
+        record.availability.is_reachable(limits.has_idle(record.instance.instance_id))
+        for record in listed
+    )
+    return 2 * reached < len(listed)
+
+
 def _closed_reason(
     records: list[ReplicaRecord], limits: SelectionLimits, now_s: float
 ) -> NoReplicaReason:
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -126,3 +126,17 @@
         item.note_peer_use(ReplicaUse(5 + 3 * number, 1000 * number), 0.0)
     chosen = [choose(records, request(), set(), LIMITS, 0.1).record for _ in range(400)]
     assert 100 < sum(item is records[0] for item in chosen) < 230
+
+
+def test_a_model_whose_engines_are_not_reached_is_not_taken_for_missing():
+    # A gateway that had lost most of its links reported such models as not loaded.
+    reached = [record(f"r{number}", models=()) for number in range(3)]
+    lost = [record(f"l{number}", availability=Availability(is_unreachable=True)) for number in "ab"]
+    found = [choose([*reached, *lost[:1]], request(), set(), LIMITS, 0.0)]
+    limits = SelectionLimits("z", 10, has_idle=lambda _instance_id: False)
+    lost += [
+        record(f"n{number}", models=(), availability=Availability(is_unreachable=True))
+        for number in range(2)
+    ]
+    found.append(choose([*reached, *lost], request(), set(), limits, 0.0))
+    assert found == [NoReplicaReason.NO_MODEL, NoReplicaReason.UNREACHABLE]
