A gateway that lost most of its links is asked for help last

Cause: an offer named only services of which nothing is reached. Gateways that kept a connection or two looked as good as whole ones, so the three that a request asks were mostly cut off themselves (E221 'status 503').

Change: an offer also names services of which under half is reached; such gateways are told and asked last.

--- a/src/crowsill/control/gateway_peers.py
+++ b/src/crowsill/control/gateway_peers.py
@@ -23,8 +23,8 @@
     def select(self, own: list[PeerOffer], zone: str, now_s: float) -> list[PeerOffer]:
         """Return at most `MAX_OFFERED_PEERS` offers for a gateway or a follower.
 
-        Offers of gateways that reach all services come first, then those of the same zone. Which of
-        the others are left out is drawn anew each time.
+        Offers of gateways that reach most replicas of all services come first, then those of the
+        same zone. Which of the others are left out is drawn anew each time.
 
         Args:
             own: Offers of the gateways that report to this member.
@@ -39,8 +39,13 @@
         if len(offers) <= MAX_OFFERED_PEERS:
             return offers
         self._random.shuffle(offers)
-        offers.sort(key=lambda offer: bool(offer.unreachable_services))
-        near = [offer for offer in offers if offer.zone == zone and not offer.unreachable_services]
+        offers.sort(key=_weakness)
+        near = [offer for offer in offers if offer.zone == zone and not _weakness(offer)]
         near = near[: MAX_OFFERED_PEERS // 2]
         others = [offer for offer in offers if offer not in near]
         return near + others[: MAX_OFFERED_PEERS - len(near)]
+
+
+def _weakness(offer: PeerOffer) -> int:
+    """Return how little a gateway reaches: 2 if no replica of some service, 1 if only a few."""
+    return 2 if offer.unreachable_services else int(bool(offer.weak_services))
--- a/src/crowsill/gateway/link_state.py
+++ b/src/crowsill/gateway/link_state.py
@@ -50,15 +50,18 @@
 
     def _find_unreachable(self) -> dict[str, int]:
         """Return the number of listed replicas of each unreachable service."""
-        listed: dict[str, list[ReplicaRecord]] = {}
-        for record in self._registry.listed():
-            listed.setdefault(record.instance.service, []).append(record)
         return {
             service: len(records)
-            for service, records in listed.items()
+            for service, records in self._listed_by_service().items()
             if not any(self.is_reachable(record) for record in records)
         }
 
+    def _listed_by_service(self) -> dict[str, list[ReplicaRecord]]:
+        listed: dict[str, list[ReplicaRecord]] = {}
+        for record in self._registry.listed():
+            listed.setdefault(record.instance.service, []).append(record)
+        return listed
+
     def is_reachable(self, record: ReplicaRecord) -> bool:
         """Whether a request can be sent to a replica from here."""
         return record.availability.is_reachable(self._has_idle(record.instance.instance_id))
@@ -67,6 +70,15 @@
         """Return the unreachable services, at most `MAX_REPORTED_SERVICES`."""
         return sorted(self._unreachable)[:MAX_REPORTED_SERVICES]
 
+    def weak_services(self) -> list[str]:
+        """Return services of which under half is reached, at most `MAX_REPORTED_SERVICES`."""
+        weak = [
+            service
+            for service, records in self._listed_by_service().items()
+            if 2 * sum(self.is_reachable(record) for record in records) < len(records)
+        ]
+        return sorted(weak)[:MAX_REPORTED_SERVICES]
+
     def has_lost_links(self, service: str) -> bool:
         """Whether several replicas of a service are listed and none is reached from here."""
         return self._unreachable.get(service, 0) > 1
--- a/src/crowsill/gateway/peers/peers.py
+++ b/src/crowsill/gateway/peers/peers.py
@@ -41,16 +41,21 @@
         self.registry.own_address = listener.address
         self._listener = listener
 
-    def offer(self, requests: int, unreachable_services: list[str]) -> PeerOffer | None:
+    def offer(
+        self, requests: int, unreachable_services: list[str], weak_services: list[str]
+    ) -> PeerOffer | None:
         """Return what this gateway offers to others; None if it accepts nothing.
 
         Args:
             requests: Number of requests that it is serving.
             unreachable_services: Services of which it reaches no replica.
+            weak_services: Services of which it reaches less than half of the replicas.
         """
         if self._listener is None:
             return None
-        return PeerOffer(self._listener.address, self._zone, requests, unreachable_services)
+        return PeerOffer(
+            self._listener.address, self._zone, requests, unreachable_services, weak_services
+        )
 
     def close(self) -> None:
         """Accept no more connections, and offer nothing."""
--- a/src/crowsill/gateway/peers/registry.py
+++ b/src/crowsill/gateway/peers/registry.py
@@ -87,8 +87,9 @@
     def choose(self, service: str, tried: set[str], now_s: float) -> PeerOffer | None:
         """Return a peer that reaches replicas of a service, or None.
 
-        Takes the less loaded of two that are drawn at random, from the own zone if it has any. All
-        gateways that follow the same reports would otherwise choose the same peer.
+        One that reaches few of them is taken only if there is no other. Takes the less loaded of
+        two that are drawn at random, from the own zone if it has any. All gateways that follow the
+        same reports would otherwise choose the same peer.
 
         Args:
             service: The service.
@@ -102,6 +103,7 @@
             and known.failing_until_s <= now_s
             and service not in known.offer.unreachable_services
         ]
+        usable = [offer for offer in usable if service not in offer.weak_services] or usable
         near = self._less_loaded([offer for offer in usable if offer.zone == self._zone])
         far = self._less_loaded([offer for offer in usable if offer.zone != self._zone])
         if near is None or far is None:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -226,7 +226,10 @@
         self._links.update()
         if self._stopping or self.table is None:
             return None
-        return self.peers.offer(self._running.exchanges, self._links.unreachable_services())
+        links = self._links
+        return self.peers.offer(
+            self._running.exchanges, links.unreachable_services(), links.weak_services()
+        )
 
     def _on_peers(self, offers: list[PeerOffer]) -> None:
         self.peers.registry.note_offers(offers, asyncio.get_running_loop().time())
--- a/src/crowsill/model/peers.py
+++ b/src/crowsill/model/peers.py
@@ -17,9 +17,12 @@
         requests: Requests that it is serving.
         unreachable_services: Services of which it reaches no replica; at most
             `MAX_REPORTED_SERVICES`.
+        weak_services: Services of which it reaches less than half of the replicas; at most
+            `MAX_REPORTED_SERVICES`.
     """
 
     address: str
     zone: str
     requests: int = 0
     unreachable_services: list[str] = []
+    weak_services: list[str] = []
--- a/tests/test_peer_registry.py
+++ b/tests/test_peer_registry.py
@@ -6,8 +6,9 @@
 
 from random import Random
 
+from crowsill.control.gateway_peers import GatewayPeers
 from crowsill.gateway.peers.registry import PROBE_INTERVAL_S, PeerRegistry
-from crowsill.model.peers import PeerOffer
+from crowsill.model.peers import MAX_OFFERED_PEERS, PeerOffer
 
 
 def registry_of(*offers):
@@ -38,3 +39,13 @@
     registry = registry_of(PeerOffer("a:1", "z"), PeerOffer("b:1", "z", 0, ["till"]))
     assert registry.choose("till", set(), 10.0).address == "a:1"
     assert registry.choose_probe("till", 10.0).address == "b:1"
+
+
+def test_a_peer_that_lost_most_of_its_links_is_asked_last():
+    # Gateways that still reached a few replicas were asked as often as those that reach all.
+    weak = [PeerOffer(f"w{number}:1", "z", 0, [], ["till"]) for number in range(14)]
+    registry = registry_of(*weak, PeerOffer("good:1", "z", 9))
+    assert registry.choose("till", set(), 0.0).address == "good:1"
+    assert registry.choose("till", {"good:1"}, 0.0).address.startswith("w")
+    offers = GatewayPeers(Random(1)).select([*weak, PeerOffer("good:1", "y", 9)], "z", 0.0)
+    assert len(offers) == MAX_OFFERED_PEERS and offers[0].address == "good:1"
