Replicas excluded at one moment are not all tried again at one moment

What callers saw: once the links are back, a gateway that had excluded 140 replicas tried none of them for 17 s: each watch waited for the same time, the number of watched replicas over eight a second. Its requests went on by other gateways.

Change: the wait is random, with the same mean; the first replica that is reached still wakes the others, now at most 300 a second of them.

Also: the memory of recent failures is a module of its own, without a change.

--- /dev/null
+++ b/src/crowsill/gateway/recent_failures.py
@@ -0,0 +1,49 @@
+"""Replicas that failed lately, as one gateway saw it. Pure."""
+
+import math
+
+# Failures within this time are related: this gateway may have lost its own links.
+RELATED_FAILURES_S = 2.0
+# While replicas of a service fail, all others are checked at most so often.
+MIN_CHECK_INTERVAL_S = 1.0
+
+
+class RecentFailures:
+    """The last failure of each replica, and the last check of each whole service.
+
+    >>> failures = RecentFailures()
+    >>> failures.is_second("a", "s", 1.0), failures.is_second("a", "s", 1.5)
+    (False, False)
+    >>> failures.is_second("b", "s", 2.0), failures.is_second("c", "t", 2.0)
+    (True, False)
+    >>> failures.begin_check_of("s", 2.0), failures.begin_check_of("s", 2.9)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self._failed: dict[str, tuple[str, float]] = {}
+        self._checked_at_s: dict[str, float] = {}
+
+    def is_second(self, instance_id: str, service: str, now_s: float) -> bool:
+        """Record a failure; return whether another replica of the service has failed lately."""
+        self._failed = {
+            known_id: (known_service, at_s)
+            for known_id, (known_service, at_s) in self._failed.items()
+            if now_s - at_s < RELATED_FAILURES_S
+        }
+        self._failed[instance_id] = (service, now_s)
+        return any(
+            known_service == service and known_id != instance_id
+            for known_id, (known_service, _) in self._failed.items()
+        )
+
+    def failed_at_s(self, instance_id: str) -> float:
+        """Return the monotonic time of a replica's last failure; minus infinity if long ago."""
+        return self._failed.get(instance_id, ("", -math.inf))[1]
+
+    def begin_check_of(self, service: str, now_s: float) -> bool:
+        """Whether all replicas of a service may be checked again now; if so, count it as begun."""
+        if now_s - self._checked_at_s.get(service, -math.inf) < MIN_CHECK_INTERVAL_S:
+            return False
+        self._checked_at_s[service] = now_s
+        return True
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import math
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -14,6 +13,7 @@
 from crowsill.events import Event
 from crowsill.gateway.link_state import LinkState
 from crowsill.gateway.pool import CONNECT_TIMEOUT_S, ConnectError, ConnectionPool
+from crowsill.gateway.recent_failures import RecentFailures
 from crowsill.gateway.replica_check import (
     LONG_MIN_OPEN_S,
     MIN_OPEN_S,
@@ -31,17 +31,15 @@
 # While many replicas are unreachable, this gateway tries at most so many of them in a second. The
 # first one that is reached again wakes the others.
 MAX_RECONNECTS_PER_S = 8.0
-# Reached again, replicas are taken back at random times within this one, not all at once.
+# Reached again, replicas are taken back at random times within this one, not all at once, and at
+# most so many in a second.
 RESTORE_SPREAD_S = 0.3
+MAX_RESTORED_PER_S = 300.0
 # So many new connections in a row that were reset before any response count as refused.
 MAX_EARLY_RESETS = 3
-# Replicas that are checked when a first one fails, of its service and of each other one, and the
-# time for which failures are related.
+# Replicas that are checked when a first one fails, of its service and of each other one.
 CHECKED_REPLICAS = 2
 CHECKED_OF_OTHER_SERVICES = 1
-RELATED_FAILURES_S = 2.0
-# While replicas of a service fail, all others are checked at most so often.
-MIN_CHECK_INTERVAL_S = 1.0
 # A replica that takes longer than this to answer a check may fail it, so others are checked, too.
 LATE_RESPONSE_S = 0.2
 # Connections that are lost within this time are lost at the same moment.
@@ -92,8 +90,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._checked: set[str] = set()
         self._watched: set[str] = set()
-        self._failed_at_s: dict[str, float] = {}
-        self._all_checked_at_s: dict[str, float] = {}
+        self._failures = RecentFailures()
         self._early_resets: Counter[str] = Counter()
         self._restored = asyncio.Event()
 
@@ -186,10 +183,8 @@
         """
         now_s = asyncio.get_running_loop().time()
         service = failed.instance.service
-        is_second = now_s - self._last_failed_at_s(service, failed) < RELATED_FAILURES_S
-        self._note_failed(failed, now_s)
-        if is_second:
-            if self._is_due(service, now_s):
+        if self._failures.is_second(failed.instance.instance_id, service, now_s):
+            if self._failures.begin_check_of(service, now_s):
                 self._start_checks(self._unproven(service, is_refused, now_s))
             return
         for name in {record.instance.service for record in self._registry.listed()}:
@@ -197,36 +192,10 @@
             count = CHECKED_REPLICAS if name == service else CHECKED_OF_OTHER_SERVICES
             self._start_checks(self._random.sample(unproven, min(count, len(unproven))))
 
-    def _note_failed(self, record: ReplicaRecord, now_s: float) -> None:
-        self._failed_at_s = {
-            instance_id: at_s
-            for instance_id, at_s in self._failed_at_s.items()
-            if now_s - at_s < RELATED_FAILURES_S
-        }
-        self._failed_at_s[record.instance.instance_id] = now_s
-
     def _start_checks(self, records: list[ReplicaRecord]) -> None:
         for record in records:
             self._start_check(record, CheckReason.OTHERS_FAILED)
 
-    def _last_failed_at_s(self, service: str, failed: ReplicaRecord) -> float:
-        """Return the monotonic time of the last failure of another replica of a service."""
-        return max(
-            (
-                self._failed_at_s.get(record.instance.instance_id, -math.inf)
-                for record in self._registry.of_service(service)
-                if record is not failed
-            ),
-            default=-math.inf,
-        )
-
-    def _is_due(self, service: str, now_s: float) -> bool:
-        """Whether all replicas of a service may be checked again; if so, count it as done now."""
-        if now_s - self._all_checked_at_s.get(service, -math.inf) < MIN_CHECK_INTERVAL_S:
-            return False
-        self._all_checked_at_s[service] = now_s
-        return True
-
     def _unproven(self, service: str, is_refused: bool, now_s: float) -> list[ReplicaRecord]:
         """Return the replicas of a service that may fail as another one has failed."""
         return [
@@ -322,7 +291,7 @@
 
     def _was_lost_at(self, instance_id: str, at_s: float) -> bool:
         """Whether a connection to a replica was lost, or failed to open, at about a given time."""
-        times = (self._pool.lost_at_s(instance_id), self._failed_at_s.get(instance_id, -math.inf))
+        times = (self._pool.lost_at_s(instance_id), self._failures.failed_at_s(instance_id))
         return any(abs(lost_at_s - at_s) <= SIMULTANEOUS_S for lost_at_s in times)
 
     async def _is_reached(self, record: ReplicaRecord, reason: CheckReason) -> bool:
@@ -356,13 +325,17 @@
         self._on_change()
 
     async def _wait_to_reconnect(self) -> None:
-        interval_s = max(RECONNECT_INTERVAL_S, len(self._watched) / MAX_RECONNECTS_PER_S)
+        """Wait for the next check of an excluded replica, or until another one is reached."""
+        mean_s = max(RECONNECT_INTERVAL_S, len(self._watched) / MAX_RECONNECTS_PER_S)
+        # Replicas that were excluded at the same moment are not all checked at the same moment.
+        spread_s = 2.0 * (mean_s - RECONNECT_INTERVAL_S)
         try:
-            async with asyncio.timeout(interval_s):
+            async with asyncio.timeout(RECONNECT_INTERVAL_S + self._random.random() * spread_s):
                 await self._restored.wait()
         except TimeoutError:
             return
-        await asyncio.sleep(self._random.random() * RESTORE_SPREAD_S)
+        restore_s = max(RESTORE_SPREAD_S, len(self._watched) / MAX_RESTORED_PER_S)
+        await asyncio.sleep(self._random.random() * restore_s)
 
     # Backoffs and drains.
 
--- a/tests/test_partitioned_gateways.py
+++ b/tests/test_partitioned_gateways.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from tests.partitioned_site import PartitionedSite, served_share
+from crowsill.model.instances import Instance
+from tests.control_group import until
+from tests.gateway_world import LOCAL, respond_ok, world
+from tests.partitioned_site import FailingLink, PartitionedSite, served_share
 
 # Time after which a machine knows what has changed around it; the users' bound.
 CONTACT_S = 3.0
@@ -46,3 +49,28 @@
                 assert item.status not in (503, 429, 421) or item.request_id not in site.runs
 
     run(scenario())
+
+
+@pytest.mark.parametrize("how", ["reset", "silent"])
+def test_many_replicas_are_used_again_soon_after_their_links_are_back(how):
+    # All of 140 excluded replicas waited for the same 17 s before a first one was tried.
+    async def scenario():
+        async with world(respond_ok) as here:
+            link = FailingLink(here._replicas[0].port)
+            records = here.role.registry.listed
+            here.adopt(
+                [Instance(f"i-{n}", "plain", f"{LOCAL}:{link.port}", "z1", 8) for n in range(70)]
+            )
+            link.fail(how)
+            for record in records():
+                here.role.replica_watch.check(record)
+            await until(lambda: all(item.availability.is_unreachable for item in records()))
+            await asyncio.sleep(1.0)
+            link.restore()
+            await until(
+                lambda: not any(item.availability.is_unreachable for item in records()), CONTACT_S
+            )
+            assert here.role.pool.opened < 6 * len(records())
+            link.stop()
+
+    run(scenario())
