--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -118,6 +118,7 @@
     signals: bool = True,
     limits: bool = True,
     cuts: bool = True,
+    silent_cuts: bool = False,
     folder: Path = Path("soak-run"),
 ) -> None:
     """Run the real programs under external faults and check all guarantees, for each seed."""
@@ -139,6 +140,7 @@
             has_signals=signals,
             has_limits=limits,
             has_cuts=cuts,
+            has_silent_cuts=silent_cuts,
         )
         report = run_soak(plan)
         typer.echo(report.text())
--- a/src/crowsill_lab/soak/links.py
+++ b/src/crowsill_lab/soak/links.py
@@ -8,7 +8,7 @@
 import contextlib
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import StrEnum
 from random import Random
 
@@ -29,10 +29,12 @@
     Attributes:
         RESET: Open connections are reset, and new ones right after they were accepted.
         NO_NEW: Only new connections are reset.
+        SILENT: New connections are accepted, and no further request on any is answered.
     """
 
     RESET = "reset"
     NO_NEW = "no_new"
+    SILENT = "silent"
 
 
 class SoakLinks:
@@ -52,19 +54,28 @@
     def _note_change(self) -> None:
         """Note whether any gateway has links from now on."""
         self._all_cut_s = self.all_cut_s()
-        all_cut = not self._connections and len(self._faults) == len(self._gateways)
+        carrying = [
+            name
+            for name in self._connections.values()
+            if self._faults.get(name) is not LinkFault.SILENT
+        ]
+        all_cut = not carrying and len(self._faults) == len(self._gateways)
         self._all_cut_since_s = time.monotonic() if all_cut else float("inf")
 
     def accept(self, writer: asyncio.StreamWriter) -> bool:
         """Keep track of a replica's new connection; reset it if the link is cut."""
         name = self._source_of(writer)
-        if name in self._faults:
+        if self._faults.get(name, LinkFault.SILENT) is not LinkFault.SILENT:
             reset(writer)
             return False
         self._connections[writer] = name
         self._note_change()
         return True
 
+    def is_silent(self, writer: asyncio.StreamWriter) -> bool:
+        """Whether the request that was just read from a connection is not answered."""
+        return self._faults.get(self._connections.get(writer, "")) is LinkFault.SILENT
+
     def sender(self, writer: asyncio.StreamWriter) -> GatewayRun | None:
         """Return the gateway run at the other end of a connection; None if it is unknown."""
         name = self._connections.get(writer, "")
@@ -79,7 +90,7 @@
         """Cut gateways off from all replicas."""
         self._faults.update(dict.fromkeys(names, fault))
         self._note_change()
-        if fault is LinkFault.NO_NEW:
+        if fault is not LinkFault.RESET:
             return
         for writer, name in list(self._connections.items()):
             if name in names:
@@ -123,7 +134,9 @@
         links: SoakLinks,
         ledger: LinkLedger,
         random: Random,
+        *,
         note: Callable[[str], None],
+        faults: Sequence[LinkFault] = (LinkFault.RESET, LinkFault.NO_NEW),
     ) -> None:
         """Create the injector.
 
@@ -133,12 +146,14 @@
             ledger: Receives each cut.
             random: Decides which gateways are cut off, how, and when.
             note: Receives a line for each cut.
+            faults: How links may fail.
         """
         self._gateways = gateways
         self._links = links
         self._ledger = ledger
         self._random = random
         self._note = note
+        self._faults = faults
 
     async def run(self) -> None:
         """Run until cancelled; the links are restored then."""
@@ -146,7 +161,7 @@
             await asyncio.sleep(self._random.random() * MAX_PAUSE_S)
             number = self._random.randint(1, len(self._gateways))
             names = [item.name for item in self._random.sample(self._gateways, number)]
-            fault = self._random.choice(list(LinkFault))
+            fault = self._random.choice(self._faults)
             self._note(f"cut {' '.join(names)} {fault}")
             began_at_s = time.monotonic()
             self._links.fail(names, fault)
--- a/src/crowsill_lab/soak/operator.py
+++ b/src/crowsill_lab/soak/operator.py
@@ -16,7 +16,7 @@
 )
 from crowsill_lab.soak.control_calls import put
 from crowsill_lab.soak.ledger import Ledger
-from crowsill_lab.soak.replica import SERVICE
+from crowsill_lab.soak.replica import PROBE_PATH, SERVICE
 from crowsill_lab.soak.seeded_site import SeededSite
 from crowsill_lab.soak.site import SoakSite
 from crowsill_lab.soak.tenants import tenants_of
@@ -39,7 +39,7 @@
         route("stream", RouteKind.STREAM, 1),
         route(f"v{version}", RouteKind.AT_MOST_ONCE, 1),
     ]
-    services = [ServiceDefinition(SERVICE, 100)]
+    services = [ServiceDefinition(SERVICE, 100, probe_path=PROBE_PATH)]
     return RouteConfiguration(version, routes, services, CallerLimits(), tenants_of(version))
 
 
--- a/src/crowsill_lab/soak/replica.py
+++ b/src/crowsill_lab/soak/replica.py
@@ -29,6 +29,8 @@
 NAMES = HeaderNames()
 NOT_RUN = f"{NAMES.not_run.decode()}: 1"
 SERVICE = "till"
+PROBE_PATH = "/health"
+PROBE_RESPONSE = b"HTTP/1.1 200 S\r\nContent-Length: 0\r\n\r\n"
 HEARTBEAT_S = 0.5
 # A draining replica must not receive requests later than this after its drain was acknowledged.
 MAX_DRAIN_PROPAGATION_S = 4.0
@@ -213,6 +215,12 @@
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 if writer.transport.is_closing():
                     break
+                if self._links.is_silent(writer):
+                    await reader.read()
+                    break
+                if head.startswith(f"GET {PROBE_PATH} "):
+                    writer.write(PROBE_RESPONSE)
+                    continue
                 if body.startswith(CRASHING_BODY_PREFIX):
                     # A draining replica only closes this connection and keeps running: no crash.
                     if self._state is InstanceState.READY:
--- a/src/crowsill_lab/soak/runner.py
+++ b/src/crowsill_lab/soak/runner.py
@@ -13,7 +13,7 @@
 from crowsill_lab.soak.faults import FaultInjector
 from crowsill_lab.soak.ledger import Ledger
 from crowsill_lab.soak.limits import LimitInjector
-from crowsill_lab.soak.links import LinkInjector, SoakLinks
+from crowsill_lab.soak.links import LinkFault, LinkInjector, SoakLinks
 from crowsill_lab.soak.operator import Operator
 from crowsill_lab.soak.replica import SoakReplica
 from crowsill_lab.soak.seeded_site import SeededSite
@@ -48,6 +48,7 @@
         has_signals: Whether replicas also shed requests, request backoffs, and drain by responses.
         has_limits: Whether replicas also advertise rate limits in their responses.
         has_cuts: Whether gateways also lose their links to all replicas.
+        has_silent_cuts: Whether such links may also accept connections and stay silent.
     """
 
     seed: int
@@ -59,6 +60,7 @@
     has_signals: bool = False
     has_limits: bool = False
     has_cuts: bool = False
+    has_silent_cuts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,7 +196,10 @@
         if self._plan.has_cuts:
             gateways, links = self._site.gateways, self._ledger.links
             note = self._injected.append
-            await LinkInjector(gateways, self._links, links, random, note).run()
+            faults = [LinkFault.RESET, LinkFault.NO_NEW]
+            if self._plan.has_silent_cuts:
+                faults.append(LinkFault.SILENT)
+            await LinkInjector(gateways, self._links, links, random, note=note, faults=faults).run()
 
     def _start_traffic(self, operator: Operator) -> None:
         callers = [
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -33,6 +33,8 @@
 LIMITS_SEED = 603
 # With this seed gateways lose their links to all replicas while members and gateways fail.
 CUTS_SEED = 1604
+# With this seed links of gateways accept connections and stay silent.
+SILENT_CUTS_SEED = 2006
 # With this seed a replica that drains crashes between two pieces of responses without a length.
 STREAMS_SEED = 1804
 
@@ -69,6 +71,21 @@
     assert "cut" in {fault.partition(" ")[0] for fault in report.faults}
 
 
+def test_callers_of_gateways_with_silent_links_are_served_under_overlapping_faults(tmp_path):
+    plan = SoakPlan(
+        SILENT_CUTS_SEED,
+        18.0,
+        members=3,
+        gateways=4,
+        folder=tmp_path,
+        has_cuts=True,
+        has_silent_cuts=True,
+    )
+    report = run_soak(plan)
+    assert report.violations == [], report.text()
+    assert any(fault.endswith(" silent") for fault in report.faults)
+
+
 def test_no_part_of_a_response_reaches_its_caller_as_the_whole(tmp_path):
     plan = SoakPlan(
         STREAMS_SEED,
