A request that was passed on is reported as demand by its first gateway only

Cause: a request of another gateway was reported like a caller's own.

Change: a gateway that was asked reports nothing.

Test: fails before, both asked gateways keep reporting the model.

--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -198,7 +198,14 @@
             detail = "the stream would outlast this process, which stops"
             self._outcome.reject(ErrorKind.OVERLOADED, detail, STOPPING_RETRY_AFTER_S)
             return
-        waiting = WaitingRequest(self._context, self._request, route, self._progress, self._log)
+        waiting = WaitingRequest(
+            self._context,
+            self._request,
+            route,
+            self._progress,
+            self._log,
+            is_from_peer=self._terms is not None,
+        )
         is_ended = False
         while not is_ended:
             rejection = await self._repeat_guard.await_duplicate() or self._admission.recheck()
--- a/src/crowsill/gateway/peers/sender.py
+++ b/src/crowsill/gateway/peers/sender.py
@@ -21,13 +21,16 @@
 from crowsill.gateway.replica_connection import Break, ReplicaConnection
 from crowsill.gateway.replica_feedback import MIN_SERVER_ERROR_STATUS
 from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.selection import has_lost_most_links
 from crowsill.metrics import PEER_REQUESTS
 from crowsill.model.instances import Instance
 from crowsill.model.peers import PeerOffer
 from crowsill.model.routes import Route, RouteKind
 
 # Each peer that can't help costs a round trip; the caller's next try reaches another gateway.
-MAX_PEERS = 6
+MAX_PEERS = 3
+# A gateway that has lost most of its links may not be the only one.
+MAX_PEERS_WITHOUT_LINKS = 6
 CONNECT_TIMEOUT_S = 0.3
 
 
@@ -65,9 +68,13 @@
 
     def _next_peer(self) -> PeerOffer | None:
         tried = self._progress.tried_peers
-        if len(tried) >= MAX_PEERS:
-            return None
         registry, service = self._context.peers.registry, self._log.service
+        if len(tried) >= MAX_PEERS:
+            records = self._context.registry.of_service(service)
+            if len(tried) >= MAX_PEERS_WITHOUT_LINKS or not has_lost_most_links(
+                records, self._context.pool.has_idle
+            ):
+                return None
         peer = registry.choose(service, tried, self._loop.time())
         if peer is not None or tried:
             return peer
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -263,7 +263,7 @@
     with_resources = [record for record in accepting if has_resources(record, request)]
     if not with_resources and accepting:
         is_held = is_running_elsewhere(records, request, limits.has_idle)
-        if is_held and _has_lost_most_links(records, limits):
+        if is_held and has_lost_most_links(records, limits.has_idle):
             return NoReplicaReason.UNREACHABLE
     if not with_resources:
         return NoReplicaReason.NO_MODEL if accepting else NoReplicaReason.NO_REPLICA
@@ -275,12 +275,11 @@
     return _closed_reason(untried, limits, now_s)
 
 
-def _has_lost_most_links(records: list[ReplicaRecord], limits: SelectionLimits) -> bool:
+def has_lost_most_links(records: list[ReplicaRecord], has_idle: Callable[[str], bool]) -> bool:
     """Whether most listed replicas are not reached, as if this gateway had lost its links."""
     listed = [record for record in records if not record.availability.is_draining]
     reached = sum(
-        record.availability.is_reachable(limits.has_idle(record.instance.instance_id))
-        for record in listed
+        record.availability.is_reachable(has_idle(record.instance.instance_id)) for record in listed
     )
     return 2 * reached < len(listed)
 
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -60,7 +60,10 @@
         route: Route,
         progress: Progress,
         log: ExchangeLog,
+        *,
+        is_from_peer: bool = False,
     ) -> None:
+        self._is_from_peer = is_from_peer
         self._context = context
         self._request = request
         self._route = route
@@ -81,7 +84,7 @@
         is_overloaded = reason is NoReplicaReason.ALL_FULL or self._is_limited(reason)
         if is_overloaded and self._progress.waiting_reason is not reason and request.model:
             self._context.demand.note_overloaded(self._log.service, request.model)
-        if reason is NoReplicaReason.NO_MODEL and self._weights() is not None:
+        if self._is_missing(reason):
             self._context.demand.report_missing(self._log.service, request.model, request.adapter)
         remaining_s = self._context.wait_limit_at_s() - self._loop.time()
         if remaining_s <= 0.0 or not should_wait(
@@ -154,11 +157,20 @@
         if self._context.is_stopping():
             # Another gateway can wait longer than this one.
             retry_after_s = STOPPING_RETRY_AFTER_S
-        elif reason is NoReplicaReason.NO_MODEL and self._weights() is not None:
+        elif self._is_missing(reason):
             request = self._request
             self._context.demand.keep_reporting(self._log.service, request.model, request.adapter)
         return RejectedRequest(reason, retry_after_s, self._closed_detail())
 
+    def _is_missing(self, reason: NoReplicaReason) -> bool:
+        """Whether the request needs a load that this gateway reports to the control group.
+
+        A gateway that passed a request on reports it itself.
+        """
+        if self._is_from_peer or reason is not NoReplicaReason.NO_MODEL:
+            return False
+        return self._weights() is not None
+
     def _wait_budget(self) -> WaitBudget:
         request, route = self._request, self._route
         waited_s = self._loop.time() - request.arrived_at_s
--- a/tests/test_peer_requests.py
+++ b/tests/test_peer_requests.py
@@ -257,3 +257,22 @@
                 assert record.error_share == 0.0 and record.availability.failures == 0
 
     run(scenario())
+
+
+def test_a_missing_model_is_reported_by_the_gateway_of_its_caller_only(tmp_path):
+    # Each gateway that was asked for help reported the model as missing for seconds.
+    async def scenario():
+        async with PartitionedSite(tmp_path, gateways=3) as site:
+            await lose_links(site, [0])
+            for role in site.gateways[1:]:
+                for record in role.registry.listed():
+                    record.availability.note_missing("m")
+            headers = ("crowsill-model: m", "crowsill-token-counts: 10,10")
+            found = await site.try_once(0, "engine", "missing", headers=headers)
+            assert found.status == 503
+            retained = [
+                bool(role.demand._missing._retention_ends_at_s) for role in site.gateways[1:]
+            ]
+            assert retained == [False, False]
+
+    run(scenario())
