A peer that restarts is asked again soon

Cause: any failed connection paused a peer for 2 s.

Change: a refused connection pauses it for 0.2 s; a machine that does not answer for 2 s, as before.

Test: of the registry; before, the pause did not tell the two apart.

--- a/src/crowsill/gateway/peers/registry.py
+++ b/src/crowsill/gateway/peers/registry.py
@@ -13,6 +13,9 @@
 OFFER_LIFETIME_S = 10.0
 # How long a peer that could not be reached is not asked again.
 FAILURE_PAUSE_S = 2.0
+# The same if its machine refused the connection: a process that restarts is back within a second,
+# and a refusal costs a round trip only.
+REFUSAL_PAUSE_S = 0.2
 # How long a peer that could not help with a service counts as one that reaches little of it; its
 # offers say so only seconds later.
 REJECTION_LIFETIME_S = 1.5
@@ -75,11 +78,17 @@
             if now_s - known.received_at_s < OFFER_LIFETIME_S
         }
 
-    def note_unreachable(self, address: str, now_s: float) -> None:
-        """Record that a peer could not be reached."""
+    def note_unreachable(self, address: str, is_refused: bool, now_s: float) -> None:
+        """Record that a peer could not be reached.
+
+        Args:
+            address: Its address.
+            is_refused: Whether its machine refused the connection.
+            now_s: Current monotonic time in seconds.
+        """
         known = self._known.get(address)
         if known is not None:
-            known.failing_until_s = now_s + FAILURE_PAUSE_S
+            known.failing_until_s = now_s + (REFUSAL_PAUSE_S if is_refused else FAILURE_PAUSE_S)
 
     def note_rejected(self, address: str, service: str, now_s: float) -> None:
         """Record that a peer could not help with a request to a service."""
--- a/src/crowsill/gateway/peers/sender.py
+++ b/src/crowsill/gateway/peers/sender.py
@@ -117,7 +117,8 @@
             reusable = end.result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
             return self._note_end(peer, attempt, end)
         except ConnectError as error:
-            self._context.peers.registry.note_unreachable(peer.address, self._loop.time())
+            registry = self._context.peers.registry
+            registry.note_unreachable(peer.address, error.is_refused, self._loop.time())
             PEER_REQUESTS.labels("unreachable").inc()
             self._log.log_peer_failed(peer.address, "unreachable", str(error))
             return None
--- a/tests/test_peer_registry.py
+++ b/tests/test_peer_registry.py
@@ -49,3 +49,14 @@
     assert registry.choose("till", {"good:1"}, 0.0).address.startswith("w")
     offers = GatewayPeers(Random(1)).select([*weak, PeerOffer("good:1", "y", 9)], "z", 0.0)
     assert len(offers) == MAX_OFFERED_PEERS and offers[0].address == "good:1"
+
+
+def test_a_peer_that_restarts_is_asked_again_soon():
+    # Callers of a gateway without links were rejected for 2 s after the only helper had restarted.
+    registry = registry_of(PeerOffer("a:1", "z"), PeerOffer("b:1", "z"))
+    registry.note_unreachable("a:1", True, 10.0)
+    registry.note_unreachable("b:1", False, 10.0)
+    assert registry.choose("till", set(), 10.1) is None
+    assert registry.choose("till", set(), 10.3).address == "a:1"
+    assert {registry.choose("till", {"a:1"}, at_s) for at_s in (10.3, 11.9)} == {None}
+    assert registry.choose("till", {"a:1"}, 12.1).address == "b:1"
