A silent replica that opens no more connections is not taken for a slow one

Cause: a replica that accepts a connection and says nothing is used as a slow one where no other gateway helps. That it later opened no connection did not end this, so a request waited 0.5 s for one. Read from the code and the time; the run has no line that shows which connection it was.

Change: any check without 'unanswered', and any connection that can't be opened, ends it.

Test: a replica that is silent and then refuses: fails before, it stays 'silent'.

--- a/src/crowsill/gateway/availability.py
+++ b/src/crowsill/gateway/availability.py
@@ -330,6 +330,10 @@
         self.is_silent = is_silent
         self._update_available_at()
 
+    def note_not_silent(self) -> None:
+        """Record that its silence is not all that speaks against it, or that it answered."""
+        self.is_silent = False
+
     def note_refuses_connections(self) -> None:
         """Record that it refused a new connection while others are open."""
         self.refuses_connections = True
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -98,6 +98,7 @@
 
     def note_connect_failed(self, record: ReplicaRecord, error: ConnectError) -> None:
         """Exclude a replica to which no connection could be opened, and check others."""
+        record.availability.note_not_silent()
         if error.is_refused:
             self._close_to_new_connections(record)
         else:
@@ -238,7 +239,10 @@
     async def _run_check(self, record: ReplicaRecord, reason: CheckReason) -> CheckResult:
         is_suspect = self._early_resets[record.instance.instance_id] > 0
         min_open_s = LONG_MIN_OPEN_S if is_suspect else MIN_OPEN_S
-        return await self._checker.check(record, reason, min_open_s)
+        result = await self._checker.check(record, reason, min_open_s)
+        if result is not CheckResult.UNANSWERED:
+            record.availability.note_not_silent()
+        return result
 
     async def is_running(self, record: ReplicaRecord) -> bool:
         """Whether a replica that has closed a connection is still running.
--- a/tests/test_partitioned_gateways.py
+++ b/tests/test_partitioned_gateways.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from crowsill.model.instances import Instance
 from tests.control_group import until
-from tests.gateway_world import LOCAL, respond_ok, world
+from tests.gateway_world import LOCAL, never_respond, respond_ok, routes, world
 from tests.partitioned_site import FailingLink, PartitionedSite, served_share
 
 # Time after which a machine knows what has changed around it; the users' bound.
@@ -74,3 +75,23 @@
             link.stop()
 
     run(scenario())
+
+
+def test_a_silent_replica_that_no_longer_opens_connections_is_not_taken_for_a_slow_one():
+    # Where all gateways had lost their links, requests waited 0.5 s for such a connection.
+    async def scenario():
+        configuration = routes()
+        services = [
+            msgspec.structs.replace(service, probe_path="/health")
+            for service in configuration.services
+        ]
+        configuration = msgspec.structs.replace(configuration, services=services)
+        async with world(never_respond, configuration=configuration) as here:
+            record = here.role.registry.find("i-1")
+            here.role.replica_watch.check(record)
+            await until(lambda: record.availability.is_silent)
+            await here._replicas[0].stop()
+            await until(lambda: not record.availability.is_silent, CONTACT_S)
+            assert record.availability.is_unreachable
+
+    run(scenario())
