Logs name the shared parts of prompts that ran at a crash

E208 and E210 now name the shared parts of the prompt as keyed digests (by tenant and id; the last part is the request's own and left out), and E210 counts all interrupted requests beside the suspects.

A gateway also notes when the first byte of a response arrived, so that a report of a crash can tell how long the replica had been writing. Diagnostics only: nothing decides by it yet.

Checked: unit tests of crash watch, suspect runs and quarantine pass.

--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -17,7 +17,12 @@
 from crowsill.gateway.pool import ConnectError, ConnectionPool
 from crowsill.logs import log_event
 from crowsill.model.instances import Instance
-from crowsill.model.suspects import SuspectChange, SuspectRequest, fingerprint_list
+from crowsill.model.suspects import (
+    SuspectChange,
+    SuspectRequest,
+    fingerprint_list,
+    parts_list,
+)
 from crowsill.transport.messages import Body, Submitted
 from crowsill.transport.replica_messages import ClearRequests, FinishSuspectRun, ReportCrash
 
@@ -226,9 +231,8 @@
             if len(self._crashed) > MAX_REMEMBERED_CRASHES:
                 self._crashed.popitem(last=False)
             self._on_crashed(instance_id)
-        requests = self._select_suspects(
-            self._broken.pop(instance_id, []) + self._recently_abandoned(instance_id)
-        )
+        interrupted = self._broken.pop(instance_id, []) + self._recently_abandoned(instance_id)
+        requests = self._select_suspects(interrupted)
         self._abandoned.pop(instance_id, None)
         crashed_at_s = self._interrupted_at_s.pop(instance_id, self._loop.time())
         for request in requests:
@@ -240,6 +244,8 @@
             replica=instance_id,
             requests=len(requests),
             fingerprints=fingerprint_list(requests),
+            interrupted=len(interrupted),
+            parts=parts_list(interrupted),
         )
         for start in range(0, len(requests), MAX_REQUESTS_PER_REPORT):
             part = requests[start : start + MAX_REQUESTS_PER_REPORT]
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -15,6 +15,7 @@
 from crowsill.logs import log_event
 from crowsill.metrics import GATEWAY_FIRST_BYTE_S, GATEWAY_REQUESTS, REPLICA_SIGNALS
 from crowsill.model.peers import PeerOffer
+from crowsill.model.prompt_parts import format_parts
 from crowsill.model.routes import Route, RouteKind
 
 
@@ -47,6 +48,11 @@
         """Fingerprint of the request; equal for duplicates."""
         return self._fingerprints.of(self._request, self.tenant)
 
+    @property
+    def shared_parts(self) -> list[bytes]:
+        """Digests of the parts of the prompt that other requests may share."""
+        return self._fingerprints.of_shared_parts(self._request, self.tenant)
+
     @property
     def _kind(self) -> str:
         return "unknown" if self.route is None else self.route.kind.value
@@ -162,6 +168,7 @@
             inside_event=attempt is not None and attempt.is_inside_event,
             failures=record.availability.failures,
             fingerprint=self.fingerprint.hex(),
+            parts=format_parts(self.shared_parts),
             ms=self._age_ms(),
         )
 
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -11,6 +11,7 @@
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.suspect_runs import RunPermission
 from crowsill.model.instances import Instance
+from crowsill.model.prompt_parts import InterruptedPrompt
 from crowsill.model.suspects import MAX_HOST_AND_PATH_LENGTH, SuspectRequest
 
 # A quarantine lasts an hour (`ControlSettings.quarantine_s`) or until an operator lifts it, so a
@@ -50,6 +51,7 @@
         self._is_interrupted = False
         self._run_asked_at_s: float | None = None
         self._rejection: Rejection | None = None
+        self._first_data_at_s: float | None = None
 
     @property
     def _fingerprint(self) -> bytes:
@@ -89,6 +91,7 @@
     def begin_attempt(self) -> bool:
         """Register an attempt; return whether `finish_attempt` must be called at its end."""
         guard = self._context.crash_guard
+        self._first_data_at_s = None
         if not guard.has_suspects:
             self._known_crashes = 0
             return False
@@ -137,6 +140,10 @@
             await self._context.wait_for_change(DUPLICATE_POLL_S)
         return False
 
+    def note_first_data(self) -> None:
+        """Note that the first byte of the current attempt's response arrived."""
+        self._first_data_at_s = self._loop.time()
+
     def note_attempt_end(self, instance: Instance, end: AttemptEnd, sent_at_s: float) -> None:
         """Report how an attempt ended.
 
@@ -168,8 +175,17 @@
             self._log.service,
             ran_s=self._loop.time() - sent_at_s,
             known_crashes=self._known_crashes,
+            prompt=self._interrupted_prompt(sent_at_s),
         )
 
+    def _interrupted_prompt(self, sent_at_s: float) -> InterruptedPrompt | None:
+        parts = self._log.shared_parts
+        if not parts:
+            return None
+        now_s, first_data_at_s = self._loop.time(), self._first_data_at_s
+        wrote_s = -1.0 if first_data_at_s is None else now_s - first_data_at_s
+        return InterruptedPrompt(self._log.request_id, parts, now_s - sent_at_s, wrote_s)
+
     async def may_repeat(self, instance: Instance, end: AttemptEnd) -> bool:
         """Whether the request may be sent to another replica after this end of an attempt.
 
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -103,7 +103,7 @@
                 record.instance, deadline_at_s - self._loop.time()
             )
             attempt = self._new_attempt(route, record, connection, closes_connection)
-            attempt.on_first_data = prompt.stop_counting
+            attempt.on_first_data = functools.partial(self._handle_first_data, prompt)
             attempt.on_signals = functools.partial(self._handle_signals, record, probe, attempt)
             # Checked again after the last wait: opening the connection may have taken a second.
             if (
@@ -237,6 +237,10 @@
             sent_at_s,
         )
 
+    def _handle_first_data(self, prompt: PendingPrompt) -> None:
+        prompt.stop_counting()
+        self._repeat_guard.note_first_data()
+
     def _handle_signals(
         self,
         record: ReplicaRecord,
--- a/src/crowsill/model/suspects.py
+++ b/src/crowsill/model/suspects.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from crowsill.model.prompt_parts import InterruptedPrompt, format_parts
+
 # A request is quarantined after this many replicas crashed while they ran it. One crash proves
 # nothing: up to a hundred other requests ran on the replica. Two crashes can coincide while another
 # request crashes replicas and the requests it interrupted are retried. The requirement allows
@@ -53,6 +55,7 @@
         service: Service of the request.
         ran_s: Time from when the request was sent to the crash.
         known_crashes: Crashes under this request that the gateway knew of when it sent it.
+        prompt: Its prompt, if that has shared parts; only on the way to the group.
     """
 
     fingerprint: bytes
@@ -61,6 +64,7 @@
     service: str
     ran_s: float
     known_crashes: int = 0
+    prompt: InterruptedPrompt | None = None
 
 
 def fingerprint_list(requests: list[SuspectRequest]) -> str:
@@ -72,6 +76,20 @@
     return ",".join(request.fingerprint.hex() for request in requests)
 
 
+def parts_list(requests: list[SuspectRequest]) -> str:
+    r"""Return the shared parts of the prompts of requests as logged; `-` for none.
+
+    >>> prompt = InterruptedPrompt("r1", [b"\x01"], 0.1)
+    >>> request = SuspectRequest(b"\x01", "r1", "h/a", "s", 0.1)
+    >>> parts_list([request, msgspec.structs.replace(request, prompt=prompt)])
+    '-,01'
+    """
+    return ",".join(
+        "-" if request.prompt is None else format_parts(request.prompt.parts)
+        for request in requests
+    )
+
+
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
     """The crash history of one suspect request.
 
--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -86,7 +86,8 @@
             crashed_at_s: Wall-clock time of the crash.
         """
         changed: dict[bytes, list[str]] = {}
-        for request in requests:
+        for reported in requests:
+            request = msgspec.structs.replace(reported, prompt=None)
             self._correct_time(instance_id, request.fingerprint, crashed_at_s)
             counted = self._count(instance_id, request, crashed_at_s)
             if counted is None:
