A part of prompts that crashes replicas is quarantined after five crashes

Cause: what outlasts one request of a crash was keyed by the whole request. Requests that are not alike share no fingerprint, so that nothing counted.

Change: gateways report the shared parts of the prompts that ran at a crash, and from which suspect parts replicas have responded since. The group keeps both (state/part_crashes.py) and quarantines a part after five crashes without a response in between, if no rarer part explains them; parts that come only together are quarantined together. Half a second is left for reports of sound parts. Gateways reject prompts with these parts as not run, checked again right before sending, with the version of the crash record that proves a gateway current. Listed and lifted by `crowsill quarantine`; E514, a metric, `crowsill trace`.

Why it works: a part that crashes replicas never gets a response, while sound ones get one between two crashes; popular parts within a tenth of a second.

A command that changed the crash record twice pushed only its last change to gateways; all are pushed now, since a report of a crash changes suspects and parts.

--- a/src/crowsill/cli/quarantine.py
+++ b/src/crowsill/cli/quarantine.py
@@ -1,4 +1,4 @@
-"""The commands `crowsill quarantine`: requests quarantined because replicas crashed under them."""
+"""The commands `crowsill quarantine`: requests and prompt parts under which replicas crashed."""
 
 from datetime import UTC, datetime
 from typing import Annotated
@@ -17,7 +17,8 @@
 from crowsill.control.operations import LiftRequest, LiftResponse, QuarantineLine
 
 application = typer.Typer(
-    no_args_is_help=True, help="List quarantined requests, or lift the quarantine of a request."
+    no_args_is_help=True,
+    help="List quarantined requests and parts of prompts, or lift a quarantine.",
 )
 
 
@@ -33,7 +34,7 @@
     settings: SettingsOption = DEFAULT_SETTINGS,
     as_json: JsonOption = False,
 ) -> None:
-    """Show quarantined requests, since when, and which replicas crashed while they ran them."""
+    """Show quarantined requests and parts of prompts, since when, and the replicas that crashed."""
     response = client_of(settings).get("/v1/quarantine", list[QuarantineLine])
     if not isinstance(response, Success):
         fail(response.failure())
@@ -44,7 +45,10 @@
     for line in shown:
         state = "quarantined" if line.held_back else "suspect"
         typer.echo(f"{line.fingerprint} {state} since {_format_time(line.last_s)} {line.service}")
-        typer.echo(f"  {line.place} (last id {line.request_id})")
+        if line.prompts:
+            typer.echo(f"  part of {line.prompts} prompts (last id {line.request_id})")
+        else:
+            typer.echo(f"  {line.place} (last id {line.request_id})")
         typer.echo(
             f"  crashed: {' '.join(line.replicas)}, the first at {_format_time(line.first_s)}"
         )
@@ -54,7 +58,7 @@
 
 @application.command()
 def lift(fingerprint: str, settings: SettingsOption = DEFAULT_SETTINGS) -> None:
-    """Let the request with this FINGERPRINT be sent to replicas again."""
+    """Let the request, or prompts with the part, of this FINGERPRINT be sent to replicas again."""
     body = LiftRequest(fingerprint)
     response = client_of(settings).post("/v1/quarantine/lift", body, LiftResponse)
     if not isinstance(response, Success):
--- a/src/crowsill/cli/trace.py
+++ b/src/crowsill/cli/trace.py
@@ -16,12 +16,14 @@
 _LINE = re.compile(r"(\d{4}-\d\d-\d\dT[\d:.]+)Z (\w+) E(\d+) (\w+) (.*)")
 _FIELD = re.compile(r'(\w+)=("[^"]*"|\S*)')
 _FINGERPRINT = re.compile(r"fingerprint ([0-9a-f]+)")
+_PARTS = re.compile(r"with part ([0-9a-f/]+)")
 _MEANINGS = {event.value.number: event.value.meaning for event in Event}
 _BACKING_OFF_REPLICA = re.compile(r"(?:asked for rest|its limit allows): (\S+) for ")
 _REPLICA_EVENTS = frozenset(
     (205, 206, 208, 211, 212, 213, 214, 215, 216, 502, 504, 505, 506, 512, 513)
 )
 _MODEL_EVENTS = frozenset((501, 502, 506, 507))
+_PART_EVENTS = frozenset((510, 514))
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +83,12 @@
     related_lines += [
         line for line in other_lines if line.fields.get("fingerprint") in quarantined_fingerprints
     ]
+    quarantined_parts = _PARTS.findall(details)
+    related_lines += [
+        line
+        for line in other_lines
+        if line.number in _PART_EVENTS and line.fields.get("parts") in quarantined_parts
+    ]
     unique = {line.text(): line for line in [*request_lines, *related_lines]}
     shown = [
         f"{'*' if line in request_lines else ' '} {text}"
--- a/src/crowsill/control/crash_commands.py
+++ b/src/crowsill/control/crash_commands.py
@@ -5,6 +5,7 @@
     ClearSuspects,
     CrashCommand,
     EndSuspectRun,
+    NoteSoundParts,
     RecordCrash,
 )
 from crowsill.transport.replica_messages import (
@@ -12,6 +13,7 @@
     CrashRequest,
     FinishSuspectRun,
     ReportCrash,
+    ReportSoundParts,
     StartSuspectRun,
 )
 
@@ -24,7 +26,9 @@
     """
     match request:
         case ReportCrash():
-            return RecordCrash(request.instance_id, request.requests, request.ago_s)
+            return RecordCrash(
+                request.instance_id, request.requests, request.ago_s, prompts=request.prompts
+            )
         case ClearRequests():
             return ClearSuspects(
                 request.fingerprints, "answered whole", completed_ago_s=request.completed_ago_s
@@ -33,3 +37,5 @@
             return BeginSuspectRun(request.run_id, request.request, request.instance_id)
         case FinishSuspectRun():
             return EndSuspectRun(request.run_id, request.is_interrupted)
+        case ReportSoundParts():
+            return NoteSoundParts(request.parts, request.ago_s)
--- a/src/crowsill/control/operations.py
+++ b/src/crowsill/control/operations.py
@@ -15,9 +15,11 @@
     ConfigurationContent,
 )
 from crowsill.model.fleet import FleetView
+from crowsill.model.prompt_parts import format_parts
 from crowsill.model.validation import ConfigurationFault, configuration_faults
 from crowsill.settings import Settings
 from crowsill.state.commands import (
+    LIFTED,
     Acknowledged,
     ChangeConfiguration,
     ClearSuspects,
@@ -108,6 +110,8 @@
         service: Its service.
         place: Its host and path.
         request_id: The caller's id of the request during which a replica crashed last.
+        prompts: Number of prompts with the quarantined parts that ran at the crashes; 0 if the
+            line is about a whole request. Then `fingerprint` has the digests of the parts.
     """
 
     fingerprint: str
@@ -118,13 +122,15 @@
     service: str
     place: str
     request_id: str
+    prompts: int = 0
 
 
 class LiftRequest(msgspec.Struct, frozen=True):
     """The body of `POST /v1/quarantine/lift`.
 
     Attributes:
-        fingerprint: The request that may be sent to replicas again, as hex.
+        fingerprint: The request, or the part of prompts, that may be sent to replicas again, as
+            hex.
     """
 
     fingerprint: str
@@ -208,7 +214,21 @@
         """Requests during which replicas crashed, as known here; quarantined ones first."""
         suspects = self._machine.crashes.suspects
         suspects.sort(key=lambda suspect: (not suspect.is_quarantined, suspect.last_crash_at_s))
-        return [
+        parts = [
+            QuarantineLine(
+                fingerprint=format_parts(item.parts),
+                held_back=True,
+                replicas=item.crashed_instances,
+                first_s=item.first_crash_at_s,
+                last_s=item.last_crash_at_s,
+                service="",
+                place="",
+                request_id=item.request_id,
+                prompts=item.prompts,
+            )
+            for item in self._machine.crashes.parts.quarantined
+        ]
+        return parts + [
             QuarantineLine(
                 fingerprint=suspect.request.fingerprint.hex(),
                 held_back=suspect.is_quarantined,
@@ -232,12 +252,12 @@
         return Success(replica_lines(self._machine.directory, entries, limits))
 
     async def lift(self, request: LiftRequest) -> Result[LiftResponse, Problem]:
-        """Clear the crashes recorded for one request, here or through the leader."""
+        """Clear the crashes recorded for a request or a part, here or through the leader."""
         try:
             fingerprint = bytes.fromhex(request.fingerprint)
         except ValueError:
             return Failure(Problem(ErrorKind.INVALID_REQUEST, "the fingerprint is not hex"))
-        reply = await self._query_leader(SubmitCommand(ClearSuspects([fingerprint], "lifted")))
+        reply = await self._query_leader(SubmitCommand(ClearSuspects([fingerprint], LIFTED)))
         if not isinstance(reply, Submitted) or not isinstance(reply.result, Acknowledged):
             detail = "no leader responded; it may or may not be lifted: send it again"
             return Failure(Problem(ErrorKind.NO_LEADER, detail))
--- a/src/crowsill/control/publisher.py
+++ b/src/crowsill/control/publisher.py
@@ -5,9 +5,16 @@
 from crowsill.control.subscribers import Subscribers
 from crowsill.events import Event
 from crowsill.logs import log_event
-from crowsill.metrics import DIRECTORY_VERSION, QUARANTINED, REVISION, ROUTES_VERSION
+from crowsill.metrics import (
+    DIRECTORY_VERSION,
+    QUARANTINED,
+    QUARANTINED_PARTS,
+    REVISION,
+    ROUTES_VERSION,
+)
 from crowsill.model.configuration import ConfigurationDelta
-from crowsill.model.suspects import CRASH_LIMIT, SuspectChange, fingerprint_list
+from crowsill.model.prompt_parts import format_parts
+from crowsill.model.suspects import CRASH_LIMIT, SuspectCrashes, fingerprint_list
 from crowsill.state.commands import (
     Acknowledged,
     ChangeConfiguration,
@@ -34,6 +41,7 @@
         self._subscribers = subscribers
         self._is_routes_push_scheduled = False
         self._suspects_version = 0
+        self._quarantined_parts: set[tuple[bytes, ...]] = set()
 
     def on_applied(self, command: Command, result: CommandResult) -> None:
         """Publish the effect of an applied command."""
@@ -102,12 +110,13 @@
     def _publish_suspects(self, command: Command) -> None:
         """Push to gateways the requests during which replicas crashed, if they have changed."""
         record = self._machine.crashes
-        change = record.last_change
-        if change is None or change.version <= self._suspects_version:
+        changes = [item for item in record.changes if item.version > self._suspects_version]
+        if not changes:
             return
-        self._suspects_version = change.version
+        self._suspects_version = changes[-1].version
         QUARANTINED.set(sum(suspect.is_quarantined for suspect in record.suspects))
-        cleared = [item.fingerprint.hex() for item in change.changed if not item.crashed_instances]
+        changed = [item for change in changes for item in change.changed]
+        cleared = [item.fingerprint.hex() for item in changed if not item.crashed_instances]
         if cleared:
             reason = command.reason if isinstance(command, ClearSuspects) else "explained by others"
             log_event(Event.SUSPECTS_CLEARED, requests=",".join(cleared), why=reason)
@@ -117,13 +126,34 @@
                 replica=command.instance_id,
                 requests=len(command.requests),
                 fingerprints=fingerprint_list(command.requests),
+                parts=",".join(format_parts(prompt.parts) for prompt in command.prompts),
+            )
+        self._log_quarantined(changed)
+        self._log_parts(command)
+        for change in changes:
+            self._subscribers.push_suspects(change)
+
+    def _log_parts(self, command: Command) -> None:
+        """Log the parts of prompts that have been put into quarantine, or are there no longer."""
+        known = {tuple(item.parts): item for item in self._machine.crashes.parts.quarantined}
+        QUARANTINED_PARTS.set(len(known))
+        for parts in self._quarantined_parts - set(known):
+            reason = command.reason if isinstance(command, ClearSuspects) else "sound or too old"
+            log_event(Event.SUSPECTS_CLEARED, parts=format_parts(list(parts)), why=reason)
+        for parts in set(known) - self._quarantined_parts:
+            item = known[parts]
+            log_event(
+                Event.PARTS_QUARANTINED,
+                parts=format_parts(item.parts),
+                replicas=",".join(item.crashed_instances),
+                prompts=item.prompts,
+                request=item.request_id,
             )
-        self._log_quarantined(change)
-        self._subscribers.push_suspects(change)
+        self._quarantined_parts = set(known)
 
-    def _log_quarantined(self, change: SuspectChange) -> None:
+    def _log_quarantined(self, changed: list[SuspectCrashes]) -> None:
         """Log each request that this crash has put into quarantine."""
-        for item in change.changed:
+        for item in changed:
             suspect = self._machine.crashes.find(item.fingerprint)
             if suspect is None or len(suspect.counted_crashes) != CRASH_LIMIT:
                 continue
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -27,7 +27,7 @@
 from crowsill.control.operations import OperatorService
 from crowsill.control.placers import LeadingMember, make_polled_placer, make_registered_placer
 from crowsill.control.publisher import ChangePublisher
-from crowsill.control.quarantine_expiry import expire_suspects
+from crowsill.control.quarantine_expiry import expire_suspects, review_parts
 from crowsill.control.quota_grants import QuotaGrants
 from crowsill.control.registrations import Registrations
 from crowsill.control.service import MemberService, member_addresses
@@ -281,6 +281,9 @@
             asyncio.create_task(
                 expire_suspects(self._machine.crashes, driver.submit, self._control.quarantine_s)
             ),
+            asyncio.create_task(
+                review_parts(self._machine.crashes, driver.submit, self._control.quarantine_s)
+            ),
         ]
         if self._control.seeds:
             self._announce_group(self._service, member_changes, driver)
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -53,6 +53,7 @@
     ReplicaGrantRequest,
     ReplicaLimitsNotice,
     ReportCrash,
+    ReportSoundParts,
     SeenInstances,
     StartSuspectRun,
     SuspectInstances,
@@ -292,7 +293,13 @@
             case ReplicaGrantRequest():
                 grants = self.reports.replica_grants
                 return await grants.handle(request, driver, self.leader_stream)
-            case ReportCrash() | ClearRequests() | StartSuspectRun() | FinishSuspectRun():
+            case (
+                ReportCrash()
+                | ClearRequests()
+                | StartSuspectRun()
+                | FinishSuspectRun()
+                | ReportSoundParts()
+            ):
                 return await self.crash_reports.handle(request, driver.machine)
             case _:
                 return await self._on_heartbeat(connection, request, driver)
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -236,4 +236,10 @@
         "This member received the rate limit that a replica advertises, or that it has none.",
     )
 
+    PARTS_QUARANTINED = EventDefinition(
+        514,
+        "ERROR",
+        "Too many replicas crashed under prompts with these parts; gateways reject such prompts.",
+    )
+
     CLAIM_ABANDONED = EventDefinition(600, "WARNING", "The outcome of a claimed request is lost.")
--- a/src/crowsill/gateway/crash_guard.py
+++ b/src/crowsill/gateway/crash_guard.py
@@ -7,6 +7,7 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
+from crowsill.gateway.part_guard import PartGuard
 from crowsill.model.suspects import (
     COMPLETION_VALIDITY_S,
     CRASH_LIMIT,
@@ -39,6 +40,7 @@
 
     Attributes:
         version: Version of the group's crash record that was adopted last.
+        parts: The same for parts of prompts.
 
     >>> guard = CrashGuard()
     >>> for instance_id, sent_at_s in (("a", 1), ("b", 2), ("c", 3)):
@@ -55,6 +57,7 @@
 
     def __init__(self) -> None:
         self.version = 0
+        self.parts = PartGuard()
         self._recorded: dict[bytes, set[str]] = {}
         self._own: OrderedDict[bytes, _OwnCrashes] = OrderedDict()
         self._succeeded_at_s: OrderedDict[bytes, float] = OrderedDict()
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -11,12 +11,15 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
+
 from crowsill.clock import monotonic_s
 from crowsill.events import Event
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.pool import ConnectError, ConnectionPool
 from crowsill.logs import log_event
 from crowsill.model.instances import Instance
+from crowsill.model.prompt_parts import InterruptedPrompt
 from crowsill.model.suspects import (
     SuspectChange,
     SuspectRequest,
@@ -24,7 +27,12 @@
     parts_list,
 )
 from crowsill.transport.messages import Body, Submitted
-from crowsill.transport.replica_messages import ClearRequests, FinishSuspectRun, ReportCrash
+from crowsill.transport.replica_messages import (
+    ClearRequests,
+    FinishSuspectRun,
+    ReportCrash,
+    ReportSoundParts,
+)
 
 # Delays before each check whether the replica's port is open. The close of one connection may be
 # received before that of the others: a lost packet is sent again after 0.2 s, and then 0.4 s later.
@@ -57,7 +65,7 @@
 # A draining replica finishes its requests for longer than this before its planned end.
 MIN_DRAIN_S = 1.0
 
-GroupRequest = ReportCrash | ClearRequests | FinishSuspectRun
+GroupRequest = ReportCrash | ClearRequests | FinishSuspectRun | ReportSoundParts
 
 
 class CrashWatch:
@@ -101,6 +109,7 @@
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._crashed: OrderedDict[str, None] = OrderedDict()
         self._cleared: set[bytes] = set()
+        self._sound_parts: set[bytes] = set()
         self._tasks: set[asyncio.Future[float | None]] = set()
 
     def note_broken_response(self, instance: Instance, request: SuspectRequest) -> None:
@@ -247,9 +256,15 @@
             interrupted=len(interrupted),
             parts=parts_list(interrupted),
         )
-        for start in range(0, len(requests), MAX_REQUESTS_PER_REPORT):
-            part = requests[start : start + MAX_REQUESTS_PER_REPORT]
-            self._start_task(self._report_crash(instance_id, part, crashed_at_s))
+        prompts = [request.prompt for request in interrupted if request.prompt is not None]
+        requests = [msgspec.structs.replace(request, prompt=None) for request in requests]
+        for start in range(0, max(len(requests), len(prompts)), MAX_REQUESTS_PER_REPORT):
+            end = start + MAX_REQUESTS_PER_REPORT
+            self._start_task(
+                self._report_crash(
+                    instance_id, requests[start:end], prompts[start:end], crashed_at_s
+                )
+            )
 
     def _select_suspects(self, requests: list[SuspectRequest]) -> list[SuspectRequest]:
         """Return the requests that are suspects, and report the others as successful.
@@ -267,11 +282,17 @@
         return suspects
 
     async def _report_crash(
-        self, instance_id: str, requests: list[SuspectRequest], crashed_at_s: float
+        self,
+        instance_id: str,
+        requests: list[SuspectRequest],
+        prompts: list[InterruptedPrompt],
+        crashed_at_s: float,
     ) -> None:
         for _ in range(1 + MAX_REPEATED_REPORTS):
             taken_s = await self._report(
-                lambda: ReportCrash(instance_id, requests, self._loop.time() - crashed_at_s)
+                lambda: ReportCrash(
+                    instance_id, requests, self._loop.time() - crashed_at_s, prompts
+                )
             )
             if taken_s is None or taken_s <= MAX_REPORT_DELAY_S:
                 break
@@ -300,11 +321,40 @@
         """Apply a change of the group's crash record; report suspects that succeeded recently."""
         self._guard.adopt(change, is_full)
         now_s = self._loop.time()
+        if change.parts is not None:
+            self._report_sound_soon(self._guard.parts.adopt(change.parts, now_s))
         for item in change.changed:
             if item.crashed_instances and self._guard.succeeded_recently(item.fingerprint, now_s):
                 self._guard.clear_suspect(item.fingerprint)
                 self._clear_soon(item.fingerprint)
 
+    def note_sound_prompt(self, parts: list[bytes], began_at_s: float) -> None:
+        """Note that a replica responded to a prompt and did not crash.
+
+        Args:
+            parts: Digests of the shared parts of the prompt.
+            began_at_s: Monotonic time at which the response began.
+        """
+        self._report_sound_soon(self._guard.parts.note_sound(parts, began_at_s, self._loop.time()))
+
+    def _report_sound_soon(self, parts: list[bytes]) -> None:
+        if parts and not self._sound_parts:
+            self._start_task(self._report_sound_parts())
+        self._sound_parts.update(parts)
+
+    async def _report_sound_parts(self) -> None:
+        await asyncio.sleep(CLEAR_BATCH_DELAY_S)
+        sound, self._sound_parts = sorted(self._sound_parts), set()
+        for start in range(0, len(sound), MAX_REQUESTS_PER_REPORT):
+            parts = sound[start : start + MAX_REQUESTS_PER_REPORT]
+            self._start_task(self._report(functools.partial(self._sound_message, parts)))
+
+    def _sound_message(self, parts: list[bytes]) -> ReportSoundParts:
+        now_s = self._loop.time()
+        return ReportSoundParts(
+            parts, [self._guard.parts.sound_for_s(part, now_s) for part in parts]
+        )
+
     def _clear_soon(self, fingerprint: bytes) -> None:
         if not self._cleared:
             self._start_task(self._report_cleared())
--- a/src/crowsill/gateway/fingerprint.py
+++ b/src/crowsill/gateway/fingerprint.py
@@ -66,6 +66,7 @@
             request: The request.
             tenant: As in `of`: no tenant can name a part of another one.
 
+        >>> from crowsill.gateway.request import PromptPart
         >>> parts = [PromptPart(b"a", 9), PromptPart(b"b", 9), PromptPart(b"own", 9)]
         >>> request = CallerRequest(b"POST", b"/a", [], b"x", True, 0.0, parts=parts)
         >>> made = Fingerprints(b"key")
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -11,7 +11,7 @@
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.suspect_runs import RunPermission
 from crowsill.model.instances import Instance
-from crowsill.model.prompt_parts import InterruptedPrompt
+from crowsill.model.prompt_parts import SOUND_AFTER_S, InterruptedPrompt, format_parts
 from crowsill.model.suspects import MAX_HOST_AND_PATH_LENGTH, SuspectRequest
 
 # A quarantine lasts an hour (`ControlSettings.quarantine_s`) or until an operator lifts it, so a
@@ -23,6 +23,7 @@
 # requests of many callers are small; large prompts differ.
 MAX_REMEMBERED_BODY_BYTES = 1024
 DUPLICATE_POLL_S = 0.05
+MIN_REDIRECT_STATUS = 300
 DUPLICATE_RETRY_S = 1.0
 NO_LEADER_RETRY_S = 0.5
 _DUPLICATE_RUNNING = Rejection(
@@ -52,6 +53,7 @@
         self._run_asked_at_s: float | None = None
         self._rejection: Rejection | None = None
         self._first_data_at_s: float | None = None
+        self._sound_timer: asyncio.TimerHandle | None = None
 
     @property
     def _fingerprint(self) -> bytes:
@@ -60,8 +62,13 @@
         return self._cached_fingerprint
 
     def quarantine_rejection(self) -> Rejection | None:
-        """Return a rejection if the request is quarantined, else None."""
+        """Return a rejection if the request, or a part of its prompt, is quarantined, else None."""
         guard = self._context.crash_guard
+        if guard.parts.has_quarantined:
+            parts = guard.parts.find_quarantined(self._log.shared_parts)
+            if parts:
+                detail = f"replicas crashed while running prompts with part {format_parts(parts)}"
+                return Rejection(ErrorKind.QUARANTINED, detail, QUARANTINE_RETRY_S)
         if not guard.has_suspects or not guard.is_quarantined(self._fingerprint):
             return None
         # By the fingerprint an operator finds the log lines of the crashes, and lifts the
@@ -143,6 +150,20 @@
     def note_first_data(self) -> None:
         """Note that the first byte of the current attempt's response arrived."""
         self._first_data_at_s = self._loop.time()
+        if self._log.shared_parts:
+            self._sound_timer = self._loop.call_later(SOUND_AFTER_S, self._note_sound)
+
+    def _note_sound(self) -> None:
+        """Note that the replica has survived the begin of its response to the prompt."""
+        if self._first_data_at_s is not None:
+            self._context.crash_watch.note_sound_prompt(
+                self._log.shared_parts, self._first_data_at_s
+            )
+
+    def _cancel_sound_timer(self) -> None:
+        if self._sound_timer is not None:
+            self._sound_timer.cancel()
+            self._sound_timer = None
 
     def note_attempt_end(self, instance: Instance, end: AttemptEnd, sent_at_s: float) -> None:
         """Report how an attempt ended.
@@ -153,17 +174,21 @@
             sent_at_s: Monotonic time at which the request was sent.
         """
         watch, guard = self._context.crash_watch, self._context.crash_guard
+        self._cancel_sound_timer()
         if end.is_broken:
             self._is_interrupted = True
             watch.note_broken_response(instance, self._suspect_request(sent_at_s))
             return
         succeeded = end.result is AttemptResult.COMPLETE and end.status < MIN_SERVER_ERROR_STATUS
+        if succeeded and end.status < MIN_REDIRECT_STATUS:
+            self._note_sound()
         is_small = len(self._request.body) <= MAX_REMEMBERED_BODY_BYTES
         if succeeded and (guard.has_suspects or is_small):
             watch.note_success(self._fingerprint)
 
     def note_abandoned(self, instance: Instance, sent_at_s: float) -> None:
         """Report an attempt whose caller disconnected, or whose deadline passed, before its end."""
+        self._cancel_sound_timer()
         self._is_interrupted = True
         self._context.crash_watch.note_abandoned(instance, self._suspect_request(sent_at_s))
 
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -111,6 +111,11 @@
     "Requests quarantined because replicas crashed while they ran them, as known to this member.",
     registry=REGISTRY,
 )
+QUARANTINED_PARTS = Gauge(
+    "crowsill_quarantined_prompt_parts",
+    "Parts of prompts quarantined because replicas crashed under them, as known to this member.",
+    registry=REGISTRY,
+)
 QUEUED = Gauge(
     "crowsill_queued_requests", "Requests that wait for a replica.", ["urgency"], registry=REGISTRY
 )
--- a/src/crowsill/model/prompt_parts.py
+++ b/src/crowsill/model/prompt_parts.py
@@ -45,3 +45,15 @@
     '01/02'
     """
     return "/".join(part.hex() for part in parts)
+
+
+class PartsState(msgspec.Struct, frozen=True, array_like=True):
+    """What gateways know about parts of prompts.
+
+    Attributes:
+        suspects: Parts that ran at several crashes; gateways report which of them are sound.
+        quarantined: Sets of parts; a prompt that contains all parts of a set is rejected.
+    """
+
+    suspects: list[bytes] = []
+    quarantined: list[list[bytes]] = []
--- a/src/crowsill/model/suspects.py
+++ b/src/crowsill/model/suspects.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from crowsill.model.prompt_parts import InterruptedPrompt, format_parts
+from crowsill.model.prompt_parts import InterruptedPrompt, PartsState, format_parts
 
 # A request is quarantined after this many replicas crashed while they ran it. One crash proves
 # nothing: up to a hundred other requests ran on the replica. Two crashes can coincide while another
@@ -130,7 +130,14 @@
 
 
 class SuspectChange(msgspec.Struct, frozen=True, array_like=True):
-    """What one version of the crash record changed."""
+    """What one version of the crash record changed.
+
+    Attributes:
+        version: Version of the record.
+        changed: Requests whose crashes changed.
+        parts: What is known about parts of prompts; None if that is unchanged.
+    """
 
     version: int
     changed: list[SuspectCrashes]
+    parts: PartsState | None = None
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -9,6 +9,7 @@
 
 from crowsill.model.configuration import ConfigurationChange
 from crowsill.model.instances import LoadedModel, LoadingModel, ReplicaHeartbeat
+from crowsill.model.prompt_parts import InterruptedPrompt
 from crowsill.model.suspects import SuspectRequest
 from crowsill.state.route_store import RouteDocument
 
@@ -211,12 +212,19 @@
         instance_id: The incarnation that crashed.
         requests: Requests that were running on the replica.
         ago_s: Time between the crash and the proposal of this command.
+        prompts: Prompts that were running on the replica, also those of requests that are no
+            suspects.
     """
 
     instance_id: str
     requests: list[SuspectRequest]
     ago_s: float
     at_s: float = 0.0
+    prompts: list[InterruptedPrompt] = []
+
+
+# Reason of a command by which an operator ends a quarantine.
+LIFTED = "lifted"
 
 
 class ClearSuspects(msgspec.Struct, frozen=True, array_like=True, tag="clear-suspects"):
@@ -234,6 +242,36 @@
     at_s: float = 0.0
     completed_ago_s: list[float] = []
 
+    @property
+    def is_lifted(self) -> bool:
+        """Whether an operator asked for it; then a fingerprint may also be a part's digest."""
+        return self.reason == LIFTED
+
+
+class NoteSoundParts(msgspec.Struct, frozen=True, array_like=True, tag="note-sound-parts"):
+    """Record that replicas responded to prompts with suspect parts and did not crash.
+
+    Attributes:
+        parts: The parts.
+        ago_s: Time between the begin of the last response to each part and the proposal of this
+            command, in the same order.
+    """
+
+    parts: list[bytes]
+    ago_s: list[float]
+    at_s: float = 0.0
+
+
+class ReviewParts(msgspec.Struct, frozen=True, array_like=True, tag="review-parts"):
+    """Quarantine the parts of prompts that explain enough crashes.
+
+    Attributes:
+        lifetime_s: Time in seconds after the last crash for which a quarantine lasts.
+    """
+
+    lifetime_s: float
+    at_s: float = 0.0
+
 
 class BeginSuspectRun(msgspec.Struct, frozen=True, array_like=True, tag="begin-suspect-run"):
     """Record that a suspect begins to run on a replica, unless another run excludes it.
@@ -263,7 +301,9 @@
     at_s: float = 0.0
 
 
-CrashCommand = RecordCrash | ClearSuspects | BeginSuspectRun | EndSuspectRun
+CrashCommand = (
+    RecordCrash | ClearSuspects | BeginSuspectRun | EndSuspectRun | NoteSoundParts | ReviewParts
+)
 # State that a leader records for its successors.
 LeaderRecord = RecordControlAddress | RecordMissingModels | RecordQuotaUse
 DirectoryCommand = RecordHeartbeat | DrainInstance | RemoveInstance | OfferModels
@@ -287,6 +327,8 @@
     | ClearSuspects
     | BeginSuspectRun
     | EndSuspectRun
+    | NoteSoundParts
+    | ReviewParts
 )
 
 
@@ -298,7 +340,7 @@
     """
     if isinstance(command, RecordHeartbeat):
         return not command.heartbeat.instance.accepts_work
-    return isinstance(command, RecordCrash | DrainInstance | RemoveInstance)
+    return isinstance(command, RecordCrash | ReviewParts | DrainInstance | RemoveInstance)
 
 
 class ConfigurationDecision(StrEnum):
--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -6,10 +6,11 @@
 """
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 import msgspec
 
+from crowsill.model.prompt_parts import InterruptedPrompt
 from crowsill.model.suspects import (
     COMPLETION_VALIDITY_S,
     CRASH_LIMIT,
@@ -20,6 +21,7 @@
     SuspectRequest,
     is_independent_crash,
 )
+from crowsill.state.part_crashes import PartCrashes, PartCrashesSnapshot
 
 # A suspect takes about 200 bytes in a snapshot. One crash produces up to 100 suspects, nearly all
 # of which are cleared within seconds.
@@ -33,6 +35,8 @@
 UNRELATED_RUN_TIME_RATIO = 4.0
 # Incarnations stored for each request; more provide no further evidence.
 MAX_RECORDED_CRASHES = 8
+# One command changes the record a few times at most.
+MAX_REMEMBERED_CHANGES = 64
 
 
 class CrashRecordSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -41,6 +45,7 @@
     version: int = 0
     suspects: list[Suspect] = []
     completed_at_s: list[tuple[bytes, float]] = []
+    parts: PartCrashesSnapshot = PartCrashesSnapshot()
 
 
 class CrashRecord:
@@ -48,7 +53,8 @@
 
     Attributes:
         version: Increases with every change.
-        last_change: The changes of the latest version, or None.
+        changes: The changes of the latest versions, oldest first.
+        parts: The same crashes by the parts of the prompts that ran at them.
 
     >>> record, request = CrashRecord(), SuspectRequest(b"f", "r1", "h/a", "s", ran_s=0.1)
     >>> [record.record(item, [request], at_s) is not None for item, at_s in (("a", 1), ("b", 2))]
@@ -61,11 +67,17 @@
 
     def __init__(self) -> None:
         self.version = 0
-        self.last_change: SuspectChange | None = None
+        self.changes: deque[SuspectChange] = deque(maxlen=MAX_REMEMBERED_CHANGES)
+        self.parts = PartCrashes()
         self._suspects: OrderedDict[bytes, Suspect] = OrderedDict()
         # Wall-clock time of the last completion of each request, as far as gateways reported it.
         self._completed_at_s: OrderedDict[bytes, float] = OrderedDict()
 
+    @property
+    def last_change(self) -> SuspectChange | None:
+        """The change of the latest version; None before the first one."""
+        return self.changes[-1] if self.changes else None
+
     @property
     def suspects(self) -> list[Suspect]:
         """All suspects."""
@@ -260,6 +272,36 @@
         known = [item for item in fingerprints if self._suspects.pop(item, None) is not None]
         return self._changed({item: [] for item in known})
 
+    def record_prompts(
+        self,
+        instance_id: str,
+        prompts: list[InterruptedPrompt],
+        crashed_at_s: float,
+        now_s: float,
+    ) -> SuspectChange | None:
+        """Record the prompts that ran on a replica when it crashed; see `PartCrashes.record`."""
+        has_changed = bool(prompts) and self.parts.record(instance_id, prompts, crashed_at_s, now_s)
+        return self._changed({}, has_changed)
+
+    def note_sound_parts(
+        self, parts: list[bytes], sound_at_s: list[float], now_s: float
+    ) -> SuspectChange | None:
+        """Record that replicas responded to prompts with parts; see `PartCrashes.note_sound`."""
+        return self._changed({}, self.parts.note_sound(parts, sound_at_s, now_s))
+
+    def review_parts(self, now_s: float, lifetime_s: float) -> SuspectChange | None:
+        """Quarantine parts; see `PartCrashes.review`."""
+        before = self.parts.state()
+        self.parts.review(now_s, lifetime_s)
+        return self._changed({}, self.parts.state() != before)
+
+    def lift_part(self, part: bytes, now_s: float) -> bool:
+        """End the quarantine of a part; return whether it was quarantined."""
+        before = self.parts.state()
+        is_known = self.parts.lift(part, now_s)
+        self._changed({}, self.parts.state() != before)
+        return is_known
+
     def inactive_since(self, since_at_s: float) -> list[bytes]:
         """Return the suspects without a counted crash since a wall-clock time."""
         return [
@@ -268,30 +310,37 @@
             if suspect.last_crash_at_s < since_at_s
         ]
 
-    def _changed(self, changed: dict[bytes, list[str]]) -> SuspectChange | None:
-        if not changed:
+    def _changed(
+        self, changed: dict[bytes, list[str]], have_parts_changed: bool = False
+    ) -> SuspectChange | None:
+        if not changed and not have_parts_changed:
             return None
         self.version += 1
         crashes = [
             SuspectCrashes(fingerprint, instance_ids)
             for fingerprint, instance_ids in changed.items()
         ]
-        self.last_change = SuspectChange(self.version, crashes)
-        return self.last_change
+        parts = self.parts.state() if have_parts_changed else None
+        change = SuspectChange(self.version, crashes, parts)
+        self.changes.append(change)
+        return change
 
     def full_change(self) -> SuspectChange:
         """Return the full record as one change."""
         crashes = [
             SuspectCrashes(key, item.counted_crashes) for key, item in self._suspects.items()
         ]
-        return SuspectChange(self.version, crashes)
+        return SuspectChange(self.version, crashes, self.parts.state())
 
     def dump(self) -> CrashRecordSnapshot:
         """Return the state for a snapshot."""
-        return CrashRecordSnapshot(self.version, self.suspects, list(self._completed_at_s.items()))
+        return CrashRecordSnapshot(
+            self.version, self.suspects, list(self._completed_at_s.items()), self.parts.dump()
+        )
 
     def load(self, snapshot: CrashRecordSnapshot) -> None:
         """Replace the state from a snapshot."""
         self.version = snapshot.version
         self._suspects = OrderedDict((item.request.fingerprint, item) for item in snapshot.suspects)
         self._completed_at_s = OrderedDict(snapshot.completed_at_s)
+        self.parts.load(snapshot.parts)
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -22,6 +22,7 @@
     DrainInstance,
     EndSuspectRun,
     LeaderRecord,
+    NoteSoundParts,
     OfferModels,
     OpenClaim,
     OrderPlaced,
@@ -34,6 +35,7 @@
     RecordQuotaUse,
     Registration,
     RemoveInstance,
+    ReviewParts,
     SettleClaim,
 )
 from crowsill.state.configuration_store import AcceptedChange, ConfigurationStore
@@ -126,6 +128,8 @@
                 return self._change_directory(command) is not None
             case RecordCrash() | ClearSuspects() | BeginSuspectRun() | EndSuspectRun():
                 return self._apply_crash(command)
+            case NoteSoundParts() | ReviewParts():
+                return self._apply_parts(command)
             case _:
                 return self._apply_leader_record(command)
 
@@ -160,7 +164,16 @@
             case OfferModels():
                 return self.directory.offer(command.instance_id, command.models, command.loading)
 
-    def _apply_crash(self, command: CrashCommand) -> bool:
+    def _apply_parts(self, command: NoteSoundParts | ReviewParts) -> bool:
+        """Apply a command about parts of prompts; return whether it changed anything."""
+        if isinstance(command, ReviewParts):
+            return self.crashes.review_parts(command.at_s, command.lifetime_s) is not None
+        sound_at_s = [command.at_s - ago_s for ago_s in command.ago_s]
+        return self.crashes.note_sound_parts(command.parts, sound_at_s, command.at_s) is not None
+
+    def _apply_crash(
+        self, command: RecordCrash | ClearSuspects | BeginSuspectRun | EndSuspectRun
+    ) -> bool:
         """Apply a command about suspect requests; return whether it changed anything."""
         match command:
             case BeginSuspectRun():
@@ -179,10 +192,20 @@
                 ):
                     self.crashes.note_completion(fingerprint, command.at_s - ago_s)
                 self.suspect_runs.end_requests(command.fingerprints)
-                return self.crashes.clear(command.fingerprints) is not None
+                are_lifted = [
+                    self.crashes.lift_part(item, command.at_s)
+                    for item in command.fingerprints
+                    if command.is_lifted
+                ]
+                return self.crashes.clear(command.fingerprints) is not None or any(are_lifted)
             case RecordCrash():
                 crashed_at_s = command.at_s - command.ago_s
-                return self._count_crash(command.instance_id, command.requests, crashed_at_s)
+                instance_id, prompts = command.instance_id, command.prompts
+                change = self.crashes.record_prompts(
+                    instance_id, prompts, crashed_at_s, command.at_s
+                )
+                is_counted = self._count_crash(instance_id, command.requests, crashed_at_s)
+                return is_counted or change is not None
 
     def _count_crash(
         self, instance_id: str, reported: list[SuspectRequest], crashed_at_s: float
@@ -221,7 +244,13 @@
             command: The command.
             now_s: Current wall-clock time.
         """
-        return not isinstance(command, BeginSuspectRun) or self._may_run(command, now_s)
+        match command:
+            case BeginSuspectRun():
+                return self._may_run(command, now_s)
+            case NoteSoundParts():
+                return self.crashes.parts.may_clear(command.parts)
+            case _:
+                return True
 
     def _may_run(self, command: BeginSuspectRun, now_s: float) -> bool:
         suspect = self.crashes.find(command.request.fingerprint)
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -34,6 +34,7 @@
     ReplicaGrantRequest,
     ReplicaLimitsNotice,
     ReportCrash,
+    ReportSoundParts,
     SeenInstances,
     StartSuspectRun,
     SuspectInstances,
@@ -321,6 +322,7 @@
     | FinishSuspectRun
     | ReplicaGrantRequest
     | ReplicaLimitsNotice
+    | ReportSoundParts
 )
 
 
--- a/src/crowsill/transport/replica_messages.py
+++ b/src/crowsill/transport/replica_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from crowsill.model.prompt_parts import InterruptedPrompt
 from crowsill.model.replica_limits import LimitReport
 from crowsill.model.suspects import SuspectChange, SuspectRequest
 
@@ -27,11 +28,14 @@
         instance_id: Id of the incarnation that crashed.
         requests: Requests of this gateway that were running there.
         ago_s: Seconds from the crash until this message was sent.
+        prompts: Prompts of this gateway that were running there, also those of requests that are
+            no suspects.
     """
 
     instance_id: str = msgspec.field(name="life")
     requests: list[SuspectRequest]
     ago_s: float
+    prompts: list[InterruptedPrompt] = []
 
 
 class ClearRequests(msgspec.Struct, frozen=True, tag="clear-requests"):
@@ -80,7 +84,22 @@
     is_interrupted: bool = False
 
 
-CrashRequest = ReportCrash | ClearRequests | StartSuspectRun | FinishSuspectRun
+class ReportSoundParts(msgspec.Struct, frozen=True, tag="report-sound-parts"):
+    """A gateway reports that replicas responded to prompts with suspect parts.
+
+    A follower forwards it to the leader.
+
+    Attributes:
+        parts: Digests of the parts.
+        ago_s: Seconds from the begin of the last response to each part until this message was
+            sent, in the same order.
+    """
+
+    parts: list[bytes]
+    ago_s: list[float]
+
+
+CrashRequest = ReportCrash | ClearRequests | StartSuspectRun | FinishSuspectRun | ReportSoundParts
 
 
 class ReplicaGrantRequest(msgspec.Struct, frozen=True, tag="replica-grant-request"):
