Crashes that a part of prompts explains do not count against requests without it

What callers saw: while a part crashed replicas, requests of many callers that share one body, and had not completed yet, were rejected for 300 s although they crashed nothing.

Cause: the crash record counts whole requests and parts side by side, and a crash under a known or likely part still counted against each whole request that ran there.

Change: a crash does not count against a request if quarantined parts, or a part that was at three crashes and rare there, explain it and the request lacks them; crashes that count already are taken back as soon as the part is known. A request that contains the part keeps its count.

--- a/src/crowsill/model/suspects.py
+++ b/src/crowsill/model/suspects.py
@@ -55,7 +55,7 @@
         service: Service of the request.
         ran_s: Time from when the request was sent to the crash.
         known_crashes: Crashes under this request that the gateway knew of when it sent it.
-        prompt: Its prompt, if that has shared parts; only on the way to the group.
+        prompt: Its prompt, if that has shared parts.
     """
 
     fingerprint: bytes
--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -7,6 +7,7 @@
 
 import math
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 
 import msgspec
 
@@ -88,7 +89,11 @@
         return self._suspects.get(fingerprint)
 
     def record(
-        self, instance_id: str, requests: list[SuspectRequest], crashed_at_s: float
+        self,
+        instance_id: str,
+        requests: list[SuspectRequest],
+        crashed_at_s: float,
+        prompts: Iterable[InterruptedPrompt] = (),
     ) -> SuspectChange | None:
         """Record that a replica crashed while it ran requests; return the change, or None.
 
@@ -96,10 +101,15 @@
             instance_id: The incarnation that crashed.
             requests: Requests that were running on it.
             crashed_at_s: Wall-clock time of the crash.
+            prompts: Prompts of these requests.
         """
+        prompt_of = {prompt.request_id: prompt for prompt in prompts}
+        causes = self.parts.likely_causes(instance_id)
         changed: dict[bytes, list[str]] = {}
         for reported in requests:
-            request = msgspec.structs.replace(reported, prompt=None)
+            request = msgspec.structs.replace(reported, prompt=prompt_of.get(reported.request_id))
+            if _is_explained(request, causes):
+                continue
             self._correct_time(instance_id, request.fingerprint, crashed_at_s)
             counted = self._count(instance_id, request, crashed_at_s)
             if counted is None:
@@ -110,6 +120,7 @@
         if any(len(crashed_instances) == CRASH_LIMIT for crashed_instances in changed.values()):
             changed.update(self._clear_explained())
             changed.update(self._excuse_long_running())
+        changed.update(self._excuse_explained_by_parts())
         while len(self._suspects) > MAX_SUSPECTS:
             changed[self._forget_one()] = []
         return self._changed(changed)
@@ -292,8 +303,42 @@
     def review_parts(self, now_s: float, lifetime_s: float) -> SuspectChange | None:
         """Quarantine parts; see `PartCrashes.review`."""
         before = self.parts.state()
-        self.parts.review(now_s, lifetime_s)
-        return self._changed({}, self.parts.state() != before)
+        added = self.parts.review(now_s, lifetime_s)
+        changed = self._excuse_explained_by_parts() if added else {}
+        return self._changed(changed, self.parts.state() != before)
+
+    def _excuse_explained_by_parts(self) -> dict[bytes, list[str]]:
+        """Remove crashes of quarantined requests that parts explain; return what is left of each.
+
+        Identical requests of many callers that have not completed yet are at the crashes that a
+        part causes, and have no part in common with it.
+        """
+        changed: dict[bytes, list[str]] = {}
+        for key, suspect in list(self._suspects.items()):
+            if not suspect.is_quarantined:
+                continue
+            left = [
+                index
+                for index, instance_id in enumerate(suspect.crashed_instances)
+                if not _is_explained(suspect.request, self.parts.likely_causes(instance_id))
+            ]
+            if len(left) == len(suspect.crashed_instances):
+                continue
+            changed[key] = self._keep_crashes(suspect, left)
+        return changed
+
+    def _keep_crashes(self, suspect: Suspect, left: list[int]) -> list[str]:
+        """Keep some crashes of a suspect, by index; return those that count against it."""
+        key = suspect.request.fingerprint
+        if not left:
+            del self._suspects[key]
+            return []
+        self._suspects[key] = msgspec.structs.replace(
+            suspect,
+            crashed_instances=[suspect.crashed_instances[index] for index in left],
+            ran_s=[suspect.ran_s[index] for index in left if index < len(suspect.ran_s)],
+        )
+        return self._suspects[key].counted_crashes
 
     def lift_part(self, part: bytes, now_s: float) -> bool:
         """End the quarantine of a part; return whether it was quarantined."""
@@ -344,3 +389,9 @@
         self._suspects = OrderedDict((item.request.fingerprint, item) for item in snapshot.suspects)
         self._completed_at_s = OrderedDict(snapshot.completed_at_s)
         self.parts.load(snapshot.parts)
+
+
+def _is_explained(request: SuspectRequest, causes: list[set[bytes]]) -> bool:
+    """Whether one of the likely causes of a crash is not part of a request's prompt."""
+    given = set() if request.prompt is None else set(request.prompt.parts)
+    return any(not given.issuperset(cause) for cause in causes)
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -1,11 +1,13 @@
 """The replicated state machine, which applies committed commands in order on every member."""
 
 import hashlib
+from collections.abc import Sequence
 
 import msgspec
 
 from crowsill.constants import CLAIM_RETENTION_S
 from crowsill.model.configuration import Configuration
+from crowsill.model.prompt_parts import InterruptedPrompt
 from crowsill.model.suspects import SuspectRequest
 from crowsill.state.claim_archive import ClaimBucket
 from crowsill.state.claims import Claim, ClaimTable
@@ -204,11 +206,15 @@
                 change = self.crashes.record_prompts(
                     instance_id, prompts, crashed_at_s, command.at_s
                 )
-                is_counted = self._count_crash(instance_id, command.requests, crashed_at_s)
+                is_counted = self._count_crash(instance_id, command.requests, crashed_at_s, prompts)
                 return is_counted or change is not None
 
     def _count_crash(
-        self, instance_id: str, reported: list[SuspectRequest], crashed_at_s: float
+        self,
+        instance_id: str,
+        reported: list[SuspectRequest],
+        crashed_at_s: float,
+        prompts: Sequence[InterruptedPrompt] = (),
     ) -> bool:
         """Count a crash against the requests that ran there; return whether anything changed.
 
@@ -216,11 +222,12 @@
             instance_id: The incarnation that crashed.
             reported: Requests that a gateway reported as running there.
             crashed_at_s: Wall-clock time of the crash.
+            prompts: Prompts of these requests.
         """
         self.suspect_runs.note_crash(
             instance_id, [request.fingerprint for request in reported], crashed_at_s
         )
-        return self.crashes.record(instance_id, reported, crashed_at_s) is not None
+        return self.crashes.record(instance_id, reported, crashed_at_s, prompts) is not None
 
     def _count_unreported(self, now_s: float) -> None:
         """Count the crashes under runs whose gateways did not report in time."""
--- a/src/crowsill/state/part_crashes.py
+++ b/src/crowsill/state/part_crashes.py
@@ -28,6 +28,10 @@
 # A part that causes crashes is there at no less than this share of the crashes in the same time.
 # Others are there by chance, and some of them more often than they get a response.
 MIN_SHARE_OF_CRASHES = 0.25
+# A part that was at this many crashes, and in few of the prompts there, explains them for requests
+# that do not contain it, before it is quarantined itself.
+MIN_EXPLAINED_CRASHES = 3
+MAX_PROMPTS_OF_CAUSE = 1.5
 # Bounds of the record. A prompt with three parts takes about 60 bytes in a snapshot.
 MAX_CRASHES = 48
 MAX_CRASH_TIMES = 256
@@ -355,6 +359,23 @@
                     return common
         return []
 
+    def likely_causes(self, instance_id: str) -> list[set[bytes]]:
+        """Return sets of parts each of which explains a crash for requests that lack it."""
+        causes = [
+            set(item.parts) for item in self._quarantined if instance_id in item.crashed_instances
+        ]
+        crash = self._crashes.get(instance_id)
+        if crash is None:
+            return causes
+        all_runs = self._runs()
+        present = {part for prompt in crash.prompts for part in prompt.parts}
+        return causes + [
+            {part}
+            for part in sorted(present & self._suspect_since_s.keys())
+            if len(_independent(all_runs[part])) >= MIN_EXPLAINED_CRASHES
+            and _prompts_per_crash(all_runs[part]) <= MAX_PROMPTS_OF_CAUSE
+        ]
+
     def needs_review(self, now_s: float, lifetime_s: float) -> bool:
         """Whether `review` may change anything, now or soon.
 
--- a/tests/test_crashes_by_part.py
+++ b/tests/test_crashes_by_part.py
@@ -11,7 +11,7 @@
 
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.model.prompt_parts import InterruptedPrompt, PartsState
-from crowsill.model.suspects import SuspectChange
+from crowsill.model.suspects import SuspectChange, SuspectRequest
 from crowsill.state.commands import ClearSuspects, NoteSoundParts, RecordCrash, ReviewParts
 from crowsill.state.machine import StateMachine
 from crowsill.state.part_crashes import MAX_CRASHES, MAX_SUSPECT_PARTS, PartCrashes
@@ -285,3 +285,50 @@
         changes[-1].version, [], PartsState([], [[BAD]])
     )
     assert versions == [0]
+
+
+def _requests(site, *prompts, fingerprint=b"common"):
+    return [SuspectRequest(fingerprint, item.request_id, "h/a", "s", 0.1) for item in prompts]
+
+
+def test_requests_of_many_callers_are_not_quarantined_for_crashes_under_a_part():
+    # Requests of one body never get a response, and run at each crash that the part causes.
+    site = Site()
+    for number in range(6):
+        bad, common = site.prompt(SYSTEM, BAD), site.prompt(SYSTEM)
+        site.now_s += 0.5
+        command = RecordCrash(
+            f"i{number}", _requests(site, common), 0.05, site.now_s, [bad, common]
+        )
+        site.machine.apply(command)
+        site.respond(SYSTEM)
+        site.quarantined(after_s=0.0)
+    assert [item.parts for item in site.parts.quarantined] == [[BAD]]
+    assert not any(item.is_quarantined for item in site.machine.crashes.suspects)
+
+
+def test_a_request_that_crashes_replicas_beside_a_part_is_quarantined_for_its_own_crashes():
+    site = Site()
+    for number in range(5):
+        bad, own = site.prompt(SYSTEM, BAD), site.prompt(SYSTEM, b"rare")
+        site.crash(bad)
+        site.now_s += 0.5
+        command = RecordCrash(f"own-{number}", _requests(site, own), 0.05, site.now_s, [own])
+        site.machine.apply(command)
+        site.respond(SYSTEM)
+        quarantined = [item for item in site.machine.crashes.suspects if item.is_quarantined]
+        assert bool(quarantined) == (number >= 2)
+
+
+def test_requests_of_many_callers_go_free_as_soon_as_a_part_explains_their_crashes():
+    # Two of their crashes are the part's, and the report of its prompt comes last.
+    site = Site()
+    bad = [site.prompt(SYSTEM, BAD) for _ in range(3)]
+    for number, prompt in enumerate(bad):
+        common = _requests(site, site.prompt())
+        instance_id = f"i{number}"
+        site.now_s += 0.5
+        site.machine.apply(RecordCrash(instance_id, common, 0.05, site.now_s, []))
+        site.machine.apply(RecordCrash(instance_id, [], 0.05, site.now_s, [prompt]))
+        site.respond(SYSTEM)
+    assert not any(item.is_quarantined for item in site.machine.crashes.suspects)
