Soak: one part of prompts crashes replicas

Once five crashes are 3 s ago, no gateway may forward it; sound requests that are rejected as quarantined were a violation already.

--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -119,6 +119,7 @@
     limits: bool = True,
     cuts: bool = True,
     silent_cuts: bool = False,
+    parts: bool = False,
     folder: Path = Path("soak-run"),
 ) -> None:
     """Run the real programs under external faults and check all guarantees, for each seed."""
@@ -141,6 +142,7 @@
             has_limits=limits,
             has_cuts=cuts,
             has_silent_cuts=silent_cuts,
+            has_parts=parts,
         )
         report = run_soak(plan)
         typer.echo(report.text())
--- a/src/crowsill_lab/soak/caller.py
+++ b/src/crowsill_lab/soak/caller.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from crowsill.gateway.headers import HeaderNames
+from crowsill_lab.soak.crashing_part import draw_parts
 from crowsill_lab.soak.ledger import Ledger, SentRequest
 from crowsill_lab.soak.link_ledger import CONTACT_S, FirstTry
 from crowsill_lab.soak.operator import HOST_NAME
@@ -41,8 +42,19 @@
     path: str,
     ledger: Ledger,
     key: CallerKey = STEADY_KEY,
+    *,
+    parts: Random | None = None,
 ) -> CallerResponse:
-    """Send one request with a forged tenant header and record its response."""
+    """Send one request with a forged tenant header and record its response.
+
+    Args:
+        session: Connection of the caller.
+        gateway: The gateway.
+        path: Path of the request.
+        ledger: Records the request and its response.
+        key: The caller's key.
+        parts: Draws the parts of the prompt; None for a request without a prompt.
+    """
     request_id = secrets.token_hex(8)
     if not path.startswith("/safe/"):
         ledger.at_most_once.add(request_id)
@@ -54,6 +66,8 @@
         NAMES.tenant.decode(): "claimed",
         "Authorization": f"Bearer {key.key}",
     }
+    if parts is not None:
+        headers[NAMES.prompt_parts.decode()] = draw_parts(parts, request_id)
     run = gateway.current_run()
     ledger.sent[request_id] = SentRequest(key, time.monotonic(), run)
     url = f"http://{gateway.host}:{gateway.caller_port}{path}"
@@ -77,7 +91,10 @@
 class SoakCaller:
     """One caller with one connection to one gateway."""
 
-    def __init__(self, gateway: Gateway, ledger: Ledger, random: Random) -> None:
+    def __init__(
+        self, gateway: Gateway, ledger: Ledger, random: Random, parts: Random | None = None
+    ) -> None:
+        self._parts = parts
         self._gateway = gateway
         self._ledger = ledger
         self._random = random
@@ -96,7 +113,9 @@
         interruptions = self._gateway.interruptions
         sent_at_s = time.monotonic()
         key = draw_key(self._random, self._ledger.acknowledged)
-        response = await send_request(session, self._gateway, path, self._ledger, key)
+        response = await send_request(
+            session, self._gateway, path, self._ledger, key, parts=self._parts
+        )
         if key == STEADY_KEY:
             is_in_touch = self._gateway.is_in_touch(sent_at_s - CONTACT_S)
             is_served = response.status == 200
--- a/src/crowsill_lab/soak/crashing_request.py
+++ b/src/crowsill_lab/soak/crashing_request.py
@@ -79,7 +79,7 @@
             )
 
 
-def must_be_quarantined(crashes_at_s: list[float], now_s: float) -> bool:
+def must_be_quarantined(crashes_at_s: list[float], now_s: float, limit: int = CRASH_LIMIT) -> bool:
     """Whether gateways must reject a request that crashed replicas at these times.
 
     Gateways may count simultaneous crashes once. More crashes than the limit are enough even if
@@ -96,4 +96,4 @@
     for crash_at_s in crashes_at_s:
         if crash_at_s - last_at_s >= SIMULTANEOUS_CRASH_WINDOW_S:
             distinct, last_at_s = distinct + 1, crash_at_s
-    return distinct >= CRASH_LIMIT or len(crashes_at_s) > CRASH_LIMIT
+    return distinct >= limit or len(crashes_at_s) > limit
--- a/src/crowsill_lab/soak/ledger.py
+++ b/src/crowsill_lab/soak/ledger.py
@@ -18,6 +18,8 @@
 
 # A request body with this prefix crashes every replica that reads it.
 CRASHING_BODY_PREFIX = b"crash-"
+# A part of a prompt with this prefix crashes every replica that reads the prompt.
+CRASHING_PART_PREFIX = "dead"
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -72,7 +74,8 @@
         acknowledged_at_s: Time of each acknowledgement, by version.
         sent: Requests by request id.
         limited_runs: Send and arrival time of each request of the limited tenant.
-        crashes: Crashes that each crashing request caused, by path and body.
+        crashes: Crashes that each crashing request caused, by path and body, or that each crashing
+            part of prompts caused, by `part` and the part.
         signals: Backoffs and drains that replicas requested in their responses.
         limits: Rate limits that replicas advertised in their responses.
         links: Gateways that were cut off from all replicas, and first tries of callers.
--- a/src/crowsill_lab/soak/replica.py
+++ b/src/crowsill_lab/soak/replica.py
@@ -12,7 +12,12 @@
 from crowsill.gateway.headers import HeaderNames
 from crowsill.model.instances import Instance, InstanceState, ReplicaHeartbeat, instance_id_of
 from crowsill_lab.soak.control_calls import put
-from crowsill_lab.soak.ledger import CRASHING_BODY_PREFIX, Crash, Ledger
+from crowsill_lab.soak.ledger import (
+    CRASHING_BODY_PREFIX,
+    CRASHING_PART_PREFIX,
+    Crash,
+    Ledger,
+)
 from crowsill_lab.soak.links import SoakLinks
 from crowsill_lab.soak.responses import (
     STREAM_PATH,
@@ -221,10 +226,11 @@
                 if head.startswith(f"GET {PROBE_PATH} "):
                     writer.write(PROBE_RESPONSE)
                     continue
-                if body.startswith(CRASHING_BODY_PREFIX):
+                cause = _crash_cause(head.split(" ")[1], headers, body)
+                if cause is not None:
                     # A draining replica only closes this connection and keeps running: no crash.
                     if self._state is InstanceState.READY:
-                        self._note_crash(head.split(" ")[1], body, writer)
+                        self._note_crash(cause, writer)
                         self._end_process()
                     restart = asyncio.create_task(self.crash_and_restart())
                     self._restarts.add(restart)
@@ -238,13 +244,13 @@
         self._links.forget(writer)
         writer.close()
 
-    def _note_crash(self, path: str, body: bytes, writer: asyncio.StreamWriter) -> None:
-        """Record that a request crashes this replica."""
+    def _note_crash(self, cause: tuple[str, bytes], writer: asyncio.StreamWriter) -> None:
+        """Record that a request, or a part of its prompt, crashes this replica."""
         sender = self._links.sender(writer)
         gateway = "" if sender is None else sender.name
         wall_time = datetime.now(UTC).strftime("%H:%M:%S.%f")[:-3]
         crash = Crash(time.monotonic(), self.instance_id, gateway, wall_time)
-        self._ledger.note_crash(path, body, crash)
+        self._ledger.note_crash(*cause, crash)
 
     async def _respond(
         self,
@@ -311,3 +317,14 @@
         if self._limit_per_s is not None:
             lines.append(f"{NAMES.limit[0].decode()}: {self._limit_per_s:g}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _crash_cause(path: str, headers: dict[str, str], body: bytes) -> tuple[str, bytes] | None:
+    """Return what crashes the replica that reads a request: path and body, or a part; or None."""
+    if body.startswith(CRASHING_BODY_PREFIX):
+        return path, body
+    for entry in headers.get(NAMES.prompt_parts.decode(), "").split(","):
+        part = entry.partition(":")[0]
+        if part.startswith(CRASHING_PART_PREFIX):
+            return "part", part.encode()
+    return None
--- a/src/crowsill_lab/soak/runner.py
+++ b/src/crowsill_lab/soak/runner.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from crowsill_lab.soak.caller import SoakCaller, SoakStreamCaller, send_request
+from crowsill_lab.soak.crashing_part import CrashingPart
 from crowsill_lab.soak.crashing_request import CrashingRequest
 from crowsill_lab.soak.faults import FaultInjector
 from crowsill_lab.soak.ledger import Ledger
@@ -49,6 +50,7 @@
         has_limits: Whether replicas also advertise rate limits in their responses.
         has_cuts: Whether gateways also lose their links to all replicas.
         has_silent_cuts: Whether such links may also accept connections and stay silent.
+        has_parts: Whether requests have prompts, and one part of prompts crashes replicas.
     """
 
     seed: int
@@ -61,6 +63,7 @@
     has_limits: bool = False
     has_cuts: bool = False
     has_silent_cuts: bool = False
+    has_parts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +112,7 @@
         self._links = SoakLinks(self._site.gateways)
         self._replicas: list[SoakReplica] = []
         self._watchers: list[VersionWatcher] = []
-        self._crashing_requests: list[CrashingRequest] = []
+        self._crashing_requests: list[CrashingRequest | CrashingPart] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._continuing: list[asyncio.Task[None]] = []
         self._injected: list[str] = []
@@ -117,6 +120,7 @@
         # Separate seeds keep the other faults of a seed unchanged.
         self._limit_random = Random(f"limits of {plan.seed}")
         self._cut_random = Random(f"cuts of {plan.seed}")
+        self._part_random = Random(f"parts of {plan.seed}")
 
     async def run(self) -> SoakReport:
         """Run the soak, then terminate all processes."""
@@ -132,6 +136,10 @@
                 await replica.stop()
             self._site.stop()
 
+    def _prompt_random(self) -> Random | None:
+        """Return what draws the prompts of one caller; None if its requests have none."""
+        return Random(self._part_random.getrandbits(64)) if self._plan.has_parts else None
+
     def _new_random(self) -> Random:
         """Return a new random source, so that draws of one task do not change those of another."""
         return Random(self._random.getrandbits(64))
@@ -158,8 +166,11 @@
             crash_task = asyncio.create_task(request.run())
             signal_task = asyncio.create_task(self._inject_signals(signals, faults))
             self._tasks += [crash_task, signal_task]
+            part_task = asyncio.create_task(self._send_crashing_part())
+            self._tasks.append(part_task)
             await faults.burst(BURST_S)
             crash_task.cancel()
+            part_task.cancel()
             signal_task.cancel()
             await self._wait_until_recovered(f"after {len(faults.injected)} faults", MAX_RECOVERY_S)
         await self._end_continuing_faults()
@@ -181,6 +192,13 @@
             ],
         )
 
+    async def _send_crashing_part(self) -> None:
+        """Send prompts with a part that crashes replicas until cancelled, if the plan has parts."""
+        if self._plan.has_parts:
+            part = CrashingPart(self._site.gateways, self._ledger, self._part_random)
+            self._crashing_requests.append(part)
+            await part.run()
+
     async def _inject_signals(self, random: Random, faults: FaultInjector) -> None:
         """Make replicas shed and drain by responses until cancelled, if the plan has signals."""
         if self._plan.has_signals:
@@ -203,7 +221,7 @@
 
     def _start_traffic(self, operator: Operator) -> None:
         callers = [
-            SoakCaller(gateway, self._ledger, self._new_random())
+            SoakCaller(gateway, self._ledger, self._new_random(), self._prompt_random())
             for gateway in self._site.gateways
             for _ in range(CALLERS)
         ]
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -37,6 +37,8 @@
 SILENT_CUTS_SEED = 2006
 # With this seed a replica that drains crashes between two pieces of responses without a length.
 STREAMS_SEED = 1804
+# With this seed one part of prompts crashes replicas beside a request that does, too.
+PARTS_SEED = 2101
 
 
 def test_every_guarantee_holds_under_overlapping_faults(tmp_path):
@@ -71,6 +73,12 @@
     assert "cut" in {fault.partition(" ")[0] for fault in report.faults}
 
 
+def test_a_part_that_crashes_replicas_is_quarantined_under_overlapping_faults(tmp_path):
+    plan = SoakPlan(PARTS_SEED, SECONDS, members=3, gateways=3, folder=tmp_path, has_parts=True)
+    report = run_soak(plan)
+    assert report.violations == [], report.text()
+
+
 def test_callers_of_gateways_with_silent_links_are_served_under_overlapping_faults(tmp_path):
     plan = SoakPlan(
         SILENT_CUTS_SEED,
