A crowded gateway closes new connections unread rather than answer all too late

What callers saw: where most new connections come to one gateway, none of the requests that it read got a response in time, though the other gateways had room for all.

Cause: the gateway accepted up to 1,024 connections in one pass of its event loop and read every request. Beyond its capacity each pass took longer, and all of its work was done too late.

Change: while the event loop lags by more than 0.1 s for three checks in a row, a share of the new connections is closed before anything is read of them, up to 95 in 100; the share falls again as the lag does. Callers know that nothing ran, and try another gateway at once. The gateway stays ready: were it out, the next one would get them all.

Why it works: the lag is what makes responses late, so it is held near the bound whatever a request costs. One long lag (a paused process) closes nothing.

--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -119,6 +119,12 @@
         222, "INFO", "This gateway has checked whether it reaches a replica; the line says why."
     )
 
+    CONNECTIONS_REFUSED = EventDefinition(
+        223,
+        "WARNING",
+        "This gateway began or ceased to close new connections unread: its event loop lags.",
+    )
+
     ROLE_CHANGED = EventDefinition(300, "INFO", "This control member changed its role.")
     LOG_TAIL_CUT = EventDefinition(
         301, "WARNING", "An incomplete, unsynced record at the end of the log was truncated."
--- /dev/null
+++ b/src/crowsill/gateway/connection_admission.py
@@ -0,0 +1,66 @@
+"""Decides which new connections a gateway accepts while it gets more than it can serve. Pure.
+
+A gateway that reads more requests than it can answer in time does all of its work too late. One
+that closes new connections before it reads a request costs their callers only a round trip: they
+know that nothing ran, and most other gateways have room.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+# Up to this lag of the event loop, responses are late by some tenths of a second at most: a request
+# takes several passes of the loop.
+MAX_LAG_S = 0.1
+# One lag says little: the process may have been paused. While the lag lasts, the share of closed
+# connections rises to its limit within about a second.
+MIN_LAGGING_CHECKS = 3
+CHECK_INTERVAL_S = 0.05
+SHARE_STEP = 0.08
+MAX_STEPS_PER_CHECK = 4.0
+# Some connections are accepted all the same, so that the gateway notices when it has room again.
+MAX_CLOSED_SHARE = 0.95
+SHARE_DECAY = 0.04
+
+
+@dataclass(slots=True)
+class ConnectionAdmission:
+    """The share of new connections that are closed unread, controlled by the event loop's lag.
+
+    Attributes:
+        closed_share: Share of new connections that are closed.
+
+    >>> admission = ConnectionAdmission()
+    >>> admission.note_lag(2.0), admission.note_lag(0.0), admission.closed_share
+    (None, None, 0.0)
+    >>> for _ in range(6):
+    ...     admission.note_lag(0.4)
+    >>> admission.closed_share > 0.9
+    True
+    >>> for _ in range(30):
+    ...     admission.note_lag(0.0)
+    >>> admission.closed_share
+    0.0
+    """
+
+    closed_share: float = 0.0
+    _lagging_checks: int = 0
+
+    def note_lag(self, lag_s: float) -> None:
+        """Adjust the share to the lag of the event loop, measured every `CHECK_INTERVAL_S`.
+
+        Args:
+            lag_s: How late a timer ran, in seconds.
+        """
+        if lag_s <= MAX_LAG_S:
+            self._lagging_checks = 0
+            self.closed_share = max(0.0, self.closed_share - SHARE_DECAY)
+            return
+        self._lagging_checks += 1
+        if self._lagging_checks < MIN_LAGGING_CHECKS and self.closed_share <= 0.0:
+            return
+        steps = min(lag_s / MAX_LAG_S, MAX_STEPS_PER_CHECK)
+        self.closed_share = min(MAX_CLOSED_SHARE, self.closed_share + SHARE_STEP * steps)
+
+    def accepts(self, random: Random) -> bool:
+        """Whether to accept a new connection."""
+        return self.closed_share <= 0.0 or random.random() >= self.closed_share
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -9,6 +9,7 @@
 
 from crowsill.clock import monotonic_s
 from crowsill.events import Event
+from crowsill.gateway.caller_listener import CallerListener
 from crowsill.gateway.caller_protocol import CallerConnection
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.crash_watch import CrashWatch
@@ -43,11 +44,8 @@
 from crowsill.state.route_store import RouteDocument
 from crowsill.tenancy.identity import is_key_proof_fresh
 from crowsill.transport.replica_messages import ReplicaLimitsNotice
-from crowsill.transport.sockets import set_peer_timeout
 from crowsill.transport.stream import LocalIdentity
 
-BACKLOG = 1024
-CALLER_SILENCE_TIMEOUT_S = 4.0
 STOP_POLL_S = 0.05
 # How long before the end of the grace period the process stops by itself.
 STOP_MARGIN_S = 0.5
@@ -100,7 +98,7 @@
         self._running = RunningExchanges()
         self._key = key
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._listener = CallerListener(self.random)
         self._ready_server: ReadyServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
         identity = f"{settings.node}.{secrets.token_hex(4)}"
@@ -127,7 +125,6 @@
 
     async def start(self) -> None:
         """Open the listeners and start to follow the control group."""
-        loop = asyncio.get_running_loop()
         self.pool = ConnectionPool(self.names)
         self.peers = Peers(self.names, self._key, self.zone, self.random)
         self._links = LinkState(self.registry, self.pool.has_idle)
@@ -155,10 +152,7 @@
         self.suspect_runs = SuspectRunClient(
             self._follower.query, self._follower.is_connected, self.crash_watch
         )
-        listen = self._settings.callers
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self), listen.host, listen.port, backlog=BACKLOG
-        )
+        await self._listener.start(self._settings.callers, lambda: CallerConnection(self))
         if self._settings.peers is not None:
             await self.peers.listen(self, self._settings.peers)
         self._ready_server = ReadyServer(self._settings.ready, self.is_ready)
@@ -168,13 +162,12 @@
             asyncio.create_task(self.pool.sweep()),
             asyncio.create_task(self.peers.pool.sweep()),
             asyncio.create_task(self.demand.repeat_reports()),
+            asyncio.create_task(self._listener.check_lag()),
         ]
 
     def port(self) -> int:
         """Return the port on which callers are served."""
-        assert self._server is not None
-        bound: int = self._server.sockets[0].getsockname()[1]
-        return bound
+        return self._listener.port()
 
     def use_seeds(self, settings: GatewaySettings) -> None:
         """Apply changed control seeds."""
@@ -323,9 +316,8 @@
             # response.
             connection.abort()
             return
-        self._running.add_connection(connection)
-        if connection.transport is not None:
-            set_peer_timeout(connection.transport, CALLER_SILENCE_TIMEOUT_S)
+        if self._listener.admit(connection):
+            self._running.add_connection(connection)
 
     def on_disconnected(self, connection: CallerConnection) -> None:
         """Cancel the exchange of a caller that disconnected."""
@@ -369,8 +361,7 @@
             self._settings.readiness_lag_s, self._settings.grace_s / 2
         )
         await self._wait_until(lambda: False, accept_end_at_s)
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         self.peers.close()
         while loop.time() < end_at_s:
             self._running.close_idle()
@@ -402,8 +393,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.crash_watch.stop()
         await self.replica_watch.stop()
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         self.peers.close()
         self._running.abort_all()
         if self._ready_server is not None:
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -111,6 +111,11 @@
     "Requests quarantined because replicas crashed while they ran them, as known to this member.",
     registry=REGISTRY,
 )
+CLOSED_UNREAD = Counter(
+    "crowsill_gateway_connections_closed_unread",
+    "New connections of callers closed unread, because the event loop lagged.",
+    registry=REGISTRY,
+)
 QUARANTINED_PARTS = Gauge(
     "crowsill_quarantined_prompt_parts",
     "Parts of prompts quarantined because replicas crashed under them, as known to this member.",
