Links of partitioned test sites keep their ports while they refuse connections

Cause: a link that refuses connections closes its listener. `free_ports` keeps the last 400 ports from other processes, and the site has 768 links, so that another run could listen there and its replicas got this run's requests; both runs use the same request ids. Evidence: the new test, in which the port of such a link could be bound by others after 400 further ports.

Change: each link holds its port itself. The checks are as they were.

Measured: the new test failed before in both cases, and passes.

--- a/tests/partitioned_site.py
+++ b/tests/partitioned_site.py
@@ -50,7 +50,12 @@
 
     def __init__(self, target_port):
         self._target_port = target_port
-        (self.port,) = free_ports(1)
+        # Keeps the port while nothing listens: another process could take it, and would be sent
+        # what is meant for this replica.
+        self._reserved = socket.socket()
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind((LOCAL, 0))
+        self.port = self._reserved.getsockname()[1]
         self._listener = None
         self._accepting = None
         self._queued = []
@@ -140,6 +145,7 @@
 
     def stop(self):
         self._stop_listening()
+        self._reserved.close()
         for task in self._tasks:
             task.cancel()
 
--- a/tests/test_partitioned_gateways.py
+++ b/tests/test_partitioned_gateways.py
@@ -1,11 +1,13 @@
 """Gateways that reach no replica while callers, the control group and other gateways reach them."""
 
 import asyncio
+import socket
 
 import msgspec
 import pytest
 
 from crowsill.model.instances import Instance
+from crowsill_lab.demo.processes import MAX_HELD_PORTS, free_ports
 from tests.control_group import until
 from tests.gateway_world import LOCAL, never_respond, respond_ok, routes, world
 from tests.partitioned_site import FailingLink, PartitionedSite, served_share
@@ -95,3 +97,23 @@
             assert record.availability.is_unreachable
 
     run(scenario())
+
+
+@pytest.mark.parametrize("how", ["reset", "no_new"])
+def test_a_link_that_refuses_connections_leaves_its_port_to_no_other_process(how):
+    # Two runs at the same time sent requests to each other's replicas, which then ran them twice.
+    async def scenario():
+        link = FailingLink(1)
+        # As many links as a large site has.
+        free_ports(MAX_HELD_PORTS)
+        link.fail(how)
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind((LOCAL, link.port))
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(LOCAL, link.port)
+        link.restore()
+        _, writer = await asyncio.open_connection(LOCAL, link.port)
+        writer.close()
+        link.stop()
+
+    asyncio.run(scenario())
