The search for the parts that cause crashes has a module of its own, and runs after changes only

What is pure search over recorded crashes is in state/part_causes.py now. The leader searched five times a second; with a full record (48 crashes of 64 prompts, none known to be sound) that took 29 ms each. The result is kept until the record changes.

--- a/src/crowsill/state/part_crashes.py
+++ b/src/crowsill/state/part_crashes.py
@@ -9,29 +9,24 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 import msgspec
 
 from crowsill.model.prompt_parts import InterruptedPrompt, PartsState
-from crowsill.model.suspects import SIMULTANEOUS_CRASH_WINDOW_S, is_independent_crash
+from crowsill.state.part_causes import (
+    CrashedPrompts,
+    contains_all,
+    contains_any,
+    find_cause,
+    independent_crashes,
+    likely_causes,
+    runs_by_part,
+)
 
-# A part is quarantined after this many crashes without a response in between.
-PART_CRASH_LIMIT = 5
 # Gateways report which parts are sound from this many crashes on.
 SUSPECT_CRASHES = 2
 # Gateways have this time to report that a suspect part is sound before it is quarantined.
 MIN_SUSPECT_S = 0.5
-# A crash is not evidence against a part if another suspect was in at most this share as many of the
-# prompts that ran at crashes.
-RARER_SHARE = 0.5
-# A part that causes crashes is there at no less than this share of the crashes in the same time.
-# Others are there by chance, and some of them more often than they get a response.
-MIN_SHARE_OF_CRASHES = 0.25
-# A part that was at this many crashes, and in few of the prompts there, explains them for requests
-# that do not contain it, before it is quarantined itself.
-MIN_EXPLAINED_CRASHES = 3
-MAX_PROMPTS_OF_CAUSE = 1.5
 # Bounds of the record. A prompt with three parts takes about 60 bytes in a snapshot.
 MAX_CRASHES = 48
 MAX_CRASH_TIMES = 256
@@ -44,22 +39,6 @@
 MAX_CLOCK_STEP_S = 60.0
 
 
-class CrashedPrompts(msgspec.Struct, frozen=True, array_like=True):
-    """The prompts that ran on a replica when it crashed, with the parts not known to be sound.
-
-    Attributes:
-        instance_id: The incarnation that crashed.
-        crashed_at_s: Time of the crash, by the record's clock.
-        wall_at_s: Wall-clock time of the crash.
-        prompts: The prompts.
-    """
-
-    instance_id: str
-    crashed_at_s: float
-    wall_at_s: float
-    prompts: list[InterruptedPrompt]
-
-
 class QuarantinedParts(msgspec.Struct, frozen=True, array_like=True):
     """Parts that no gateway sends to a replica in one prompt.
 
@@ -95,25 +74,6 @@
     crash_times_s: list[tuple[str, float]] = []
 
 
-@dataclass(slots=True)
-class _Runs:
-    """The prompts with one part that ran on a replica when it crashed.
-
-    Attributes:
-        crashed_at_s: Time of the crash, by the record's clock.
-        sent_at_s: Time at which the last of them was sent.
-        request_ids: Their requests.
-    """
-
-    crashed_at_s: float
-    sent_at_s: float = float("-inf")
-    request_ids: set[str] = field(default_factory=set)
-
-
-# Runs by part and by the incarnation that crashed.
-_RunsByPart = dict[bytes, dict[str, _Runs]]
-
-
 class PartCrashes:
     """Crashes, sound parts and quarantined parts.
 
@@ -138,6 +98,8 @@
         self._sound_at_s: OrderedDict[bytes, float] = OrderedDict()
         self._suspect_since_s: dict[bytes, float] = {}
         self._quarantined: list[QuarantinedParts] = []
+        # None after a change.
+        self._cause: list[bytes] | None = None
 
     @property
     def quarantined(self) -> list[QuarantinedParts]:
@@ -288,22 +250,11 @@
         known = {*state.suspects, *(part for item in state.quarantined for part in item)}
         return not known.isdisjoint(parts)
 
-    def _runs(self) -> _RunsByPart:
-        """Return what ran at the recorded crashes, by part."""
-        found: _RunsByPart = {}
-        for crash in self._crashes.values():
-            for prompt in crash.prompts:
-                for part in prompt.parts:
-                    runs = found.setdefault(part, {}).setdefault(
-                        crash.instance_id, _Runs(crash.crashed_at_s)
-                    )
-                    runs.sent_at_s = max(runs.sent_at_s, crash.crashed_at_s - prompt.ran_s)
-                    runs.request_ids.add(prompt.request_id)
-        return found
-
     def _update_suspects(self, clock_s: float) -> None:
-        """Update which parts are suspects, and since when."""
-        crashes = {part: len(_independent(runs)) for part, runs in self._runs().items()}
+        """Update which parts are suspects, and since when, after any change."""
+        self._cause = None
+        all_runs = runs_by_part(self._crashes.values())
+        crashes = {part: len(independent_crashes(runs)) for part, runs in all_runs.items()}
         repeated = sorted(
             (part for part, number in crashes.items() if number >= SUSPECT_CRASHES),
             key=lambda part: (-crashes[part], part),
@@ -313,42 +264,19 @@
         }
 
     def _find_cause(self) -> list[bytes]:
-        """Return the parts that best explain their crashes; empty if none has enough crashes."""
-        if len(self._crashes) < PART_CRASH_LIMIT:
-            return []
-        all_runs = self._runs()
-        suspects = {part: all_runs[part] for part in self._suspect_since_s if part in all_runs}
-        frequency = {part: _prompts_per_crash(runs) for part, runs in suspects.items()}
-        causes = [
-            part
-            for part, runs in suspects.items()
-            if len(self._unexplained(part, runs, frequency)) >= PART_CRASH_LIMIT
+        if self._cause is None:
+            self._cause = find_cause(
+                self._crashes, self._suspect_since_s, self._crash_times_s.values()
+            )
+        return self._cause
+
+    def likely_causes(self, instance_id: str) -> list[set[bytes]]:
+        """Return sets of parts each of which explains a crash for requests that lack it."""
+        known = [
+            set(item.parts) for item in self._quarantined if instance_id in item.crashed_instances
         ]
-        if not causes:
-            return []
-        cause = min(causes, key=lambda part: (frequency[part], -len(suspects[part]), part))
-        places = _places(suspects[cause])
-        return sorted(part for part, runs in suspects.items() if _places(runs) == places)
-
-    def _unexplained(
-        self, part: bytes, runs: dict[str, _Runs], frequency: dict[bytes, float]
-    ) -> list[str]:
-        """Return the independent crashes of a part at which no much rarer suspect was running."""
-        counted = _independent(runs)
-        if len(counted) < PART_CRASH_LIMIT or not self._is_at_enough_crashes(runs, counted):
-            return []
-        limit = frequency[part] * RARER_SHARE
-        rarer = {other for other, prompts in frequency.items() if prompts <= limit}
-        return [item for item in counted if not _contains_any(self._crashes[item], rarer)]
-
-    def _is_at_enough_crashes(self, runs: dict[str, _Runs], counted: list[str]) -> bool:
-        """Whether a part is there at a large share of the crashes since its first one."""
-        first_s, last_s = runs[counted[0]].crashed_at_s, runs[counted[-1]].crashed_at_s
-        crashes, previous_s = 0, float("-inf")
-        for at_s in sorted(self._crash_times_s.values()):
-            if first_s <= at_s <= last_s and at_s - previous_s >= SIMULTANEOUS_CRASH_WINDOW_S:
-                crashes, previous_s = crashes + 1, at_s
-        return len(counted) >= MIN_SHARE_OF_CRASHES * crashes
+        likely = likely_causes(self._crashes, self._suspect_since_s, instance_id)
+        return known + [{part} for part in likely]
 
     def _narrower(self, item: QuarantinedParts) -> list[bytes]:
         """Return which of several quarantined parts crashed a replica without the others."""
@@ -359,23 +287,6 @@
                     return common
         return []
 
-    def likely_causes(self, instance_id: str) -> list[set[bytes]]:
-        """Return sets of parts each of which explains a crash for requests that lack it."""
-        causes = [
-            set(item.parts) for item in self._quarantined if instance_id in item.crashed_instances
-        ]
-        crash = self._crashes.get(instance_id)
-        if crash is None:
-            return causes
-        all_runs = self._runs()
-        present = {part for prompt in crash.prompts for part in prompt.parts}
-        return causes + [
-            {part}
-            for part in sorted(present & self._suspect_since_s.keys())
-            if len(_independent(all_runs[part])) >= MIN_EXPLAINED_CRASHES
-            and _prompts_per_crash(all_runs[part]) <= MAX_PROMPTS_OF_CAUSE
-        ]
-
     def needs_review(self, now_s: float, lifetime_s: float) -> bool:
         """Whether `review` may change anything, now or soon.
 
@@ -400,6 +311,7 @@
         clock_s = self._advance(now_s)
         self._expire(now_s, lifetime_s)
         self._narrow(clock_s)
+        self._update_suspects(clock_s)
         added: list[QuarantinedParts] = []
         while parts := self._find_cause():
             if any(clock_s - self._suspect_since_s[part] < MIN_SUSPECT_S for part in parts):
@@ -423,14 +335,14 @@
             crashed_at_s = [
                 crash.crashed_at_s
                 for crash in self._crashes.values()
-                if _contains_any(crash, set(parts))
+                if contains_any(crash, set(parts))
             ]
             if parts and clock_s - min(crashed_at_s) >= MIN_SUSPECT_S:
                 self._quarantined[index] = msgspec.structs.replace(item, parts=parts)
 
     def _quarantine(self, parts: list[bytes]) -> QuarantinedParts:
         """Quarantine parts, and remove the crashes that they explain."""
-        explained = [crash for crash in self._crashes.values() if _contains_all(crash, parts)]
+        explained = [crash for crash in self._crashes.values() if contains_all(crash, parts)]
         request_ids = [
             prompt.request_id
             for crash in explained
@@ -482,38 +394,10 @@
         self._sound_at_s = OrderedDict(snapshot.sound_at_s)
         self._suspect_since_s = dict(snapshot.suspect_since_s)
         self._quarantined = list(snapshot.quarantined)
+        self._cause = None
         self._crash_times_s = OrderedDict(snapshot.crash_times_s)
 
 
-def _independent(runs: dict[str, _Runs]) -> list[str]:
-    """Return the incarnations whose crashes count against a part, by time."""
-    counted: list[str] = []
-    for instance_id, run in sorted(runs.items(), key=lambda item: item[1].crashed_at_s):
-        if counted and not is_independent_crash(
-            runs[counted[-1]].crashed_at_s, run.sent_at_s, run.crashed_at_s
-        ):
-            continue
-        counted.append(instance_id)
-    return counted
-
-
-def _prompts_per_crash(runs: dict[str, _Runs]) -> float:
-    return sum(len(run.request_ids) for run in runs.values()) / len(runs)
-
-
-def _places(runs: dict[str, _Runs]) -> dict[str, set[str]]:
-    """Return the requests by incarnation."""
-    return {instance_id: run.request_ids for instance_id, run in runs.items()}
-
-
-def _contains_any(crash: CrashedPrompts, parts: set[bytes]) -> bool:
-    return any(not parts.isdisjoint(prompt.parts) for prompt in crash.prompts)
-
-
-def _contains_all(crash: CrashedPrompts, parts: list[bytes]) -> bool:
-    return any(set(parts) <= set(prompt.parts) for prompt in crash.prompts)
-
-
 def _without_sound(item: QuarantinedParts, part: bytes, at_s: float) -> QuarantinedParts | None:
     """Return quarantined parts without one that is sound; None if no part is left."""
     if part not in item.parts or at_s <= item.last_at_s:
--- a/src/crowsill_lab/soak/crashing_part.py
+++ b/src/crowsill_lab/soak/crashing_part.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from crowsill.gateway.headers import HeaderNames
-from crowsill.state.part_crashes import PART_CRASH_LIMIT
+from crowsill.state.part_causes import PART_CRASH_LIMIT
 from crowsill_lab.soak.crashing_request import must_be_quarantined
 from crowsill_lab.soak.ledger import CRASHING_PART_PREFIX, Ledger
 from crowsill_lab.soak.operator import HOST_NAME
