Only quarantined parts excuse crashes, and only of requests that had run much longer

Cause: a part that was merely at three crashes counted as their likely cause. With three replicas that crash all the time, sound subjects are such parts.

Change: only quarantined parts excuse a crash, and only if the request had run for four times as long as the prompt with the part, as for two requests at one crash.

--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -22,7 +22,7 @@
     SuspectRequest,
     is_independent_crash,
 )
-from crowsill.state.part_crashes import PartCrashes, PartCrashesSnapshot
+from crowsill.state.part_crashes import CrashCause, PartCrashes, PartCrashesSnapshot
 
 # A suspect takes about 200 bytes in a snapshot. One crash produces up to 100 suspects, nearly all
 # of which are cleared within seconds.
@@ -104,11 +104,11 @@
             prompts: Prompts of these requests.
         """
         prompt_of = {prompt.request_id: prompt for prompt in prompts}
-        causes = self.parts.likely_causes(instance_id)
+        causes = self.parts.causes(instance_id)
         changed: dict[bytes, list[str]] = {}
         for reported in requests:
             request = msgspec.structs.replace(reported, prompt=prompt_of.get(reported.request_id))
-            if _is_explained(request, causes):
+            if _is_explained(request, request.ran_s, causes):
                 continue
             self._correct_time(instance_id, request.fingerprint, crashed_at_s)
             counted = self._count(instance_id, request, crashed_at_s)
@@ -120,7 +120,6 @@
         if any(len(crashed_instances) == CRASH_LIMIT for crashed_instances in changed.values()):
             changed.update(self._clear_explained())
             changed.update(self._excuse_long_running())
-        changed.update(self._excuse_explained_by_parts())
         while len(self._suspects) > MAX_SUSPECTS:
             changed[self._forget_one()] = []
         return self._changed(changed)
@@ -320,7 +319,10 @@
             left = [
                 index
                 for index, instance_id in enumerate(suspect.crashed_instances)
-                if not _is_explained(suspect.request, self.parts.likely_causes(instance_id))
+                if index >= len(suspect.ran_s)
+                or not _is_explained(
+                    suspect.request, suspect.ran_s[index], self.parts.causes(instance_id)
+                )
             ]
             if len(left) == len(suspect.crashed_instances):
                 continue
@@ -391,7 +393,10 @@
         self.parts.load(snapshot.parts)
 
 
-def _is_explained(request: SuspectRequest, causes: list[set[bytes]]) -> bool:
-    """Whether one of the likely causes of a crash is not part of a request's prompt."""
+def _is_explained(request: SuspectRequest, ran_s: float, causes: list[CrashCause]) -> bool:
+    """Whether parts that a request lacks caused a crash, long after the request was sent."""
     given = set() if request.prompt is None else set(request.prompt.parts)
-    return any(not given.issuperset(cause) for cause in causes)
+    return any(
+        not given.issuperset(cause.parts) and ran_s > UNRELATED_RUN_TIME_RATIO * cause.ran_s
+        for cause in causes
+    )
--- a/src/crowsill/state/part_causes.py
+++ b/src/crowsill/state/part_causes.py
@@ -21,10 +21,6 @@
 # A part that causes crashes is there at no less than this share of the crashes in the same time.
 # Others are there by chance, and some of them more often than they get a response.
 MIN_SHARE_OF_CRASHES = 0.25
-# A part that was at this many crashes, and in few of the prompts there, explains them for requests
-# that do not contain it, before it is quarantined itself.
-MIN_EXPLAINED_CRASHES = 3
-MAX_PROMPTS_OF_CAUSE = 1.5
 
 
 class CrashedPrompts(msgspec.Struct, frozen=True, array_like=True):
@@ -131,29 +127,6 @@
     return sorted(part for part, found in runs.items() if _places(found) == _places(runs[cause]))
 
 
-def likely_causes(
-    crashes: Mapping[str, CrashedPrompts], suspects: Iterable[bytes], instance_id: str
-) -> list[bytes]:
-    """Return the suspects that probably caused the crash of an incarnation.
-
-    Args:
-        crashes: Crashes that are not explained yet, by incarnation.
-        suspects: Parts that were at several of them.
-        instance_id: The incarnation that crashed.
-    """
-    crash = crashes.get(instance_id)
-    if crash is None:
-        return []
-    present = {part for prompt in crash.prompts for part in prompt.parts}
-    all_runs = runs_by_part(crashes.values())
-    return [
-        part
-        for part in sorted(present.intersection(suspects))
-        if len(independent_crashes(all_runs[part])) >= MIN_EXPLAINED_CRASHES
-        and _prompts_per_crash(all_runs[part]) <= MAX_PROMPTS_OF_CAUSE
-    ]
-
-
 def contains_any(crash: CrashedPrompts, parts: set[bytes]) -> bool:
     """Whether a prompt that ran at a crash contains any of these parts."""
     return any(not parts.isdisjoint(prompt.parts) for prompt in crash.prompts)
--- a/src/crowsill/state/part_crashes.py
+++ b/src/crowsill/state/part_crashes.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -19,7 +20,6 @@
     contains_any,
     find_cause,
     independent_crashes,
-    likely_causes,
     runs_by_part,
 )
 
@@ -46,6 +46,7 @@
         parts: The parts; several if every prompt that ran at the crashes had all of them.
         crashed_instances: Ids of incarnations that crashed under them, at most
             `MAX_LISTED_CRASHES`.
+        ran_s: Time from when the last prompt with the parts was sent to each of these crashes.
         first_crash_at_s: Wall-clock time of the first crash.
         last_crash_at_s: Wall-clock time of the last crash.
         last_at_s: Time of the last crash, by the record's clock.
@@ -55,6 +56,7 @@
 
     parts: list[bytes]
     crashed_instances: list[str]
+    ran_s: list[float]
     first_crash_at_s: float
     last_crash_at_s: float
     last_at_s: float
@@ -62,6 +64,19 @@
     request_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class CrashCause:
+    """Parts that explain a crash.
+
+    Attributes:
+        parts: The parts.
+        ran_s: Time from when the last prompt with these parts was sent to the crash.
+    """
+
+    parts: set[bytes]
+    ran_s: float
+
+
 class PartCrashesSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """The full record."""
 
@@ -156,12 +171,14 @@
             matching = [item for item in prompts if set(known.parts) <= set(item.parts)]
             if instance_id not in known.crashed_instances and not matching:
                 continue
-            instances = known.crashed_instances
+            instances, ran_s = known.crashed_instances, known.ran_s
             if instance_id not in instances and len(instances) < MAX_LISTED_CRASHES:
                 instances = [*instances, instance_id]
+                ran_s = [*ran_s, min(item.ran_s for item in matching)]
             self._quarantined[index] = msgspec.structs.replace(
                 known,
                 crashed_instances=instances,
+                ran_s=ran_s,
                 last_crash_at_s=max(known.last_crash_at_s, wall_at_s),
                 last_at_s=max(known.last_at_s, at_s),
                 prompts=known.prompts + len(matching),
@@ -270,13 +287,13 @@
             )
         return self._cause
 
-    def likely_causes(self, instance_id: str) -> list[set[bytes]]:
-        """Return sets of parts each of which explains a crash for requests that lack it."""
-        known = [
-            set(item.parts) for item in self._quarantined if instance_id in item.crashed_instances
+    def causes(self, instance_id: str) -> list[CrashCause]:
+        """Return the quarantined parts that explain the crash of an incarnation."""
+        return [
+            CrashCause(set(item.parts), item.ran_s[item.crashed_instances.index(instance_id)])
+            for item in self._quarantined
+            if instance_id in item.crashed_instances
         ]
-        likely = likely_causes(self._crashes, self._suspect_since_s, instance_id)
-        return known + [{part} for part in likely]
 
     def _narrower(self, item: QuarantinedParts) -> list[bytes]:
         """Return which of several quarantined parts crashed a replica without the others."""
@@ -343,20 +360,18 @@
     def _quarantine(self, parts: list[bytes]) -> QuarantinedParts:
         """Quarantine parts, and remove the crashes that they explain."""
         explained = [crash for crash in self._crashes.values() if contains_all(crash, parts)]
-        request_ids = [
-            prompt.request_id
-            for crash in explained
-            for prompt in crash.prompts
-            if set(parts) <= set(prompt.parts)
+        matching = [
+            [item for item in crash.prompts if set(parts) <= set(item.parts)] for crash in explained
         ]
         quarantined = QuarantinedParts(
             parts,
             [crash.instance_id for crash in explained][-MAX_LISTED_CRASHES:],
+            [min(item.ran_s for item in found) for found in matching][-MAX_LISTED_CRASHES:],
             min(crash.wall_at_s for crash in explained),
             max(crash.wall_at_s for crash in explained),
             max(crash.crashed_at_s for crash in explained),
-            len(request_ids),
-            request_ids[-1],
+            sum(len(found) for found in matching),
+            matching[-1][-1].request_id,
         )
         for crash in explained:
             del self._crashes[crash.instance_id]
--- a/tests/test_crashes_by_part.py
+++ b/tests/test_crashes_by_part.py
@@ -288,23 +288,43 @@
 
 
 def _requests(site, *prompts, fingerprint=b"common"):
-    return [SuspectRequest(fingerprint, item.request_id, "h/a", "s", 0.1) for item in prompts]
+    return [
+        SuspectRequest(fingerprint, item.request_id, "h/a", "s", item.ran_s) for item in prompts
+    ]
 
 
-def test_requests_of_many_callers_are_not_quarantined_for_crashes_under_a_part():
+def _crash_beside(site, number, ran_s):
+    """Crash a replica under the part while a request of many callers had run for some time."""
+    bad, common = site.prompt(SYSTEM, BAD, ran_s=0.01), site.prompt(SYSTEM, ran_s=ran_s)
+    site.now_s += 0.5
+    command = RecordCrash(f"i{number}", _requests(site, common), 0.05, site.now_s, [bad, common])
+    site.machine.apply(command)
+    site.respond(SYSTEM)
+
+
+def _quarantined_requests(site):
+    return [item for item in site.machine.crashes.suspects if item.is_quarantined]
+
+
+def test_requests_of_many_callers_go_free_once_a_part_explains_their_crashes():
     # Requests of one body never get a response, and run at each crash that the part causes.
     site = Site()
-    for number in range(6):
-        bad, common = site.prompt(SYSTEM, BAD), site.prompt(SYSTEM)
-        site.now_s += 0.5
-        command = RecordCrash(
-            f"i{number}", _requests(site, common), 0.05, site.now_s, [bad, common]
-        )
-        site.machine.apply(command)
-        site.respond(SYSTEM)
-        site.quarantined(after_s=0.0)
-    assert [item.parts for item in site.parts.quarantined] == [[BAD]]
-    assert not any(item.is_quarantined for item in site.machine.crashes.suspects)
+    for number in range(5):
+        _crash_beside(site, number, ran_s=0.3)
+    assert site.quarantined() == [[BAD]]
+    assert _quarantined_requests(site) == []
+    for number in range(5, 9):
+        _crash_beside(site, number, ran_s=0.3)
+    assert _quarantined_requests(site) == []
+
+
+def test_a_request_is_not_excused_for_crashes_as_soon_after_it_was_sent_as_the_part():
+    # A soak with a part and a request that crash replicas: the request crashed five.
+    site = Site()
+    for number in range(5):
+        _crash_beside(site, number, ran_s=0.012)
+    assert site.quarantined() == [[BAD]]
+    assert len(_quarantined_requests(site)) == 1
 
 
 def test_a_request_that_crashes_replicas_beside_a_part_is_quarantined_for_its_own_crashes():
@@ -316,19 +336,4 @@
         command = RecordCrash(f"own-{number}", _requests(site, own), 0.05, site.now_s, [own])
         site.machine.apply(command)
         site.respond(SYSTEM)
-        quarantined = [item for item in site.machine.crashes.suspects if item.is_quarantined]
-        assert bool(quarantined) == (number >= 2)
-
-
-def test_requests_of_many_callers_go_free_as_soon_as_a_part_explains_their_crashes():
-    # Two of their crashes are the part's, and the report of its prompt comes last.
-    site = Site()
-    bad = [site.prompt(SYSTEM, BAD) for _ in range(3)]
-    for number, prompt in enumerate(bad):
-        common = _requests(site, site.prompt())
-        instance_id = f"i{number}"
-        site.now_s += 0.5
-        site.machine.apply(RecordCrash(instance_id, common, 0.05, site.now_s, []))
-        site.machine.apply(RecordCrash(instance_id, [], 0.05, site.now_s, [prompt]))
-        site.respond(SYSTEM)
-    assert not any(item.is_quarantined for item in site.machine.crashes.suspects)
+        assert bool(_quarantined_requests(site)) == (number >= 2)
