A part is quarantined only after gateways could report it as sound

Cause: half a second for reports of sound parts counted from the second crash. While nobody led for a second, crashes were kept and reports of sound parts were not: the new leader recorded the fifth crash at 06:13:00.44 and quarantined the part at 00.516, when the gateways had reconnected at 00.35 to 00.52.

Change: the half second counts from the fifth crash, and a new leader reviews parts after its first second.

The new test failed before (the sound parts quarantined), and passes.

--- a/src/crowsill/control/quarantine_expiry.py
+++ b/src/crowsill/control/quarantine_expiry.py
@@ -10,6 +10,9 @@
 
 EXPIRY_INTERVAL_S = 5.0
 REVIEW_INTERVAL_S = 0.2
+# While nobody led, gateways could report no part as sound; crashes were kept for the new leader.
+# Gateways reconnect and report within this time.
+LEADER_SETTLE_S = 1.0
 
 
 async def expire_suspects(
@@ -39,6 +42,7 @@
         submit: Commits a command.
         quarantine_s: Time in seconds after which a crash no longer counts.
     """
+    await asyncio.sleep(LEADER_SETTLE_S)
     while True:
         await asyncio.sleep(REVIEW_INTERVAL_S)
         if record.parts.needs_review(wall_s(), quarantine_s):
--- a/src/crowsill/state/part_crashes.py
+++ b/src/crowsill/state/part_crashes.py
@@ -14,6 +14,7 @@
 
 from crowsill.model.prompt_parts import InterruptedPrompt, PartsState
 from crowsill.state.part_causes import (
+    PART_CRASH_LIMIT,
     CrashedPrompts,
     contains_all,
     contains_any,
@@ -24,8 +25,8 @@
 
 # Gateways report which parts are sound from this many crashes on.
 SUSPECT_CRASHES = 2
-# Gateways have this time to report that a suspect part is sound before it is quarantined.
-MIN_SUSPECT_S = 0.5
+# Gateways have this time to report that a part is sound after the crash that would quarantine it.
+MIN_CANDIDATE_S = 0.5
 # Bounds of the record. A prompt with three parts takes about 60 bytes in a snapshot.
 MAX_CRASHES = 48
 MAX_CRASH_TIMES = 256
@@ -68,7 +69,8 @@
     wall_s: float = 0.0
     crashes: list[CrashedPrompts] = []
     sound_at_s: list[tuple[bytes, float]] = []
-    suspect_since_s: dict[bytes, float] = {}
+    suspects: list[bytes] = []
+    candidate_since_s: dict[bytes, float] = {}
     quarantined: list[QuarantinedParts] = []
     crash_times_s: list[tuple[str, float]] = []
 
@@ -95,7 +97,9 @@
         # Times of all crashes that quarantined parts do not explain, by the record's clock.
         self._crash_times_s: OrderedDict[str, float] = OrderedDict()
         self._sound_at_s: OrderedDict[bytes, float] = OrderedDict()
-        self._suspect_since_s: dict[bytes, float] = {}
+        self._suspects: list[bytes] = []
+        # By part: when it reached the number of crashes that quarantines it.
+        self._candidate_since_s: dict[bytes, float] = {}
         self._quarantined: list[QuarantinedParts] = []
         # None after a change.
         self._cause: list[bytes] | None = None
@@ -110,7 +114,7 @@
         uncertain = [
             part for item in self._quarantined if len(item.parts) > 1 for part in item.parts
         ]
-        suspects = sorted({*self._suspect_since_s, *uncertain})
+        suspects = sorted({*self._suspects, *uncertain})
         return PartsState(suspects, [item.parts for item in self._quarantined])
 
     def _advance(self, wall_s: float) -> float:
@@ -258,15 +262,16 @@
             (part for part, number in crashes.items() if number >= SUSPECT_CRASHES),
             key=lambda part: (-crashes[part], part),
         )
-        self._suspect_since_s = {
-            part: self._suspect_since_s.get(part, clock_s) for part in repeated[:MAX_SUSPECT_PARTS]
+        self._suspects = repeated[:MAX_SUSPECT_PARTS]
+        self._candidate_since_s = {
+            part: self._candidate_since_s.get(part, clock_s)
+            for part in self._suspects
+            if crashes[part] >= PART_CRASH_LIMIT
         }
 
     def _find_cause(self) -> list[bytes]:
         if self._cause is None:
-            self._cause = find_cause(
-                self._crashes, self._suspect_since_s, self._crash_times_s.values()
-            )
+            self._cause = find_cause(self._crashes, self._suspects, self._crash_times_s.values())
         return self._cause
 
     def causes(self, instance_id: str) -> list[set[bytes]]:
@@ -311,7 +316,8 @@
         self._update_suspects(clock_s)
         added: list[QuarantinedParts] = []
         while parts := self._find_cause():
-            if any(clock_s - self._suspect_since_s[part] < MIN_SUSPECT_S for part in parts):
+            since_s = max(self._candidate_since_s[part] for part in parts)
+            if clock_s - since_s < MIN_CANDIDATE_S:
                 break
             added.append(self._quarantine(parts))
             self._update_suspects(clock_s)
@@ -334,7 +340,7 @@
                 for crash in self._crashes.values()
                 if contains_any(crash, set(parts))
             ]
-            if parts and clock_s - min(crashed_at_s) >= MIN_SUSPECT_S:
+            if parts and clock_s - min(crashed_at_s) >= MIN_CANDIDATE_S:
                 self._quarantined[index] = msgspec.structs.replace(item, parts=parts)
 
     def _quarantine(self, parts: list[bytes]) -> QuarantinedParts:
@@ -376,7 +382,8 @@
             self._wall_s,
             list(self._crashes.values()),
             list(self._sound_at_s.items()),
-            self._suspect_since_s,
+            self._suspects,
+            self._candidate_since_s,
             self._quarantined,
             list(self._crash_times_s.items()),
         )
@@ -386,7 +393,8 @@
         self._clock_s, self._wall_s = snapshot.clock_s, snapshot.wall_s
         self._crashes = OrderedDict((item.instance_id, item) for item in snapshot.crashes)
         self._sound_at_s = OrderedDict(snapshot.sound_at_s)
-        self._suspect_since_s = dict(snapshot.suspect_since_s)
+        self._suspects = list(snapshot.suspects)
+        self._candidate_since_s = dict(snapshot.candidate_since_s)
         self._quarantined = list(snapshot.quarantined)
         self._cause = None
         self._crash_times_s = OrderedDict(snapshot.crash_times_s)
--- a/tests/test_crashes_by_part.py
+++ b/tests/test_crashes_by_part.py
@@ -190,6 +190,17 @@
     assert site.quarantined() == []
 
 
+def test_gateways_have_the_same_time_after_a_time_without_a_leader():
+    # A soak quarantined a sound part 0.07 s after its fifth crash, before gateways could report.
+    site = Site()
+    for _ in range(4):
+        site.crash(site.prompt(SYSTEM, b"sound"))
+    site.crash(site.prompt(SYSTEM, b"sound"), after_s=2.0)
+    assert site.quarantined(after_s=0.07) == []
+    site.respond(SYSTEM, b"sound", after_s=0.1)
+    assert site.quarantined() == []
+
+
 def test_a_response_before_a_crash_says_nothing_about_it():
     # The part may have been sound until now.
     site = Site()
