A request with several crashes of its own is not excused for the part it ran beside

Change: a quarantined request goes free only if at most one crash is left without the parts. With two of its own it crashes replicas itself, whatever ran beside it once. The excuse is also applied as a request reaches the limit, not only as a part is quarantined.

The new test failed before (0 quarantined) and passes.

--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -120,6 +120,7 @@
         if any(len(crashed_instances) == CRASH_LIMIT for crashed_instances in changed.values()):
             changed.update(self._clear_explained())
             changed.update(self._excuse_long_running())
+            changed.update(self._excuse_explained_by_parts())
         while len(self._suspects) > MAX_SUSPECTS:
             changed[self._forget_one()] = []
         return self._changed(changed)
@@ -310,7 +311,8 @@
         """Remove crashes of quarantined requests that parts explain; return what is left of each.
 
         Identical requests of many callers that have not completed yet are at the crashes that a
-        part causes, and have no part in common with it.
+        part causes, and have no part in common with it. A request with several other crashes stays
+        quarantined: it crashes replicas as well, and ran beside the part by chance.
         """
         changed: dict[bytes, list[str]] = {}
         for key, suspect in list(self._suspects.items()):
@@ -321,7 +323,7 @@
                 for index, instance_id in enumerate(suspect.crashed_instances)
                 if not _is_explained(suspect.request, self.parts.causes(instance_id))
             ]
-            if len(left) == len(suspect.crashed_instances):
+            if len(left) == len(suspect.crashed_instances) or len(left) >= RETRY_CRASH_LIMIT:
                 continue
             changed[key] = self._keep_crashes(suspect, left)
         return changed
--- a/tests/test_crashes_by_part.py
+++ b/tests/test_crashes_by_part.py
@@ -338,6 +338,20 @@
     assert len(_quarantined_requests(site)) == 1
 
 
+def test_a_request_with_crashes_of_its_own_stays_quarantined():
+    # A soak in which a request that crashes replicas ran beside the part once, and went free.
+    site = Site()
+    for number in range(2):
+        own = site.prompt(SYSTEM, b"rare")
+        site.now_s += 0.5
+        command = RecordCrash(f"own-{number}", _requests(site, own), 0.05, site.now_s, [own])
+        site.machine.apply(command)
+    for number in range(5):
+        _crash_beside(site, number, ran_s=0.01)
+    assert site.quarantined() == [[BAD]]
+    assert len(_quarantined_requests(site)) == 1
+
+
 def test_a_request_that_crashes_replicas_beside_a_part_is_quarantined_for_its_own_crashes():
     site = Site()
     for number in range(5):
