The leader's review of parts skips quarantines of a single part

Only a set of several parts can be narrowed, so that the recorded prompts need not be searched for the others five times a second. By reading; not measured.

--- a/src/crowsill/state/part_crashes.py
+++ b/src/crowsill/state/part_crashes.py
@@ -282,6 +282,8 @@
 
     def _narrower(self, item: QuarantinedParts) -> list[bytes]:
         """Return which of several quarantined parts crashed a replica without the others."""
+        if len(item.parts) < 2:
+            return []
         for crash in self._crashes.values():
             for prompt in crash.prompts:
                 common = [part for part in item.parts if part in prompt.parts]
