Tests of the operators' commands for quarantined parts of prompts

`crowsill quarantine list` and `lift` with a part, and `crowsill trace` of a prompt that was rejected for one.

--- a/tests/test_quarantine_commands.py
+++ b/tests/test_quarantine_commands.py
@@ -13,14 +13,16 @@
 from crowsill.cli.main import application
 from crowsill.control.operations import OperatorService
 from crowsill.model.fleet import FleetView
+from crowsill.model.prompt_parts import InterruptedPrompt
 from crowsill.model.suspects import SuspectRequest
 from crowsill.settings import HttpListener, Settings
-from crowsill.state.commands import RecordCrash
+from crowsill.state.commands import RecordCrash, ReviewParts
 from crowsill.state.machine import StateMachine
 from crowsill.transport.messages import Submitted
 
 TOKEN = "operator"
 CRASHING_REQUEST = SuspectRequest(b"\x0c" * 16, "r7", "shop.example/pay/a", "till", 0.1)
+PART = b"\x0e" * 8
 INNOCENT_REQUEST = SuspectRequest(b"\x0d" * 16, "r8", "shop.example/pay/b", "till", 0.1)
 
 
@@ -47,6 +49,15 @@
         return Submitted(self._state.apply(request.command))
 
 
+class OperatorSettings(str):
+    """Path of an operator's settings file, with the state of the member that it names."""
+
+    def __new__(cls, path, state):
+        made = super().__new__(cls, path)
+        made.state = state
+        return made
+
+
 @pytest.fixture
 def settings(tmp_path):
     """The settings file of an operator whose member runs in a thread of this test."""
@@ -67,7 +78,7 @@
     assert started.wait(10)
     path = tmp_path / "crowsill.toml"
     path.write_text(f'members = ["http://127.0.0.1:{server.port}"]\ntoken = "{TOKEN}"\n')
-    yield str(path)
+    yield OperatorSettings(path, state)
     asyncio.run_coroutine_threadsafe(server.stop(), loop).result(10)
     loop.call_soon_threadsafe(loop.stop)
     thread.join(10)
@@ -95,6 +106,21 @@
     assert command("list", "-s", settings).output == "no request is quarantined\n"
 
 
+def test_quarantined_parts_are_listed_and_can_be_lifted(settings):
+    assert "part of" not in command("list", "-s", settings).output
+    for number in range(5):
+        prompt = InterruptedPrompt(f"p{number}", [PART], 0.1)
+        at_s = 1010.0 + number
+        settings.state.apply(RecordCrash(f"e-{number}", [], 0.0, at_s, [prompt]))
+    settings.state.apply(ReviewParts(3600.0, 1020.0))
+    shown = command("list", "-s", settings).output
+    assert f"{PART.hex()} quarantined since 1970-01-01T00:16:54Z" in shown
+    assert "part of 5 prompts (last id p4)" in shown
+    assert "crashed: e-0 e-1 e-2 e-3 e-4, the first at 1970-01-01T00:16:50Z" in shown
+    assert command("lift", PART.hex(), "-s", settings).output == "lifted\n"
+    assert PART.hex() not in command("list", "-s", settings).output
+
+
 def test_invalid_fingerprint_is_rejected(settings):
     refused = command("lift", "none", "-s", settings)
     assert refused.exit_code == 1 and "not hex" in refused.output
@@ -110,3 +136,15 @@
     )
     shown = CliRunner().invoke(application, ["trace", "r9", str(log)]).output
     assert "fingerprint=0c0d request=r1" in shown and "request=r2" not in shown
+
+
+def test_trace_of_a_prompt_with_a_quarantined_part_shows_the_crashes_of_replicas(tmp_path):
+    log = tmp_path / "log"
+    log.write_text(
+        "2026-01-02T03:00:00.000Z ERROR E514 parts_quarantined parts=0e0e request=r1 node=c\n"
+        "2026-01-02T03:00:00.000Z ERROR E514 parts_quarantined parts=ffff request=r2 node=c\n"
+        "2026-01-02T03:59:00.000Z INFO E201 request_refused request=r9 kind=quarantined "
+        'detail="replicas crashed while running prompts with part 0e0e" node=g\n'
+    )
+    shown = CliRunner().invoke(application, ["trace", "r9", str(log)]).output
+    assert "parts=0e0e request=r1" in shown and "request=r2" not in shown
