A report of a crash waits for the next stream to the control group

Cause: a stream to a member that confirms nothing is open only until the reply to its first heartbeat, about a millisecond of each 50 to 300. `GatewayFollower.query` returned None at once where none was open, and the watch asked again every 50 ms, so that a report met an open stream by chance only.

Change: a report waits up to its timeout for the next stream and goes out with the first heartbeat; the time it waited is added to the age of the crash, so that the crash does not look later.

--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -8,10 +8,13 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from crowsill.clock import monotonic_s
 from crowsill.control.subscribers import DemandCounter
 from crowsill.events import Event
@@ -119,6 +122,8 @@
         # The stream to a member that has confirmed current state, and one that may not have yet.
         self._connection: Connection | None = None
         self._open_connection: Connection | None = None
+        # Set while a stream is open, confirmed or not.
+        self._is_open = asyncio.Event()
         self._last_failed: Address | None = None
         # Monotonic time from which members of the own zone are preferred.
         self._prefer_own_zone_at_s = monotonic_s() + ZONE_SWITCH_SPREAD_S * random.random()
@@ -177,6 +182,7 @@
             return False
         reader = asyncio.create_task(connection.run())
         self._open_connection = connection
+        self._is_open.set()
         was_confirmed = False
         try:
             while not connection.is_closed and await self._heartbeat(connection):
@@ -208,6 +214,7 @@
     def note_disconnected(self) -> None:
         """Discard what was confirmed on a stream that has ended."""
         self._connection = self._open_connection = None
+        self._is_open.clear()
         self._pending_freshness = None
 
     async def _heartbeat(self, connection: Connection) -> bool:
@@ -306,12 +313,15 @@
 
         Args:
             message: The request.
-            timeout_s: How long to wait for the reply.
+            timeout_s: How long to wait for the reply, and for a stream to report a crash on.
         """
         connection = self._connection
         if connection is None and isinstance(message, ReportCrash):
             # Any member keeps the report until there is a leader.
-            connection = self._open_connection
+            asked_at_s = monotonic_s()
+            connection = await self._next_open_connection(timeout_s)
+            ago_s = message.ago_s + monotonic_s() - asked_at_s
+            message = msgspec.structs.replace(message, ago_s=ago_s)
         if connection is None:
             return None
         try:
@@ -319,6 +329,17 @@
         except ConnectionLostError:
             return None
 
+    async def _next_open_connection(self, timeout_s: float) -> Connection | None:
+        """Return a stream that is open, or the next one within `timeout_s`.
+
+        A stream to a member that confirms nothing is open only until the reply to its first
+        heartbeat.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._is_open.wait()
+        return self._open_connection
+
     def _on_push(self, _connection: Connection, body: Body) -> None:
         if isinstance(body, RoutesUpdate) and body.document.version > self.routes_version:
             self.routes_version = body.document.version
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 from crowsill.control.crash_reports import CrashReports
 from crowsill.state.commands import Acknowledged
@@ -64,30 +65,50 @@
     asyncio.run(asyncio.wait_for(scenario(), 10))
 
 
+@contextlib.asynccontextmanager
+async def gateway_of_a_member_without_leader(folder):
+    """A gateway that follows the last member of its group, and that member."""
+    group = ControlGroup(folder)
+    await group.start()
+    await group.publish(1)
+    left = group.follower_number()
+    gateway = FollowingGateway(group.addresses[left])
+    await gateway.start()
+    try:
+        member = group.roles[left]
+        for number in reversed(range(len(group.roles))):
+            if number != left:
+                group.disks.pop(number)
+                await group.roles.pop(number).stop()
+        await until(lambda: not gateway.follower.is_connected())
+        yield gateway.follower, member
+    finally:
+        await gateway.stop()
+        await group.stop()
+
+
 def test_a_gateway_reports_a_crash_to_a_member_that_has_no_leader(tmp_path):
     async def scenario():
-        group = ControlGroup(tmp_path)
-        await group.start()
-        await group.publish(1)
-        left = group.follower_number()
-        gateway = FollowingGateway(group.addresses[left])
-        await gateway.start()
-        try:
-            member = group.roles[left]
-            for number in reversed(range(len(group.roles))):
-                if number != left:
-                    group.disks.pop(number)
-                    await group.roles.pop(number).stop()
-            await until(lambda: not gateway.follower.is_connected())
-
+        async with gateway_of_a_member_without_leader(tmp_path) as (follower, member):
             # The stream ends as the member confirms nothing; the reply may be lost with it.
             async def is_kept():
-                await gateway.follower.query(ReportCrash("i-1", [suspect()], 0.0), 0.8)
+                await follower.query(ReportCrash("i-1", [suspect()], 0.0), 0.8)
                 return bool(member._service.crash_reports._repeat_tasks)
 
             await until_done(is_kept)
-        finally:
-            await gateway.stop()
-            await group.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+def test_a_report_is_sent_as_soon_as_a_stream_to_a_member_without_leader_is_open(tmp_path):
+    # Guards against reports that are lost between such streams, each of which is open only briefly.
+    async def scenario():
+        async with gateway_of_a_member_without_leader(tmp_path) as (follower, member):
+            for number in range(5):
+                await until(lambda: follower._open_connection is None)
+                await follower.query(ReportCrash(f"i-{number}", [suspect()], 0.0), 0.8)
+                kept = member._service.crash_reports._repeat_tasks
+                instance_id = f"i-{number}"
+                await until(lambda: any(instance_id in key for key in kept), 0.5)  # noqa: B023
 
     asyncio.run(asyncio.wait_for(scenario(), 60))
