Explain the crashes of a request by parts and by other requests together

Cause: crashes were explained either all by other quarantined requests or, but for one, by quarantined parts. And a crash that a part had caused counted as proof that a common body, which ran there too, explains the crashes of others.

Change: crashes that quarantined parts explain are set aside first, for both sides of the comparison; the rest must be explained by other quarantined requests as before. This is looked at also when a part is quarantined.

Evidence: both new tests failed on the code before. Members compute the record from the log, so that all members of a group must run the same version of it.

--- a/src/crowsill/state/crash_record.py
+++ b/src/crowsill/state/crash_record.py
@@ -175,22 +175,22 @@
         )
 
     def _clear_explained(self) -> dict[bytes, list[str]]:
-        """Clear quarantined requests whose crashes are all explained by other quarantined requests.
+        """Clear quarantined requests whose crashes are all explained by others, or by parts.
 
-        Another request explains a crash if it also crashed a replica that this one did not run on.
+        Another quarantined request explains a crash if it also crashed a replica that this one did
+        not run on; a quarantined part explains it if this one lacks the part.
         Without this rule, identical requests of many callers that never completed before stay
         quarantined after the requests that cause the crashes are known, as in a soak test of 7 s.
         """
         crashes_of = {
-            key: set(item.crashed_instances)
+            key: self._not_explained_by_parts(item)
             for key, item in self._suspects.items()
             if item.is_quarantined
         }
         cleared = [
             key
-            for key, crashed_instances in crashes_of.items()
-            if crashed_instances
-            <= set().union(*(other for other in crashes_of.values() if other - crashed_instances))
+            for key, crashes in crashes_of.items()
+            if crashes <= set().union(*(other for other in crashes_of.values() if other - crashes))
         ]
         for key in cleared:
             del self._suspects[key]
@@ -304,7 +304,10 @@
         """Quarantine parts; see `PartCrashes.review`."""
         before = self.parts.state()
         added = self.parts.review(now_s, lifetime_s)
-        changed = self._excuse_explained_by_parts() if added else {}
+        changed: dict[bytes, list[str]] = {}
+        if added:
+            changed.update(self._clear_explained())
+            changed.update(self._excuse_explained_by_parts())
         return self._changed(changed, self.parts.state() != before)
 
     def _excuse_explained_by_parts(self) -> dict[bytes, list[str]]:
@@ -318,26 +321,31 @@
         for key, suspect in list(self._suspects.items()):
             if not suspect.is_quarantined:
                 continue
-            left = [
-                index
-                for index, instance_id in enumerate(suspect.crashed_instances)
-                if not _is_explained(suspect.request, self.parts.causes(instance_id))
-            ]
+            left = self._not_explained_by_parts(suspect)
             if len(left) == len(suspect.crashed_instances) or len(left) >= RETRY_CRASH_LIMIT:
                 continue
             changed[key] = self._keep_crashes(suspect, left)
         return changed
 
-    def _keep_crashes(self, suspect: Suspect, left: list[int]) -> list[str]:
-        """Keep some crashes of a suspect, by index; return those that count against it."""
+    def _not_explained_by_parts(self, suspect: Suspect) -> set[str]:
+        """Return the crashed instances of a suspect that no quarantined part explains."""
+        return {
+            instance_id
+            for instance_id in suspect.crashed_instances
+            if not _is_explained(suspect.request, self.parts.causes(instance_id))
+        }
+
+    def _keep_crashes(self, suspect: Suspect, kept: set[str]) -> list[str]:
+        """Keep some crashes of a suspect; return those that count against it."""
         key = suspect.request.fingerprint
-        if not left:
+        if not kept:
             del self._suspects[key]
             return []
+        runs = zip(suspect.crashed_instances, suspect.ran_s, strict=False)
         self._suspects[key] = msgspec.structs.replace(
             suspect,
-            crashed_instances=[suspect.crashed_instances[index] for index in left],
-            ran_s=[suspect.ran_s[index] for index in left if index < len(suspect.ran_s)],
+            crashed_instances=[item for item in suspect.crashed_instances if item in kept],
+            ran_s=[ran_s for instance_id, ran_s in runs if instance_id in kept],
         )
         return self._suspects[key].counted_crashes
 
--- a/tests/test_crashes_by_part.py
+++ b/tests/test_crashes_by_part.py
@@ -362,3 +362,35 @@
         site.machine.apply(command)
         site.respond(SYSTEM)
         assert bool(_quarantined_requests(site)) == (number >= 2)
+
+
+def test_requests_of_many_callers_go_free_once_a_part_and_a_request_explain_their_crashes():
+    # A soak with two causes, neither of which was at all of their crashes.
+    site = Site()
+    for number in range(3):
+        own, common = site.prompt(SYSTEM, b"rare"), site.prompt(SYSTEM)
+        site.now_s += 0.5
+        running = _requests(site, own, fingerprint=b"own")
+        if number < 2:
+            running += _requests(site, common)
+        site.machine.apply(RecordCrash(f"own-{number}", running, 0.05, site.now_s, [own, common]))
+        site.respond(SYSTEM)
+    for number in range(5):
+        _crash_beside(site, number, ran_s=0.01)
+    assert site.quarantined() == [[BAD]]
+    assert [item.request.fingerprint for item in _quarantined_requests(site)] == [b"own"]
+
+
+def test_a_crash_that_a_part_explains_does_not_let_a_crashing_request_go_free():
+    # Callers' common body ran at each crash of the request, and at those of a part as well.
+    site = Site()
+    for number in range(3):
+        own, common = site.prompt(SYSTEM, b"rare"), site.prompt(SYSTEM)
+        site.now_s += 0.5
+        running = _requests(site, own, fingerprint=b"own") + _requests(site, common)
+        site.machine.apply(RecordCrash(f"own-{number}", running, 0.05, site.now_s, [own, common]))
+        site.respond(SYSTEM)
+    for number in range(5):
+        _crash_beside(site, number, ran_s=0.01)
+    assert site.quarantined() == [[BAD]]
+    assert b"own" in [item.request.fingerprint for item in _quarantined_requests(site)]
