Test of crashing parts of prompts on plain routes, with the real programs

The parts were tested with streams only. Two cases more: responses that may be repeated and whose replica crashes while it writes, and requests that may run once. Checks and bounds are those of the streams; the four stream cases are as before.

--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -31,7 +31,7 @@
 
 
 class PromptEngine(SimulatedReplica):
-    """An engine that streams two events, and crashes as it begins to answer the crashing part."""
+    """An engine that writes two pieces, and crashes as it begins to answer the crashing part."""
 
     incarnations = itertools.count()
 
@@ -53,7 +53,7 @@
                 headers = {name.lower(): value for name, value in pairs}
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 if "x-crowsill-prompt-prefix" in headers:
-                    await self._stream(writer, headers)
+                    await self._respond(writer, headers)
                     continue
                 status, extra, answer = await self._answer(first, headers, body)
                 framing = ["Content-Type: text/plain", f"Content-Length: {len(answer)}"]
@@ -61,7 +61,7 @@
                 writer.write(f"{text}\r\n\r\n".encode() + answer)
         writer.close()
 
-    async def _stream(self, writer, headers):
+    async def _respond(self, writer, headers):
         is_crashing = CRASHING_PART in headers["x-crowsill-prompt-prefix"]
         if is_crashing:
             self._record.arrived_s.append(time.monotonic())
@@ -71,7 +71,7 @@
                 await self._crash()
             head = [
                 "HTTP/1.1 200 OK",
-                "Content-Type: text/event-stream",
+                f"Content-Type: {self._record.content_type}",
                 "Transfer-Encoding: chunked",
                 f"{ID}: {headers[ID.lower()]}",
                 f"{STAMP}: {self.instance_id}",
@@ -99,9 +99,10 @@
 class Record:
     """Arrivals of crashing requests at the replicas, and the crashes."""
 
-    def __init__(self, site, crashes_while_writing):
+    def __init__(self, site, kind, crashes_while_writing):
         self._site = site
         self._crashes_while_writing = crashes_while_writing
+        self.content_type = "text/event-stream" if kind == "stream" else "text/plain"
         self._starting = set()
         self.engines = []
         self.arrived_s = []
@@ -159,17 +160,19 @@
     return seen
 
 
-def _document(resumable, attempts):
+def _document(kind, attempts):
     document = configuration(1)
     (draft,) = (route for route in document["routes"] if route["name"] == "draft")
-    document["routes"] = [{**draft, "resumable": resumable, "maxAttempts": attempts}]
+    is_resumable = kind == "stream" and attempts > 1
+    route = {**draft, "kind": kind, "resumable": is_resumable, "maxAttempts": attempts}
+    document["routes"] = [route]
     return document
 
 
 async def _play(site, case):
-    record = Record(site, case["crashes_while_writing"])
+    record = Record(site, case["kind"], case["crashes_while_writing"])
     random = Random(7)
-    assert await site.publish(_document(case["resumable"], case["attempts"])) == 200
+    assert await site.publish(_document(case["kind"], case["attempts"])) == 200
     for _ in range(REPLICAS):
         await record.start()
 
@@ -199,12 +202,14 @@
 
 
 CASES = {
-    "before_any_byte": (False, 1, False, False),
-    "part_at_any_place": (False, 1, True, False),
-    "while_it_writes": (False, 1, True, True),
-    "resumable": (True, 2, True, False),
+    "before_any_byte": ("stream", 1, False, False),
+    "part_at_any_place": ("stream", 1, True, False),
+    "while_it_writes": ("stream", 1, True, True),
+    "resumable": ("stream", 2, True, False),
+    "idempotent_while_it_writes": ("idempotent", 2, True, True),
+    "run_once": ("non_idempotent", 1, True, False),
 }
-CASE_FIELDS = ("resumable", "attempts", "at_any_place", "crashes_while_writing")
+CASE_FIELDS = ("kind", "attempts", "at_any_place", "crashes_while_writing")
 
 
 @pytest.mark.parametrize("name", CASES)
