Keep all reports of one crash while nobody leads

Seen by reading: a member that keeps reports of a crash until there is a leader told them apart by instance and requests only. Reports of prompts whose requests are no suspects have no requests, so that the second one was taken for the first and dropped: a part of prompts lost one of its crashes.

Change: the ids of the prompts belong to the key. The new test failed before (timeout) and passes.

--- a/src/crowsill/control/crash_reports.py
+++ b/src/crowsill/control/crash_reports.py
@@ -23,7 +23,8 @@
 MAX_REPEAT_S = 15.0
 MAX_KEPT_REPORTS = 256
 
-ReportKey = tuple[str, tuple[bytes, ...]]
+# The instance, the fingerprints of the requests, and the ids of the prompts.
+ReportKey = tuple[str, tuple[bytes, ...], tuple[str, ...]]
 
 
 class CrashReports:
@@ -61,7 +62,11 @@
             return NotLeader(None)
 
     def _keep(self, command: RecordCrash, received_at_s: float) -> None:
-        key = (command.instance_id, tuple(request.fingerprint for request in command.requests))
+        key = (
+            command.instance_id,
+            tuple(request.fingerprint for request in command.requests),
+            tuple(prompt.request_id for prompt in command.prompts),
+        )
         if key in self._repeat_tasks or len(self._repeat_tasks) >= MAX_KEPT_REPORTS:
             return
         task = asyncio.create_task(self._repeat(command, received_at_s))
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -8,6 +8,7 @@
 import contextlib
 
 from crowsill.control.crash_reports import CrashReports
+from crowsill.model.prompt_parts import InterruptedPrompt
 from crowsill.state.commands import Acknowledged
 from crowsill.state.machine import StateMachine
 from crowsill.transport.connection import ConnectionLostError
@@ -53,6 +54,20 @@
     asyncio.run(asyncio.wait_for(scenario(), 10))
 
 
+def test_reports_of_other_prompts_at_the_same_crash_are_all_repeated():
+    async def scenario():
+        group = Group()
+        reports, machine = CrashReports(group.submit), StateMachine()
+        for number in range(2):
+            prompt = InterruptedPrompt(f"r{number}", [b"part"], 0.1)
+            await reports.handle(ReportCrash("i-1", [], 0.5, [prompt]), machine)
+        await until(lambda: len(group.committed) >= 2)
+        assert {command.prompts[0].request_id for command in group.committed} == {"r0", "r1"}
+        await reports.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
 def test_only_crashes_are_repeated():
     async def scenario():
         group = Group()
