Split the choice of a replica: estimates and limits in modules of their own

The estimates of response times move to `gateway/response_estimate.py`, the inputs of a choice to `gateway/selection_limits.py`.

--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -23,13 +23,8 @@
 from crowsill.gateway.replica_feedback import MIN_SERVER_ERROR_STATUS
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayRoutingTable, is_urgent, pick_service
-from crowsill.gateway.selection import (
-    Choice,
-    NoReplicaReason,
-    SelectionLimits,
-    choose,
-    is_running_elsewhere,
-)
+from crowsill.gateway.selection import Choice, NoReplicaReason, choose, is_running_elsewhere
+from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.gateway.sender import Sender
 from crowsill.gateway.waiting import STOPPING_RETRY_AFTER_S, WaitingRequest
 from crowsill.model.routes import Route, RouteKind
--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -9,7 +9,8 @@
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.replica_signals import ReplicaSignals
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import Choice, part_keys
+from crowsill.gateway.response_estimate import part_keys
+from crowsill.gateway.selection import Choice
 from crowsill.metrics import GATEWAY_ATTEMPTS, RESPONSE_ENDS
 from crowsill.model.routes import Route
 from crowsill.routing.retry_after import REJECTION_STATUSES
--- a/src/crowsill_lab/bench/choice.py
+++ b/src/crowsill_lab/bench/choice.py
@@ -6,7 +6,8 @@
 
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import SelectionLimits, choose
+from crowsill.gateway.selection import choose
+from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, LoadedModel
 
 ROUNDS = 300
--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -16,7 +16,8 @@
 from crowsill.gateway.progress import PendingPrompt
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import NoReplicaReason, SelectionLimits, choose
+from crowsill.gateway.selection import NoReplicaReason, choose
+from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, LoadedModel
 from crowsill.routing.engine_latency import LatencyModel
 from crowsill.state.directory import DirectoryChange
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -18,7 +18,8 @@
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import Choice, NoReplicaReason, SelectionLimits, choose
+from crowsill.gateway.selection import Choice, NoReplicaReason, choose
+from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, InstanceState
 from crowsill.state.directory import DirectoryChange
 
--- a/tests/test_brittle_bounds.py
+++ b/tests/test_brittle_bounds.py
@@ -9,7 +9,8 @@
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.replica_signals import read_signals
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import NoReplicaReason, SelectionLimits, choose
+from crowsill.gateway.selection import NoReplicaReason, choose
+from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance
 from tests.platform_site import ROOT
 
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -11,7 +11,8 @@
 from crowsill.gateway.availability import Availability
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import NoReplicaReason, SelectionLimits, choose
+from crowsill.gateway.selection import NoReplicaReason, choose
+from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance
 from tests.gateway_world import ID, encode_response, run, world
 
--- a/tests/test_engine_pace.py
+++ b/tests/test_engine_pace.py
@@ -6,7 +6,9 @@
 
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import Choice, SelectionLimits, choose, own_estimate
+from crowsill.gateway.response_estimate import own_estimate
+from crowsill.gateway.selection import Choice, choose
+from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, LoadedModel
 from crowsill.routing.engine_latency import INITIAL_TOKEN_MS, DecayingDelay, LatencyModel
 
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -5,7 +5,8 @@
 from crowsill.gateway.availability import Availability
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest, PromptPart
-from crowsill.gateway.selection import Choice, NoReplicaReason, SelectionLimits, choose
+from crowsill.gateway.selection import Choice, NoReplicaReason, choose
+from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, LoadedModel
 from crowsill.model.replica_use import ReplicaUse
 
