--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from crowsill.gateway.availability import Availability, ExclusionReason
+from crowsill.gateway.availability import Availability
+from crowsill.gateway.exclusion import ExclusionReason
 from crowsill.gateway.replica_signals import ReplicaLoad
 from crowsill.model.exclusions import MAX_REPORTED_EXCLUSIONS, ExcludedReplica
 from crowsill.model.instances import Instance, InstanceState
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -7,9 +7,9 @@
 import asyncio
 from dataclasses import dataclass, replace
 
-from crowsill.gateway.availability import ExclusionReason
 from crowsill.gateway.context import ExchangeContext
 from crowsill.gateway.exchange_log import ExchangeLog
+from crowsill.gateway.exclusion import ExclusionReason
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -12,7 +12,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from crowsill.gateway.availability import MAX_PROBES, Availability, Exclusion, ExclusionReason
+from crowsill.gateway.availability import MAX_PROBES, Availability
+from crowsill.gateway.exclusion import Exclusion, ExclusionReason
 from crowsill.gateway.link_state import LinkState
 from crowsill.gateway.replica_check import ReplicaChecker
 from crowsill.gateway.replica_registry import ReplicaRegistry
--- a/tests/test_replica_signals.py
+++ b/tests/test_replica_signals.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crowsill.gateway.availability import ExclusionReason
+from crowsill.gateway.exclusion import ExclusionReason
 from crowsill.gateway.headers import HeaderNames
 from crowsill.gateway.replica_signals import read_signals
 from crowsill.gateway.wait_decision import MAX_WAITING_TO_OPEN
