Divide the slots of brittle replicas evenly, and independently of earlier attempts

Cause: each gateway that had drawn no replica used the first of those that a request had not been sent to, so that a rejected request found one more at each try, at all replicas in turn; and such gateways came on top of those that had drawn the replica.

Change: each gateway uses as many replicas as are due to it, in an order of its own, one at least; the order is that of all replicas that could run the request, also those that it was sent to.

--- a/src/crowsill/gateway/brittle_replicas.py
+++ b/src/crowsill/gateway/brittle_replicas.py
@@ -74,6 +74,8 @@
     _sound_at_s: dict[str, float] = field(default_factory=dict)
     _began_at_s: float = float("inf")
     _reduced: dict[str, ReducedBound] = field(default_factory=dict)
+    # By replica: the mean number of gateways that use it, where that is more than its slots.
+    _senders: dict[str, float] = field(default_factory=dict)
 
     @property
     def is_in_effect(self) -> bool:
@@ -120,6 +122,7 @@
         if not self.is_in_effect:
             self._sound_at_s.clear()
             self._reduced.clear()
+            self._senders.clear()
 
     def _expire(self, now_s: float) -> None:
         for instance_id, said_at_s in list(self._said_at_s.items()):
@@ -151,11 +154,10 @@
             return
         rejections_per_s = self._rejections_per_s.get(instance_id, 0.0)
         probes_per_s = PROBE_SHARE * max(MIN_REJECTIONS_PER_S, rejections_per_s)
-        # A gateway without a share uses it since no other replica is left, as all others may.
-        senders = (
-            min(gateways, record.instance.slots) if self._share(record, gateways) else gateways
+        senders = max(record.instance.slots, self._senders.get(instance_id, 0.0))
+        interval_s = max(MIN_PROBE_INTERVAL_S, min(gateways, senders) / probes_per_s) * (
+            1.0 + spread
         )
-        interval_s = max(MIN_PROBE_INTERVAL_S, senders / probes_per_s) * (1.0 + spread)
         self._reduced[instance_id] = ReducedBound(max(0, record.in_flight - 1), now_s, interval_s)
 
     def with_room(
@@ -164,33 +166,46 @@
         """Return the replicas that this gateway may send one more request.
 
         Args:
-            records: Replicas that could run it.
+            records: All replicas that could run it, also those that it was sent to already: the
+                shares follow from them.
             gateways: Number of gateways.
             now_s: Current monotonic time.
         """
-        shares = {
-            record.instance.instance_id: self._share(record, gateways)
-            for record in records
-            if self.is_brittle(record.instance.instance_id, now_s)
-        }
-        if len(shares) == len(records) and not any(shares.values()):
-            # Each gateway uses one of them at least, or it could serve nothing.
-            shares[min(shares, key=self._position)] = 1
+        brittle = [item for item in records if self.is_brittle(item.instance.instance_id, now_s)]
+        shares = self._shares(brittle, max(1, gateways), is_only=len(brittle) == len(records))
         return [
             record
             for record in records
             if (share := shares.get(record.instance.instance_id)) is None
-            or record.in_flight < min(share, self._reduced_to(record, share, now_s))
+            or record.in_flight < self._reduced_to(record, share, now_s)
         ]
 
     def _reduced_to(self, record: ReplicaRecord, share: int, now_s: float) -> int:
+        """Return the share, or less after a rejection."""
         reduced = self._reduced.get(record.instance.instance_id)
-        return share if reduced is None else reduced.current(now_s)
+        return share if reduced is None else min(share, reduced.current(now_s))
+
+    def _shares(self, records: list[ReplicaRecord], gateways: int, is_only: bool) -> dict[str, int]:
+        """Divide the slots of replicas among the gateways; return this one's, by instance.
+
+        Where the slots of a replica can't be divided evenly, each gateway uses one more slot of
+        some replicas, in an order of its own.
 
-    def _share(self, record: ReplicaRecord, gateways: int) -> int:
-        """Return this gateway's share of a replica's slots; a fraction is rounded at random."""
-        share, rest = divmod(record.instance.slots, max(1, gateways))
-        return share + (self._position(record.instance.instance_id) < rest / max(1, gateways))
+        Args:
+            records: The replicas.
+            gateways: Number of gateways.
+            is_only: Whether no others can run the request. Then each gateway uses one of them at
+                least, or it could serve nothing.
+        """
+        shares = {item.instance.instance_id: item.instance.slots // gateways for item in records}
+        rest = sum(item.instance.slots % gateways for item in records) / gateways
+        more = int(rest) + (self._position("") < rest % 1.0)
+        if is_only and not any(shares.values()) and rest < 1.0:
+            more = 1
+            self._senders.update(dict.fromkeys(shares, gateways / len(shares)))
+        for instance_id in sorted(shares, key=self._position)[:more]:
+            shares[instance_id] += 1
+        return shares
 
     def _position(self, instance_id: str) -> float:
         """Return a number from 0 to 1 that is fixed for this gateway and a replica."""
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -200,7 +200,10 @@
     if not open_replicas:
         return _no_replica_reason(records, request, tried, limits, now_s)
     if limits.brittle is not None:
-        open_replicas = limits.brittle.with_room(open_replicas, limits.gateways, now_s)
+        usable = [item for item in records if accepts(item) and has_resources(item, request)]
+        with_room = limits.brittle.with_room(usable, limits.gateways, now_s)
+        ids = {record.instance.instance_id for record in with_room}
+        open_replicas = [item for item in open_replicas if item.instance.instance_id in ids]
     max_in_flight = limits.max_in_flight
     with_capacity = [
         record
--- a/tests/test_brittle_bounds.py
+++ b/tests/test_brittle_bounds.py
@@ -53,6 +53,16 @@
     assert max(totals) <= 2 * SLOTS
 
 
+def test_a_request_that_was_rejected_gives_its_gateway_no_further_replica():
+    # 200 gateways, each with one of 20 replicas, sent a rejected request to each of the others.
+    records = [record(item) for item in range(20)]
+    limits = SelectionLimits("z", 100, brittle=brittle(records), gateways=200)
+    request = CallerRequest(b"POST", b"/", [], b"", True, 0.0)
+    first = choose(records, request, set(), limits, 1.0)
+    tried = {first.record.instance.instance_id}
+    assert choose(records, request, tried, limits, 1.0) is NoReplicaReason.ALL_FULL
+
+
 def test_each_gateway_can_use_the_only_replica_of_a_service():
     for number in range(200):
         only = [record(0)]
@@ -77,8 +87,8 @@
     probes_per_s = 0.0
     for number in range(200):
         item = record(0)
-        item.in_flight = 1
         known = brittle([item], f"g{number}")
+        assert fill(known, [item], 200) == [1]
         known.note_rejection(item, 200, 0.0, spread=number / 200)
         probes_per_s += 1.0 / known._reduced["i-0"].interval_s
     assert probes_per_s <= 4.0
