A choice among brittle replicas takes time linear in their number

Seen when reading the diff: each replica's check looked for expired words of all others. Tests as before.

--- a/src/crowsill/gateway/brittle_replicas.py
+++ b/src/crowsill/gateway/brittle_replicas.py
@@ -132,6 +132,9 @@
     def is_brittle(self, instance_id: str, now_s: float) -> bool:
         """Whether a replica counts as brittle."""
         self._expire(now_s)
+        return self._counts_as_brittle(instance_id)
+
+    def _counts_as_brittle(self, instance_id: str) -> bool:
         if not self.is_in_effect:
             return False
         if instance_id in self._said_at_s:
@@ -171,7 +174,8 @@
             gateways: Number of gateways.
             now_s: Current monotonic time.
         """
-        brittle = [item for item in records if self.is_brittle(item.instance.instance_id, now_s)]
+        self._expire(now_s)
+        brittle = [item for item in records if self._counts_as_brittle(item.instance.instance_id)]
         shares = self._shares(brittle, max(1, gateways), is_only=len(brittle) == len(records))
         return [
             record
