--- a/tests/partitioned_site.py
+++ b/tests/partitioned_site.py
@@ -45,7 +45,8 @@
 
     Failures: "reset" resets connections and refuses new ones, "silent" carries nothing and opens no
     new ones, "no_new" refuses new ones and carries what is open, "accepted" resets connections also
-    after it has accepted them, "mute" accepts new ones and carries nothing.
+    after it has accepted them, "mute" accepts new ones and carries nothing, "on_use" refuses new
+    ones and resets an open one as soon as anything is sent on it.
     """
 
     def __init__(self, target_port):
@@ -63,6 +64,7 @@
         self._tasks = set()
         self._carries = asyncio.Event()
         self._resets = False
+        self._resets_on_use = False
         self.restore()
 
     def _listen(self, backlog):
@@ -86,6 +88,7 @@
     def restore(self):
         """Carry everything and accept connections."""
         self._resets = False
+        self._resets_on_use = False
         self._listen(128)
         self._carries.set()
         self._accepting = asyncio.create_task(self._accept())
@@ -106,6 +109,7 @@
             self._carries.clear()
             return
         self._resets = how == "accepted"
+        self._resets_on_use = how == "on_use"
         if not self._resets:
             self._stop_listening()
         if how in ("reset", "accepted"):
@@ -132,12 +136,18 @@
             return
         pair = {writer, target[1]}
         self._writers |= pair
-        await asyncio.gather(self._pump(reader, target[1]), self._pump(target[0], writer))
+        await asyncio.gather(
+            self._pump(reader, target[1], pair), self._pump(target[0], writer, pair)
+        )
         self._writers -= pair
 
-    async def _pump(self, reader, writer):
+    async def _pump(self, reader, writer, pair):
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
+                if self._resets_on_use:
+                    for ended in pair:
+                        ended.transport.abort()
+                    return
                 await self._carries.wait()
                 writer.write(data)
                 await writer.drain()
--- a/tests/test_partitioned_gateways_at_scale.py
+++ b/tests/test_partitioned_gateways_at_scale.py
@@ -20,6 +20,8 @@
 MODELS = 32
 MODELS_PER_ENGINE = 3
 INTERVAL_S = 0.012
+# Two requests a second at each gateway.
+FEW_REQUESTS_INTERVAL_S = 0.5 / GATEWAYS
 # Share of requests by route, as weights.
 ROUTES = {"engine": 7, "once": 2, "safe": 1}
 
@@ -144,6 +146,34 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("how", ["on_use", "reset", "accepted", "mute", "silent", "no_new"])
+@pytest.mark.parametrize("cut_off", [5, 14])
+def test_gateways_with_few_requests_learn_in_time_that_they_are_cut_off(tmp_path, cut_off, how):
+    # An open connection counted as proof of a link, so each one cost a request when it was used.
+    async def scenario():
+        random = Random(4)
+        async with large_site(tmp_path) as site:
+            # Each gateway has idle connections to most replicas of its models.
+            assert served_share(await send_mix(site, 6.0, "before", random)) == 1.0
+            site.cut(range(cut_off), how)
+            tries = await send_mix(site, 9.0, "cut", random, FEW_REQUESTS_INTERVAL_S)
+            late = [item for item in tries if item.sent_s >= CONTACT_S]
+            here = [item for item in late if item.gateway < cut_off]
+            early = [item for item in tries if item.sent_s < CONTACT_S and item.gateway < cut_off]
+            print(
+                f"\n{how} {cut_off} few: {served_share(early):.3f}, then {served_share(here):.3f}"
+            )
+            check_no_request_ran_too_often(site, tries)
+            assert served_share([item for item in late if item.gateway >= cut_off]) > 0.98
+            assert served_share(here) > 0.98
+            site.restore(range(cut_off))
+            await asyncio.sleep(CONTACT_S)
+            after = await send_mix(site, 3.0, "after", random, FEW_REQUESTS_INTERVAL_S)
+            assert served_share(after) > 0.98
+
+    run(scenario())
+
+
 def test_links_that_come_and_go_each_second_cost_few_requests(tmp_path):
     # Gateways had to find out anew, by one request for one replica, each time.
     async def flap(site, cut_off):
