Bound what a sender may send beside a body, in bytes and in time

Callers saw: a replica that sends bytes that are no answer, without end, held their requests until the deadline, and its gateway read all of it into memory: heads, interim heads, trailers, chunk extensions, bodies without the replica's stamp, another request's response, rejections. A gateway has 200 MB.

Cause: the parser keeps unfinished headers, and nothing counted what is not a body; a response that can never be relayed was read to its end.

Change: one count of what is neither body nor the framing of its chunks, for responses and for callers' requests; 64 KiB for heads, 256 KiB for a response that is skipped or a rejection, 1 MiB for calls; 2 s for a head, trailer or rejection that has begun. A response that can't be relayed ends with its head. E208 tells the bytes received and how often its connection was used; two counters by reason. A 503 of over 256 KiB without the mark of a rejection is no longer relayed.

--- a/src/crowsill/backends/http_control.py
+++ b/src/crowsill/backends/http_control.py
@@ -11,8 +11,11 @@
 from crowsill.errors import Outcome
 from crowsill.model.fleet import ReplicaDescription, ReplicaReport
 from crowsill.state.orders import Order
+from crowsill.transport.bounded_read import read_bounded
 
 REPORT_TIMEOUT_S = 1.0
+# A report of one back end, or the list of all machines.
+MAX_REPORT_BYTES = 16 * 1024 * 1024
 ORDER_TIMEOUT_S = 2.0
 _ORDER_REPLIES = {
     200: OrderReply.ACCEPTED,
@@ -41,7 +44,7 @@
     async def _get(self, url: str) -> bytes:
         async with asyncio.timeout(REPORT_TIMEOUT_S), self._session.get(url) as response:
             response.raise_for_status()
-            return await response.read()
+            return await read_bounded(response, MAX_REPORT_BYTES)
 
     async def report(self, replica: ReplicaDescription) -> Result[ReplicaReport, CallFailure]:
         """Read the report of a back end."""
--- a/src/crowsill/cli/client.py
+++ b/src/crowsill/cli/client.py
@@ -11,10 +11,12 @@
 from crowsill.clock import wall_s
 from crowsill.errors import ErrorBody, ErrorKind
 from crowsill.routing.retry_after import parse_longest_delay_s
+from crowsill.transport.bounded_read import read_bounded
 
 T = TypeVar("T")
 REQUEST_TIMEOUT_S = 10.0
 ATTEMPTS_PER_MEMBER = 3
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MIN_RETRY_DELAY_S = 0.3
 # Bounds the `Retry-After` of a member without a leader, because a person waits for the command.
 MAX_RETRY_DELAY_S = 5.0
@@ -72,7 +74,7 @@
                 member = self.settings.members[attempt % len(self.settings.members)]
                 try:
                     async with session.request(method, f"{member}{path}", data=body) as response:
-                        content = await response.read()
+                        content = await read_bounded(response, MAX_RESPONSE_BYTES)
                         status = response.status
                         retry_after_values = response.headers.getall("Retry-After", [])
                 except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -21,10 +21,16 @@
 from crowsill.gateway.response import LAST_CHUNK, encode_chunk, encode_head
 
 MAX_BUFFERED_BYTES = 256 * 1024
+# A rejection must be complete this long after its head.
+REJECTION_TIMEOUT_S = 2.0
 EVENT_STREAM = b"text/event-stream"
 # Statuses from which a caller concludes that the request did not run. Without the replica's
 # `not_run` header such a response counts as a failure, except 421, and is never relayed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Breaks after which the replica has not closed its connection.
+INTACT_CONNECTION_BREAKS = frozenset(
+    (Break.NOT_HTTP, Break.SILENT, Break.TOO_LARGE, Break.TOO_SLOW)
+)
 
 
 class AttemptResult(StrEnum):
@@ -134,6 +140,17 @@
         self._may_relay = False
         self._relaying = False
         self._relayed_framing = Framing.UNKNOWN
+        self._rejection_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def response_bytes(self) -> int:
+        """Bytes received of the response, with its head; 0 once the connection is released."""
+        return 0 if self.connection is None else self.connection.response_bytes
+
+    @property
+    def connection_requests(self) -> int:
+        """Requests sent on the connection so far; 0 once it is released."""
+        return 0 if self.connection is None else self.connection.requests
 
     @property
     def is_relaying(self) -> bool:
@@ -168,6 +185,22 @@
         self.signals = read_signals(status, headers, self._names, wall_s())
         self.on_signals(status, self.signals)
         self._may_relay = self._is_stream and 200 <= status < 300 and self._is_acceptable()
+        if self._is_rejection():
+            self._rejection_timer = self._loop.call_later(
+                REJECTION_TIMEOUT_S, self._break_off, Break.TOO_SLOW
+            )
+        elif not self._is_relayable():
+            # No body changes that, and it may have no end.
+            self._end(self._classify())
+
+    def _is_rejection(self) -> bool:
+        """Whether the replica reports that it did not run the request."""
+        has_mark = find_header(self._headers, self._names.not_run) is not None
+        return has_mark or self._status == 421
+
+    def _is_relayable(self) -> bool:
+        """Whether the caller may get the response if it is complete."""
+        return self._status not in NOT_RUN_STATUSES and self._is_acceptable()
 
     def _has_events(self) -> bool:
         """Whether the body is an event stream; one of a stream's route need not say so."""
@@ -189,6 +222,8 @@
 
     def on_data(self, data: bytes) -> None:
         """Handle a piece of the body: relay it, or buffer it."""
+        if self.ended.done():
+            return
         now_s = self._loop.time()
         if self.first_data_at_s is None:
             self.first_data_at_s = now_s
@@ -209,10 +244,14 @@
             return
         self._body.append(data)
         self._body_bytes += len(data)
-        if self._body_bytes > MAX_BUFFERED_BYTES and self._is_acceptable():
-            self._start_relaying()
-            self._relay(b"".join(self._body))
-            self._body.clear()
+        if self._body_bytes <= MAX_BUFFERED_BYTES:
+            return
+        if self._is_rejection():
+            self._break_off(Break.TOO_LARGE)
+            return
+        self._start_relaying()
+        self._relay(b"".join(self._body))
+        self._body.clear()
 
     def _start_relaying(self) -> None:
         self._relaying = True
@@ -266,12 +305,11 @@
 
     def _classify(self) -> AttemptEnd:
         status, headers = self._status, self._headers
-        not_run = find_header(headers, self._names.not_run) is not None or status == 421
-        if not_run:
+        if self._is_rejection():
             return AttemptEnd(
                 AttemptResult.NOT_RUN, status, headers=headers, detail=f"status {status}"
             )
-        if status in NOT_RUN_STATUSES or not self._is_acceptable():
+        if not self._is_relayable():
             return AttemptEnd(
                 AttemptResult.FAILED, status, detail=f"unacceptable response, status {status}"
             )
@@ -282,6 +320,10 @@
         """Handle a response that was interrupted."""
         self._end(self.interrupted(reason))
 
+    def _break_off(self, reason: Break) -> None:
+        if self.connection is not None:
+            self.connection.break_off(reason)
+
     def interrupted(self, reason: Break) -> AttemptEnd:
         """Return the end of the attempt if its response was interrupted."""
         result = AttemptResult.TRUNCATED if self._relaying else AttemptResult.FAILED
@@ -290,10 +332,12 @@
             self._status,
             relayed=self._relaying,
             detail=reason,
-            is_broken=reason not in (Break.NOT_HTTP, Break.SILENT),
+            is_broken=reason not in INTACT_CONNECTION_BREAKS,
         )
 
     def _end(self, end: AttemptEnd) -> None:
+        if self._rejection_timer is not None:
+            self._rejection_timer.cancel()
         if not self.ended.done():
             self.ended.set_result(end)
 
--- a/src/crowsill/gateway/caller_protocol.py
+++ b/src/crowsill/gateway/caller_protocol.py
@@ -13,10 +13,14 @@
 
 from crowsill.errors import ErrorKind, Problem
 from crowsill.gateway.headers import HeaderNames, Headers, find_header
+from crowsill.gateway.message_bounds import MessageBounds
 from crowsill.gateway.request import CallerRequest, read_headers
 from crowsill.gateway.response import encode_problem
 from crowsill.model.routes import CallerLimits
 
+# Bytes of a head that its limit does not count: method, version, white space, empty line.
+MAX_UNCOUNTED_HEAD_BYTES = 4096
+
 
 class RequestHandler(Protocol):
     """Handles the requests of all callers' connections."""
@@ -71,6 +75,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._header_bytes = 0
+        self._bounds = MessageBounds()
         self._is_reading = False
 
     # Callbacks of the transport.
@@ -100,8 +105,10 @@
         if not self._is_reading and not self.is_busy:
             self._is_reading = True
             self._start_timer(self._handler.limits().header_timeout_ms)
+        self._bounds.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            self._check_bounds()
         except httptools.HttpParserUpgrade:
             self._reject(ErrorKind.INVALID_REQUEST, "upgrades are not supported")
         except httptools.HttpParserError as error:
@@ -138,6 +145,12 @@
         if self._header_bytes > self._handler.limits().max_header_bytes and not self.is_closed:
             self._reject(ErrorKind.HEADERS_TOO_LARGE, "the headers are too large")
 
+    def _check_bounds(self) -> None:
+        """Reject a request with too much beside its body: the parser keeps unfinished headers."""
+        max_bytes = self._handler.limits().max_header_bytes + MAX_UNCOUNTED_HEAD_BYTES
+        if self._bounds.exceeds(max_bytes) and not self.is_closed:
+            self._reject(ErrorKind.HEADERS_TOO_LARGE, "the head or a trailer is too large")
+
     def on_headers_complete(self) -> None:
         """Answer `Expect: 100-continue` and start the timer for the body."""
         expect = find_header(self._headers, b"expect")
@@ -149,6 +162,7 @@
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body; reject a body that is too large."""
         self._body_bytes += len(data)
+        self._bounds.body_bytes += len(data)
         if self._body_bytes > self._handler.limits().max_body_bytes and not self.is_closed:
             self._reject(ErrorKind.BODY_TOO_LARGE, "the body is too large")
             return
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -166,6 +166,8 @@
             detail=detail,
             framing=Framing.UNKNOWN if attempt is None else attempt.framing,
             inside_event=attempt is not None and attempt.is_inside_event,
+            connection_requests=0 if attempt is None else attempt.connection_requests,
+            received_bytes=0 if attempt is None else attempt.response_bytes,
             failures=record.availability.failures,
             fingerprint=self.fingerprint.hex(),
             parts=format_parts(self.shared_parts),
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -14,11 +14,21 @@
 
 from crowsill.gateway.framing import Framing, find_framing
 from crowsill.gateway.headers import HeaderNames, Headers, find_header, read_number
+from crowsill.gateway.message_bounds import MessageBounds
+from crowsill.metrics import UNUSABLE_RESPONSE_BYTES, UNUSABLE_RESPONSES
 
 # A replica that sends no `Keep-Alive: timeout` is assumed to keep idle connections this long.
 DEFAULT_IDLE_S = 60.0
 IDLE_MARGIN_S = 1.0
 MAX_IDLE_MARGIN_SHARE = 0.5
+# Bytes of a response that are neither its body nor the framing of chunks: its head, interim heads
+# and trailers.
+MAX_HEAD_BYTES = 64 * 1024
+# Bytes of a late response to an earlier request, which are skipped.
+MAX_SKIPPED_BYTES = 256 * 1024
+# A head, a trailer or the size of a chunk that has begun must be complete after this time.
+# Retransmitted packets may take more than a second.
+INCOMPLETE_TIMEOUT_S = 2.0
 
 
 class Break(StrEnum):
@@ -31,6 +41,8 @@
         SILENT: Nothing was received for too long.
         INSIDE_EVENT: The body ended inside an event of an event stream, or before the first one.
         CRASHED: The connection was closed as at the end of the body, because the replica crashed.
+        TOO_LARGE: More bytes were received than a head, or a body that is not relayed, may have.
+        TOO_SLOW: A head, a trailer, the size of a chunk or a rejection was not complete in time.
     """
 
     CLOSED = "closed"
@@ -39,6 +51,8 @@
     SILENT = "silent"
     INSIDE_EVENT = "inside_event"
     CRASHED = "crashed"
+    TOO_LARGE = "too_large"
+    TOO_SLOW = "too_slow"
 
 
 class ResponseSink(Protocol):
@@ -89,8 +103,16 @@
         self.requests = 0
         self.on_lost: Callable[[], None] = lambda: None
         self._is_discarded = False
+        self._bounds = MessageBounds()
+        self._has_progressed = False
+        self._incomplete_timer: asyncio.TimerHandle | None = None
         self._reset_message()
 
+    @property
+    def response_bytes(self) -> int:
+        """Bytes received since the last request was sent."""
+        return self._bounds.received_bytes
+
     def _reset_message(self) -> None:
         self._reason = b""
         self._headers: Headers = []
@@ -105,6 +127,7 @@
         """End the response in progress: complete if the close delimits its body, else broken."""
         self.is_open = False
         self.is_reusable = False
+        self._stop_timer()
         ends_body = self._framing is Framing.CLOSE and self._received_eof and exc is None
         is_interrupted = self._sink is not None and not ends_body
         if not self._is_discarded and (exc is not None or is_interrupted):
@@ -129,17 +152,40 @@
             # Bytes without a request: later responses could not be matched to their requests.
             self.discard()
             return
+        self._bounds.received_bytes += len(data)
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail()
-        except httptools.HttpParserError:
-            self._fail()
-
-    def _fail(self) -> None:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self.break_off(Break.NOT_HTTP)
+        self._check_bounds()
+
+    def _check_bounds(self) -> None:
+        """Break off a response that has too much beside its body, or takes too long for it."""
+        if self._sink is None or self._has_progressed:
+            self._stop_timer()
+        if self._sink is None:
+            return
+        is_too_large = self._bounds.skipped_bytes > MAX_SKIPPED_BYTES
+        if is_too_large or self._bounds.exceeds(MAX_HEAD_BYTES):
+            self.break_off(Break.TOO_LARGE)
+        elif not self._has_progressed and self._incomplete_timer is None:
+            self._incomplete_timer = self._loop.call_later(
+                INCOMPLETE_TIMEOUT_S, self.break_off, Break.TOO_SLOW
+            )
+
+    def _stop_timer(self) -> None:
+        if self._incomplete_timer is not None:
+            self._incomplete_timer.cancel()
+            self._incomplete_timer = None
+
+    def break_off(self, reason: Break) -> None:
+        """End the response in progress as interrupted, and close the connection."""
         self.is_reusable = False
         if self._sink is not None:
-            self._deliver_break(Break.NOT_HTTP)
+            UNUSABLE_RESPONSES.labels(reason).inc()
+            UNUSABLE_RESPONSE_BYTES.labels(reason).inc(self._bounds.received_bytes)
+            self._deliver_break(reason)
         self.discard()
 
     # Sending.
@@ -161,6 +207,8 @@
         self._is_head_request = is_head_request
         self._framing = Framing.UNKNOWN
         self._has_complete_response = False
+        self._bounds = MessageBounds()
+        self._stop_timer()
         if self._transport is not None:
             self._transport.write(message)
 
@@ -169,6 +217,7 @@
         if self._transport is None or not self.is_open or self._transport.is_closing():
             return
         if paused:
+            self._stop_timer()
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
@@ -179,6 +228,7 @@
         self._is_discarded = True
         self.is_reusable = False
         self.is_open = False
+        self._stop_timer()
         if self._transport is not None:
             self._transport.abort()
 
@@ -202,6 +252,7 @@
     def on_headers_complete(self) -> None:
         """Check the head of a response and pass it to the sink."""
         status = self._parser.get_status_code()
+        self._has_progressed = True
         if self._sink is None or status < 200:
             return
         echoed = find_header(self._headers, self._names.request_id)
@@ -233,7 +284,11 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a piece of the body to the sink."""
-        if self._sink is not None and not self._is_skipping_response:
+        if self._is_skipping_response:
+            self._bounds.skipped_bytes += len(data)
+        elif self._sink is not None:
+            self._has_progressed = True
+            self._bounds.body_bytes += len(data)
             self._sink.on_data(data)
 
     def on_message_complete(self) -> None:
--- a/src/crowsill/gateway/response_collector.py
+++ b/src/crowsill/gateway/response_collector.py
@@ -7,6 +7,8 @@
 from crowsill.gateway.headers import Headers
 from crowsill.gateway.replica_connection import Break
 
+MAX_COLLECTED_BYTES = 1024 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class CallResponse:
@@ -30,6 +32,7 @@
         self._status = 0
         self._headers: Headers = []
         self._body: list[bytes] = []
+        self._body_bytes = 0
 
     def on_head(self, status: int, reason: bytes, headers: Headers, framing: Framing) -> None:
         """Keep the head."""
@@ -37,7 +40,14 @@
         self._headers = headers
 
     def on_data(self, data: bytes) -> None:
-        """Keep a piece of the body."""
+        """Keep a piece of the body; a body that is too large ends without a response."""
+        if self.ended.done():
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_COLLECTED_BYTES:
+            self._body.clear()
+            self._end(None)
+            return
         self._body.append(data)
 
     def on_end(self) -> None:
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -165,6 +165,18 @@
     buckets=_LATENCY_BUCKETS_S,
     registry=REGISTRY,
 )
+UNUSABLE_RESPONSES = Counter(
+    "crowsill_gateway_unusable_responses",
+    "Responses of replicas and other gateways that were broken off here, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+UNUSABLE_RESPONSE_BYTES = Counter(
+    "crowsill_gateway_unusable_response_bytes",
+    "Bytes that were received of these responses, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 ORDERS = Counter(
     "crowsill_orders",
     "Orders to engines by kind and result.",
