Ask a replica that refuses new connections on an open one

Cause: an open connection counted as proof of a link. Replicas with one were left out of the checks that follow a failure, and stayed in use until each open connection had cost a request.

Change: a check that is refused asks on an open connection; if nothing comes back, the replica is excluded and its open connections are closed. Checks of a whole service take as proof only what came after the first failure: what came within half a second before it may be older than the cut. Excluded replicas that are used on open connections are asked there, too.

--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -97,18 +97,26 @@
             connection.discard()
         return None
 
+    def acquire_idle(self, instance_id: str) -> ReplicaConnection | None:
+        """Return an idle connection for exclusive use, or None if there is none."""
+        pool = self._pools.get(instance_id)
+        if pool is None:
+            return None
+        connection = self._take_idle(pool, self._loop.time())
+        if connection is not None:
+            pool.in_use += 1
+            pool.busy.add(connection)
+        return connection
+
     async def acquire(self, instance: Instance, timeout_s: float) -> ReplicaConnection:
         """Return an idle connection, or open a new one, for exclusive use.
 
         Raises:
             ConnectError: No connection could be opened in time; nothing was sent.
         """
-        pool = self._pools.setdefault(instance.instance_id, _InstancePool())
-        connection = self._take_idle(pool, self._loop.time())
+        connection = self.acquire_idle(instance.instance_id)
         if connection is None:
             return await self.open_connection(instance, timeout_s)
-        pool.in_use += 1
-        pool.busy.add(connection)
         return connection
 
     async def open_connection(self, instance: Instance, timeout_s: float) -> ReplicaConnection:
--- a/src/crowsill/gateway/recent_failures.py
+++ b/src/crowsill/gateway/recent_failures.py
@@ -36,6 +36,14 @@
         failed[instance_id] = now_s
         return is_second
 
+    def first_failed_at_s(self, service: str) -> float:
+        """Return the monotonic time of the first of the related failures of a service.
+
+        Minus infinity without any.
+        """
+        failed = self._failed_at_s.get(service)
+        return next(iter(failed.values())) if failed else -math.inf
+
     def failed_at_s(self, instance_id: str) -> float:
         """Return the monotonic time of a replica's last failure; minus infinity if long ago."""
         return max(
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -12,7 +12,7 @@
 
 from crowsill.events import Event
 from crowsill.gateway.link_state import LinkState
-from crowsill.gateway.pool import CONNECT_TIMEOUT_S, ConnectError, ConnectionPool
+from crowsill.gateway.pool import ConnectError, ConnectionPool
 from crowsill.gateway.recent_failures import RecentFailures
 from crowsill.gateway.replica_check import (
     LONG_MIN_OPEN_S,
@@ -46,11 +46,9 @@
 SIMULTANEOUS_S = 0.3
 # A replica that sent anything within this time needs no check.
 RECENT_S = 0.5
-# A replica that refuses new connections because it has too many keeps the others open. Those of one
-# that crashed are lost within this time, also if a packet has to be sent again.
-CRASH_DETECTION_S = 0.3
-CRASH_POLL_S = 0.02
-MIN_CONFIRMATION_S = 0.01
+# The same for one that refuses new connections: each failure of another one would be a reason to
+# check its open ones again.
+RECENT_OPEN_ONLY_S = 2.0
 # The control group records that a replica drains and informs all gateways within half this time.
 DRAIN_REPORT_INTERVAL_S = 0.5
 
@@ -101,9 +99,10 @@
         record.availability.note_not_silent()
         if error.is_refused:
             self._close_to_new_connections(record)
+            self._start_check(record, CheckReason.REFUSED)
         else:
             self._exclude(record)
-        self._check_others(record, error.is_refused)
+        self._check_others(record)
 
     def watch_unreachable(self, record: ReplicaRecord) -> None:
         """Exclude a replica that crashed or was silent, until a connection to it succeeds."""
@@ -129,7 +128,7 @@
             self._early_resets[instance_id] += 1
             if self._early_resets[instance_id] >= MAX_EARLY_RESETS:
                 self._close_to_new_connections(record)
-                self._check_others(record, is_refused=False)
+                self._check_others(record)
 
     def _close_to_new_connections(self, record: ReplicaRecord) -> None:
         """Use only the open connections to a replica, or exclude it if there is none."""
@@ -176,7 +175,7 @@
 
     # Checks.
 
-    def _check_others(self, failed: ReplicaRecord, is_refused: bool) -> None:
+    def _check_others(self, failed: ReplicaRecord) -> None:
         """Check whether other replicas fail as well.
 
         A first failure starts checks of a few replicas, a second one of the same service those of
@@ -186,10 +185,12 @@
         service = failed.instance.service
         if self._failures.is_second(failed.instance.instance_id, service, now_s):
             if self._failures.begin_check_of(service, now_s):
-                self._start_checks(self._unproven(service, is_refused, now_s))
+                # What was received before the first failure may have come before the links failed.
+                since_s = self._failures.first_failed_at_s(service)
+                self._start_checks(self._unproven(service, since_s, now_s))
             return
         for name in {record.instance.service for record in self._registry.listed()}:
-            unproven = self._unproven(name, is_refused, now_s)
+            unproven = self._unproven(name, now_s - RECENT_S, now_s)
             count = CHECKED_REPLICAS if name == service else CHECKED_OF_OTHER_SERVICES
             self._start_checks(self._random.sample(unproven, min(count, len(unproven))))
 
@@ -197,21 +198,27 @@
         for record in records:
             self._start_check(record, CheckReason.OTHERS_FAILED)
 
-    def _unproven(self, service: str, is_refused: bool, now_s: float) -> list[ReplicaRecord]:
-        """Return the replicas of a service that may fail as another one has failed."""
+    def _unproven(self, service: str, since_s: float, now_s: float) -> list[ReplicaRecord]:
+        """Return the replicas of a service that may fail as another one has failed.
+
+        Args:
+            service: The service.
+            since_s: Monotonic time; what was received later shows that a replica is reached.
+            now_s: Current monotonic time.
+        """
         return [
             record
             for record in self._registry.of_service(service)
             if not record.availability.is_draining
             and self._links.is_reachable(record)
-            and not self._has_proof(record.instance.instance_id, is_refused, now_s)
+            and not self._has_proof(record, since_s, now_s)
         ]
 
-    def _has_proof(self, instance_id: str, is_refused: bool, now_s: float) -> bool:
+    def _has_proof(self, record: ReplicaRecord, since_s: float, now_s: float) -> bool:
         """Whether a replica is known not to fail as another one has failed."""
-        if is_refused and self._pool.has_open(instance_id):
-            return True
-        return now_s - self._pool.received_at_s(instance_id) < RECENT_S
+        if record.availability.refuses_connections:
+            since_s = min(since_s, now_s - RECENT_OPEN_ONLY_S)
+        return self._pool.received_at_s(record.instance.instance_id) > since_s
 
     def _start_check(self, record: ReplicaRecord, reason: CheckReason) -> None:
         instance_id = record.instance.instance_id
@@ -222,7 +229,7 @@
 
     async def _check(self, record: ReplicaRecord, reason: CheckReason) -> None:
         loop = asyncio.get_running_loop()
-        late = loop.call_later(LATE_RESPONSE_S, self._check_others, record, False)
+        late = loop.call_later(LATE_RESPONSE_S, self._check_others, record)
         try:
             result = await self._run_check(record, reason)
         finally:
@@ -230,11 +237,13 @@
             self._checked.discard(record.instance.instance_id)
         if result is CheckResult.REACHED:
             return
-        if result is CheckResult.REFUSED:
+        if result is CheckResult.OPEN_ONLY:
             self._close_to_new_connections(record)
+        elif result is CheckResult.REFUSED:
+            self.watch_unreachable(record)
         else:
             self._exclude(record, result is CheckResult.UNANSWERED)
-        self._check_others(record, result is CheckResult.REFUSED)
+        self._check_others(record)
 
     async def _run_check(self, record: ReplicaRecord, reason: CheckReason) -> CheckResult:
         is_suspect = self._early_resets[record.instance.instance_id] > 0
@@ -251,30 +260,9 @@
         holds while it drains, too.
         """
         instance = record.instance
-        started_s = asyncio.get_running_loop().time()
-        try:
-            connection = await self._pool.open_connection(instance, CONNECT_TIMEOUT_S)
-        except ConnectError as error:
-            return error.is_refused and await self._keeps_connections(instance)
-        try:
-            # A connection that was opened while the replica crashed is reset within a round trip.
-            round_trip_s = asyncio.get_running_loop().time() - started_s
-            await asyncio.sleep(max(MIN_CONFIRMATION_S, round_trip_s))
-            if connection.is_open:
-                return True
-        finally:
-            is_listed = self._registry.find(instance.instance_id) is record
-            self._pool.release(instance.instance_id, connection, is_listed)
-        return await self._keeps_connections(instance)
-
-    async def _keeps_connections(self, instance: Instance) -> bool:
-        """Whether a replica that accepts no new connection keeps one that it has used."""
-        end_at_s = asyncio.get_running_loop().time() + CRASH_DETECTION_S
-        while self._pool.has_used(instance.instance_id):
-            if asyncio.get_running_loop().time() >= end_at_s:
-                return True
-            await asyncio.sleep(CRASH_POLL_S)
-        return False
+        return await self._checker.is_running(
+            instance, lambda: self._registry.find(instance.instance_id) is record
+        )
 
     async def is_own_failure(self, instance: Instance) -> bool:
         """Whether the links of this gateway failed, and not the replica.
@@ -299,7 +287,8 @@
         return any(abs(lost_at_s - at_s) <= SIMULTANEOUS_S for lost_at_s in times)
 
     async def _is_reached(self, record: ReplicaRecord, reason: CheckReason) -> bool:
-        return await self._run_check(record, reason) is CheckResult.REACHED
+        result = await self._run_check(record, reason)
+        return result in (CheckResult.REACHED, CheckResult.OPEN_ONLY)
 
     # Return.
 
@@ -315,8 +304,11 @@
         try:
             while self._registry.find(instance_id) is record and record.instance.accepts_work:
                 await self._wait_to_reconnect()
-                if await self._is_reached(record, CheckReason.EXCLUDED):
+                result = await self._run_check(record, CheckReason.EXCLUDED)
+                if result is CheckResult.REACHED:
                     break
+                if result is not CheckResult.OPEN_ONLY and self._links.is_reachable(record):
+                    self.watch_unreachable(record)
                 self._report_suspect(record)
             else:
                 return
