--- a/src/crowsill/gateway/caller_listener.py
+++ b/src/crowsill/gateway/caller_listener.py
@@ -19,6 +19,12 @@
 CALLER_SILENCE_TIMEOUT_S = 4.0
 
 
+def detect_silence(connection: CallerConnection) -> None:
+    """Have the kernel close a connection whose other end has been silent for long."""
+    if connection.transport is not None:
+        set_peer_timeout(connection.transport, CALLER_SILENCE_TIMEOUT_S)
+
+
 class CallerListener:
     """The listener of one gateway, and the check of its event loop's lag."""
 
@@ -56,13 +62,12 @@
 
     def admit(self, connection: CallerConnection) -> bool:
         """Close a new connection unread, if there is no room for it; return whether it is open."""
-        if not self._admission.accepts(self._random):
+        if not self._admission.accepts(asyncio.get_running_loop().time(), self._random):
             self._closed_unread += 1
             CLOSED_UNREAD.inc()
             connection.abort()
             return False
-        if connection.transport is not None:
-            set_peer_timeout(connection.transport, CALLER_SILENCE_TIMEOUT_S)
+        detect_silence(connection)
         return True
 
     async def check_lag(self) -> None:
@@ -75,7 +80,7 @@
 
     def _note_lag(self, lag_s: float) -> None:
         was_closing = self._admission.closed_share > 0.0
-        self._admission.note_lag(lag_s)
+        self._admission.note_lag(lag_s, asyncio.get_running_loop().time())
         is_closing = self._admission.closed_share > 0.0
         if is_closing == was_closing:
             return
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -10,7 +10,7 @@
 from crowsill.clock import monotonic_s
 from crowsill.events import Event
 from crowsill.gateway.brittle_replicas import BrittleReplicas
-from crowsill.gateway.caller_listener import CallerListener
+from crowsill.gateway.caller_listener import CallerListener, detect_silence
 from crowsill.gateway.caller_protocol import CallerConnection
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.crash_watch import CrashWatch
@@ -326,6 +326,17 @@
         if self._listener.admit(connection):
             self._running.add_connection(connection)
 
+    def on_peer_connected(self, connection: CallerConnection) -> None:
+        """Handle a new connection of another gateway.
+
+        It is not closed unread: its request could have run, as far as that gateway knows.
+        """
+        if self._has_drained:
+            connection.abort()
+            return
+        detect_silence(connection)
+        self._running.add_connection(connection)
+
     def on_disconnected(self, connection: CallerConnection) -> None:
         """Cancel the exchange of a caller that disconnected."""
         self._running.cancel(connection)
