--- a/src/crowsill/gateway/caller_listener.py
+++ b/src/crowsill/gateway/caller_listener.py
@@ -80,7 +80,7 @@
 
     def _note_lag(self, lag_s: float) -> None:
         was_closing = self._admission.closed_share > 0.0
-        self._admission.note_lag(lag_s, asyncio.get_running_loop().time())
+        self._admission.note_lag(lag_s)
         is_closing = self._admission.closed_share > 0.0
         if is_closing == was_closing:
             return
--- a/src/crowsill/gateway/connection_admission.py
+++ b/src/crowsill/gateway/connection_admission.py
@@ -3,11 +3,10 @@
 A gateway that reads more requests than it can answer in time does all of its work too late. One
 that closes new connections before it reads a request costs their callers only a round trip: they
 know that nothing ran, and most other gateways have room. But the event loop also lags while other
-work takes it up, as when many links are lost or return. So the rate that was sustained before is
-always accepted.
+work takes it up, as when many links are lost or return. So a few connections are always accepted.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 # Up to this lag of the event loop, responses are late by some tenths of a second at most: a request
@@ -22,90 +21,42 @@
 # Some connections are accepted all the same, so that the gateway notices when it has room again.
 MAX_CLOSED_SHARE = 0.95
 SHARE_DECAY = 0.04
-# So few connections a second do not keep an event loop busy.
-MIN_SUSTAINED_PER_S = 10.0
-# Time over which the sustained rate is measured.
-RATE_WINDOW_S = 1.0
-# A rate that was sustained long ago says little about what else the machine does now.
-KEPT_SHARE_PER_WINDOW = 0.98
-# If the loop lags for longer than other work usually takes, the machine may have become slower.
-MAX_UNEXPLAINED_WINDOWS = 1
-KEPT_SHARE_PER_LAGGING_WINDOW = 0.5
-
-
-@dataclass(slots=True)
-class SustainedRate:
-    """The rate of new connections at which the event loop did not lag.
-
-    Attributes:
-        per_s: Highest such rate lately, in connections a second.
-    """
-
-    per_s: float = MIN_SUSTAINED_PER_S
-    _window_ends_at_s: float = float("-inf")
-    _accepted: int = 0
-    _has_lagged: bool = False
-    _lagging_windows: int = 0
-
-    def note_accepted(self) -> None:
-        """Count a connection."""
-        self._accepted += 1
-
-    def note_lag(self, is_lagging: bool, now_s: float) -> None:
-        """Record whether the loop lags; end the window if it is over."""
-        self._has_lagged = self._has_lagged or is_lagging
-        if now_s < self._window_ends_at_s:
-            return
-        kept_per_s = self.per_s
-        if not self._has_lagged:
-            self._lagging_windows = 0
-            kept_per_s = max(self.per_s * KEPT_SHARE_PER_WINDOW, self._accepted / RATE_WINDOW_S)
-        elif self._lagging_windows >= MAX_UNEXPLAINED_WINDOWS:
-            kept_per_s = self.per_s * KEPT_SHARE_PER_LAGGING_WINDOW
-        else:
-            self._lagging_windows += 1
-        self.per_s = max(MIN_SUSTAINED_PER_S, kept_per_s)
-        self._window_ends_at_s = now_s + RATE_WINDOW_S
-        self._accepted = 0
-        self._has_lagged = False
+# So few connections a second do not keep an event loop busy: it lags for another reason.
+ALWAYS_ACCEPTED_PER_S = 10.0
 
 
 @dataclass(slots=True)
 class ConnectionAdmission:
-    """The share of new connections beyond the sustained rate that are closed unread.
+    """The share of new connections beyond `ALWAYS_ACCEPTED_PER_S` that are closed unread.
 
     Attributes:
         closed_share: That share, controlled by the event loop's lag.
 
     >>> admission = ConnectionAdmission()
-    >>> admission.note_lag(2.0, 1.0), admission.note_lag(0.0, 1.05), admission.closed_share
+    >>> admission.note_lag(2.0), admission.note_lag(0.0), admission.closed_share
     (None, None, 0.0)
-    >>> for check in range(6):
-    ...     admission.note_lag(0.4, 1.1 + 0.05 * check)
+    >>> for _ in range(6):
+    ...     admission.note_lag(0.4)
     >>> admission.closed_share > 0.9
     True
-    >>> for check in range(30):
-    ...     admission.note_lag(0.0, 1.4 + 0.05 * check)
+    >>> for _ in range(30):
+    ...     admission.note_lag(0.0)
     >>> admission.closed_share
     0.0
     """
 
     closed_share: float = 0.0
     _lagging_checks: int = 0
-    _sustained: SustainedRate = field(default_factory=SustainedRate)
     _allowance: float = 0.0
     _allowance_at_s: float = float("-inf")
 
-    def note_lag(self, lag_s: float, now_s: float) -> None:
+    def note_lag(self, lag_s: float) -> None:
         """Adjust the share to the lag of the event loop, measured every `CHECK_INTERVAL_S`.
 
         Args:
             lag_s: How late a timer ran, in seconds.
-            now_s: Current monotonic time in seconds.
         """
-        is_lagging = lag_s > MAX_LAG_S
-        self._sustained.note_lag(is_lagging, now_s)
-        if not is_lagging:
+        if lag_s <= MAX_LAG_S:
             self._lagging_checks = 0
             self.closed_share = max(0.0, self.closed_share - SHARE_DECAY)
             return
@@ -120,22 +71,18 @@
 
         Args:
             now_s: Current monotonic time in seconds.
-            random: Draws which connections beyond the sustained rate are closed.
+            random: Draws which connections beyond that rate are closed.
         """
-        is_accepted = (
+        return (
             self._spend_allowance(now_s)
             or self.closed_share <= 0.0
             or random.random() >= self.closed_share
         )
-        if is_accepted:
-            self._sustained.note_accepted()
-        return is_accepted
 
     def _spend_allowance(self, now_s: float) -> bool:
-        """Whether the connection is within the sustained rate, with a second's worth at once."""
-        sustained_per_s = self._sustained.per_s
-        gained = (now_s - self._allowance_at_s) * sustained_per_s
-        self._allowance = min(sustained_per_s, self._allowance + gained)
+        """Whether the connection is always accepted; a second's worth may come at once."""
+        gained = (now_s - self._allowance_at_s) * ALWAYS_ACCEPTED_PER_S
+        self._allowance = min(ALWAYS_ACCEPTED_PER_S, self._allowance + gained)
         self._allowance_at_s = now_s
         if self._allowance < 1.0:
             return False
--- a/src/crowsill_lab/soak/replica.py
+++ b/src/crowsill_lab/soak/replica.py
@@ -20,10 +20,13 @@
 )
 from crowsill_lab.soak.links import SoakLinks
 from crowsill_lab.soak.responses import (
+    ENDLESS_SHARE,
+    MAX_ENDLESS_BYTES,
     STREAM_PATH,
     draw_plain,
     draw_stream,
     response_body,
+    send_endless,
     stream_body,
 )
 from crowsill_lab.soak.seeded_site import SeededSite
@@ -82,6 +85,7 @@
         self._random = random
         # A separate seed keeps the replica's other choices unchanged.
         self._response_random = Random(f"responses of {self.name}")
+        self._endless_random = Random(f"endless responses of {self.name}")
         self._sequence = 0
         self._state = InstanceState.READY
         self._drain_acknowledged_at_s = float("inf")
@@ -269,6 +273,11 @@
         tenant = headers.get(NAMES.tenant.decode(), "")
         self._ledger.note_run(request_id, headers, tenant, time.monotonic())
         await asyncio.sleep(self._random.random() * MAX_WORK_S)
+        if self._endless_random.random() < ENDLESS_SHARE:
+            if await send_endless(writer, self._endless_random):
+                detail = f"{MAX_ENDLESS_BYTES} bytes that are no response were read"
+                self._ledger.note_violation(f"{request_id}: {detail}")
+            return False
         random = self._response_random
         if path.startswith(STREAM_PATH):
             response = draw_stream(stream_body(request_id), random)
--- a/src/crowsill_lab/soak/responses.py
+++ b/src/crowsill_lab/soak/responses.py
@@ -91,6 +91,35 @@
     writer.transport.abort()
 
 
+# Starts of responses that are none, and the piece that follows without end.
+ENDLESS_RESPONSES = (
+    (b"HTTP/1.1 200 S\r\n", b"A: 1\r\n" * 4096),
+    (b"HTTP/1.1 200 S\r\nA: ", b"x" * 65536),
+    (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1024),
+    (b"HTTP/1.1 200 S\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n%s\r\n" % (b"y" * 1024)),
+    (b"HTTP/1.1 500 S\r\n\r\n", b"z" * 65536),
+    (b"HTTP/1.1 200 S\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"A: 1\r\n" * 4096),
+)
+ENDLESS_SHARE = 0.01
+# More than the buffers of a connection hold.
+MAX_ENDLESS_BYTES = 32 * 1024 * 1024
+
+
+async def send_endless(writer: asyncio.StreamWriter, random: Random) -> bool:
+    """Send bytes that are no response; return whether all `MAX_ENDLESS_BYTES` were taken."""
+    first, piece = random.choice(ENDLESS_RESPONSES)
+    writer.write(first)
+    for _ in range(MAX_ENDLESS_BYTES // len(piece)):
+        if writer.transport.is_closing():
+            return False
+        writer.write(piece)
+        try:
+            await writer.drain()
+        except ConnectionError:
+            return False
+    return True
+
+
 def response_body(request_id: str, body: bytes) -> bytes:
     """Return the body of the plain response to a request.
 
