Tests at scale tell which first tries failed, and how late their event loop was

They now print each unserved first try with its time and the longest lag of the loop, as the brittle replicas do.

--- a/tests/partitioned_site.py
+++ b/tests/partitioned_site.py
@@ -129,6 +129,14 @@
         if self._resets:
             writer.transport.abort()
             return
+        data = b""
+        if not self._carries.is_set():
+            # The replica gets nothing meanwhile, so it needs no connection either.
+            data = await reader.read(CHUNK_BYTES)
+            if not data:
+                writer.close()
+                return
+            await self._carries.wait()
         try:
             target = await asyncio.open_connection(LOCAL, self._target_port)
         except OSError:
@@ -136,6 +144,7 @@
             return
         pair = {writer, target[1]}
         self._writers |= pair
+        target[1].write(data)
         await asyncio.gather(
             self._pump(reader, target[1], pair), self._pump(target[0], writer, pair)
         )
@@ -327,3 +336,13 @@
 def served_share(tries):
     """Return the share of first tries that were answered 200."""
     return sum(item.status == 200 for item in tries) / max(1, len(tries))
+
+
+def describe_unserved(tries):
+    """Return a line for each first try that was not answered 200."""
+    return "".join(
+        f"\n  {item.request_id} at g{item.gateway} after {item.sent_s:.2f} s:"
+        f" status {item.status} in {item.taken_s:.2f} s"
+        for item in tries
+        if item.status != 200
+    )
--- a/tests/test_brittle_replicas.py
+++ b/tests/test_brittle_replicas.py
@@ -15,6 +15,7 @@
 import aiohttp
 import pytest
 
+from tests.loop_lag import LoopLag
 from tests.platform_site import ID, STAMP, PlatformSite, SimulatedReplica, configuration
 
 GATEWAYS = 6
@@ -167,7 +168,9 @@
     await site.until(served)
     began_at_s = time.monotonic() + WARM_UP_S
     record.begin(began_at_s)
-    seen = await _keep_sending(site.fronts, case["per_s"], began_at_s + BRITTLE_S)
+    async with LoopLag() as lag:
+        seen = await _keep_sending(site.fronts, case["per_s"], began_at_s + BRITTLE_S)
+    print(f"longest lag of the replicas' event loop: {lag.longest_s:.2f} s")
     for replica in record.replicas:
         await replica.stop()
     short_from_s = began_at_s + NOTICE_S
--- a/tests/test_partitioned_gateways_at_scale.py
+++ b/tests/test_partitioned_gateways_at_scale.py
@@ -9,7 +9,8 @@
 
 from crowsill.model.routes import ModelWeights
 from tests.gateway_world import routes
-from tests.partitioned_site import PartitionedSite, Placement, served_share
+from tests.loop_lag import LoopLag
+from tests.partitioned_site import PartitionedSite, Placement, describe_unserved, served_share
 
 # Time after which a machine knows what has changed around it; the users' bound.
 CONTACT_S = 3.0
@@ -74,17 +75,23 @@
     started_at_s = time.monotonic()
     names, weights = list(ROUTES), list(ROUTES.values())
     tasks = []
-    while time.monotonic() < started_at_s + for_s:
-        number = len(tasks) % len(site.gateways)
-        (route,) = random.choices(names, weights)
-        headers = ()
-        if route == "engine":
-            headers = (f"crowsill-model: m{random.randrange(MODELS)}", "crowsill-token-counts: 9,9")
-        request_id = f"{prefix}-{route}-{len(tasks)}"
-        sending = site.try_once(number, route, request_id, started_at_s, headers)
-        tasks.append(asyncio.create_task(sending))
-        await asyncio.sleep(interval_s)
-    return await asyncio.gather(*tasks)
+    async with LoopLag() as lag:
+        while time.monotonic() < started_at_s + for_s:
+            number = len(tasks) % len(site.gateways)
+            (route,) = random.choices(names, weights)
+            headers = ()
+            if route == "engine":
+                headers = (
+                    f"crowsill-model: m{random.randrange(MODELS)}",
+                    "crowsill-token-counts: 9,9",
+                )
+            request_id = f"{prefix}-{route}-{len(tasks)}"
+            sending = site.try_once(number, route, request_id, started_at_s, headers)
+            tasks.append(asyncio.create_task(sending))
+            await asyncio.sleep(interval_s)
+        tries = await asyncio.gather(*tasks)
+    print(f"\n{prefix}: longest lag {lag.longest_s:.2f} s{describe_unserved(tries)}")
+    return tries
 
 
 def check_no_request_ran_too_often(site, tries):
