Hold requests while another cause of the crashes may still be found

Cause: a request is quarantined at its third crash. The reports of other gateways come some milliseconds later, and a part is quarantined at its fifth crash, 0.5 s after it.

Change: a request that was quarantined within 0.3 s is held while another one ran at two of its crashes, and within 2 s while a part is a suspect. It is sent to no replica meanwhile, and rejected at the end unless it was released. E226 tells how long. A request alone is rejected at once, as before.

The group releases what it holds (test_crashes_by_part), so a held request is sent as soon as that is known.

--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -104,6 +104,12 @@
         225, "INFO", "A replica no longer said that it crashes if it rejects too many requests."
     )
 
+    QUARANTINE_AWAITED = EventDefinition(
+        226,
+        "INFO",
+        "A request was held while something else could explain the crashes that quarantined it.",
+    )
+
     LINKS_LOST = EventDefinition(
         217,
         "WARNING",
--- a/src/crowsill/gateway/crash_guard.py
+++ b/src/crowsill/gateway/crash_guard.py
@@ -4,6 +4,7 @@
 the group has recorded them.
 """
 
+import math
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
@@ -20,6 +21,10 @@
 # to the group.
 MAX_OWN_SUSPECTS = 1000
 MAX_REMEMBERED_SUCCESSES = 2000
+# Within this time, the group learns from all gateways which requests ran at a crash.
+REPORTS_SETTLING_S = 0.3
+# A part of prompts is quarantined after more crashes than a request.
+PARTS_SETTLING_S = 2.0
 
 
 @dataclass(slots=True)
@@ -51,6 +56,8 @@
     False True
     >>> guard.note_success(b"f", now_s=4.0), guard.is_quarantined(b"f")
     (False, False)
+    >>> guard.is_settled(b"f", now_s=3.2)
+    True
     >>> guard.succeeded_recently(b"f", now_s=5.0), guard.succeeded_recently(b"f", now_s=99.0)
     (True, False)
     """
@@ -61,6 +68,10 @@
         self._recorded: dict[bytes, set[str]] = {}
         self._own: OrderedDict[bytes, _OwnCrashes] = OrderedDict()
         self._succeeded_at_s: OrderedDict[bytes, float] = OrderedDict()
+        # Of the recorded suspects, those with several crashes.
+        self._repeated: dict[bytes, set[str]] = {}
+        # By quarantined request: since when, in monotonic time.
+        self._quarantined_at_s: dict[bytes, float] = {}
         self._running_attempts: Counter[bytes] = Counter()
 
     @property
@@ -99,27 +110,67 @@
         )
         return highest_count >= CRASH_LIMIT
 
-    def adopt(self, change: SuspectChange, is_full: bool) -> None:
+    def is_settled(self, fingerprint: bytes, now_s: float) -> bool:
+        """Whether a quarantined request is known to have caused the crashes.
+
+        Right after the last crash, the group does not know all requests and parts that ran at it.
+        Once it does, it releases requests whose crashes another one explains.
+
+        Args:
+            fingerprint: The request.
+            now_s: Monotonic time.
+        """
+        age_s = now_s - self._quarantined_at_s.get(fingerprint, -math.inf)
+        if age_s < REPORTS_SETTLING_S and self._has_rival(fingerprint):
+            return False
+        return age_s >= PARTS_SETTLING_S or not self.parts.has_suspects
+
+    def _has_rival(self, fingerprint: bytes) -> bool:
+        """Whether another request ran at several of the same crashes."""
+        instance_ids = self._recorded.get(fingerprint, set())
+        return any(
+            len(instance_ids & repeated_ids) >= RETRY_CRASH_LIMIT
+            for other, repeated_ids in self._repeated.items()
+            if other != fingerprint
+        )
+
+    def adopt(self, change: SuspectChange, is_full: bool, now_s: float = -math.inf) -> None:
         """Apply a change of the group's crash record.
 
         Args:
             change: The change.
             is_full: Whether the change contains the complete record.
+            now_s: Monotonic time; minus infinity if nothing in it is new.
         """
         if change.version < self.version or (change.version == self.version and not is_full):
             return
         self.version = change.version
         if is_full:
             self._recorded.clear()
+            self._repeated.clear()
+            listed = {item.fingerprint for item in change.changed}
+            for fingerprint in self._quarantined_at_s.keys() - listed:
+                self._update_quarantined(fingerprint, now_s)
         for item in change.changed:
             self._set_recorded(item.fingerprint, set(item.crashed_instances))
+            self._update_quarantined(item.fingerprint, now_s)
+
+    def _update_quarantined(self, fingerprint: bytes, now_s: float) -> None:
+        """Record since when a request is quarantined, after a change of its crashes."""
+        if not self.is_quarantined(fingerprint):
+            self._quarantined_at_s.pop(fingerprint, None)
+        elif fingerprint not in self._quarantined_at_s:
+            self._quarantined_at_s[fingerprint] = now_s
 
     def _set_recorded(self, fingerprint: bytes, instance_ids: set[str]) -> None:
         if not instance_ids:
-            self._recorded.pop(fingerprint, None)
-            self._own.pop(fingerprint, None)
+            self.clear_suspect(fingerprint)
             return
         self._recorded[fingerprint] = instance_ids
+        if len(instance_ids) >= RETRY_CRASH_LIMIT:
+            self._repeated[fingerprint] = instance_ids
+        else:
+            self._repeated.pop(fingerprint, None)
 
     def note_crash(
         self, fingerprint: bytes, instance_id: str, sent_at_s: float, crashed_at_s: float
@@ -137,6 +188,7 @@
         if is_independent_crash(own.last_crash_at_s, sent_at_s, crashed_at_s):
             own.instance_ids.add(instance_id)
             own.last_crash_at_s = crashed_at_s
+            self._update_quarantined(fingerprint, crashed_at_s)
         if len(self._own) > MAX_OWN_SUSPECTS:
             self._own.popitem(last=False)
 
@@ -148,6 +200,8 @@
         own.instance_ids.discard(instance_id)
         if not own.instance_ids:
             del self._own[fingerprint]
+        if not self.is_quarantined(fingerprint):
+            self._quarantined_at_s.pop(fingerprint, None)
 
     def succeeded_recently(self, fingerprint: bytes, now_s: float) -> bool:
         """Whether the request got a complete response at this gateway recently."""
@@ -163,13 +217,16 @@
         self._succeeded_at_s.move_to_end(fingerprint)
         if len(self._succeeded_at_s) > MAX_REMEMBERED_SUCCESSES:
             self._succeeded_at_s.popitem(last=False)
-        self._own.pop(fingerprint, None)
-        return self._recorded.pop(fingerprint, None) is not None
+        was_recorded = fingerprint in self._recorded
+        self.clear_suspect(fingerprint)
+        return was_recorded
 
     def clear_suspect(self, fingerprint: bytes) -> None:
         """Treat the request as no suspect, whatever the group has recorded."""
         self._own.pop(fingerprint, None)
         self._recorded.pop(fingerprint, None)
+        self._repeated.pop(fingerprint, None)
+        self._quarantined_at_s.pop(fingerprint, None)
 
     # A gateway runs at most one attempt of the same suspect at a time.
 
--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -319,8 +319,8 @@
 
     def adopt(self, change: SuspectChange, is_full: bool) -> None:
         """Apply a change of the group's crash record; report suspects that succeeded recently."""
-        self._guard.adopt(change, is_full)
         now_s = self._loop.time()
+        self._guard.adopt(change, is_full, now_s)
         if change.parts is not None:
             self._report_sound_soon(self._guard.parts.adopt(change.parts, now_s))
         for item in change.changed:
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -131,7 +131,7 @@
         self._log.units = self._admission.units
         # Checked before the request counts as demand: quarantined requests must not cause their
         # model to be loaded on more engines.
-        rejection = rejection or self._repeat_guard.quarantine_rejection()
+        rejection = rejection or await self._repeat_guard.await_settled(deadline_at_s)
         if rejection is not None:
             self._admission.return_units()
             self._reject(rejection)
@@ -203,7 +203,8 @@
         )
         is_ended = False
         while not is_ended:
-            rejection = await self._repeat_guard.await_duplicate() or self._admission.recheck()
+            rejection = await self._repeat_guard.await_duplicate(deadline_at_s)
+            rejection = rejection or self._admission.recheck()
             if rejection is not None:
                 self._reject(rejection)
                 return
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -147,6 +147,18 @@
             ms=self._age_ms(),
         )
 
+    def log_quarantine_awaited(
+        self, fingerprint: bytes, waited_s: float, *, is_released: bool
+    ) -> None:
+        """Log that the request was held because something else could explain its quarantine."""
+        log_event(
+            Event.QUARANTINE_AWAITED,
+            request=self.request_id,
+            fingerprint=fingerprint.hex(),
+            waited_s=round(waited_s, 3),
+            released=is_released,
+        )
+
     def log_attempt_failed(
         self, record: ReplicaRecord, result: str, detail: str, attempt: Attempt | None = None
     ) -> None:
--- a/src/crowsill/gateway/part_guard.py
+++ b/src/crowsill/gateway/part_guard.py
@@ -32,6 +32,11 @@
         self._sound_at_s: OrderedDict[bytes, float] = OrderedDict()
         self._reported_at_s: dict[bytes, float] = {}
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any part may still prove to be the cause of crashes."""
+        return bool(self._suspects)
+
     @property
     def has_quarantined(self) -> bool:
         """Whether any part is quarantined."""
--- a/src/crowsill/gateway/repeat_guard.py
+++ b/src/crowsill/gateway/repeat_guard.py
@@ -23,6 +23,7 @@
 # requests of many callers are small; large prompts differ.
 MAX_REMEMBERED_BODY_BYTES = 1024
 DUPLICATE_POLL_S = 0.05
+SETTLING_POLL_S = 0.05
 MIN_REDIRECT_STATUS = 300
 DUPLICATE_RETRY_S = 1.0
 NO_LEADER_RETRY_S = 0.5
@@ -63,12 +64,18 @@
 
     def quarantine_rejection(self) -> Rejection | None:
         """Return a rejection if the request, or a part of its prompt, is quarantined, else None."""
+        return self._part_rejection() or self._request_rejection()
+
+    def _part_rejection(self) -> Rejection | None:
+        guard = self._context.crash_guard.parts
+        parts = guard.find_quarantined(self._log.shared_parts) if guard.has_quarantined else []
+        if not parts:
+            return None
+        detail = f"replicas crashed while running prompts with part {format_parts(parts)}"
+        return Rejection(ErrorKind.QUARANTINED, detail, QUARANTINE_RETRY_S)
+
+    def _request_rejection(self) -> Rejection | None:
         guard = self._context.crash_guard
-        if guard.parts.has_quarantined:
-            parts = guard.parts.find_quarantined(self._log.shared_parts)
-            if parts:
-                detail = f"replicas crashed while running prompts with part {format_parts(parts)}"
-                return Rejection(ErrorKind.QUARANTINED, detail, QUARANTINE_RETRY_S)
         if not guard.has_suspects or not guard.is_quarantined(self._fingerprint):
             return None
         # By the fingerprint an operator finds the log lines of the crashes, and lifts the
@@ -76,10 +83,39 @@
         detail = f"replicas crashed while running it; fingerprint {self._fingerprint.hex()}"
         return Rejection(ErrorKind.QUARANTINED, detail, QUARANTINE_RETRY_S)
 
-    async def await_duplicate(self) -> Rejection | None:
+    async def await_settled(self, deadline_at_s: float) -> Rejection | None:
+        """Return a rejection if the request, or a part of its prompt, is quarantined, else None.
+
+        A quarantined request is held while the group may still find another cause of the crashes.
+
+        Args:
+            deadline_at_s: Monotonic time of the request's deadline.
+        """
+        if not self._is_unsettled():
+            return self.quarantine_rejection()
+        began_at_s = self._loop.time()
+        end_at_s = min(deadline_at_s - SETTLING_POLL_S, self._context.wait_limit_at_s())
+        while self._is_unsettled() and self._loop.time() < end_at_s:
+            await self._context.wait_for_change(SETTLING_POLL_S)
+        rejection = self.quarantine_rejection()
+        self._log.log_quarantine_awaited(
+            self._fingerprint, self._loop.time() - began_at_s, is_released=rejection is None
+        )
+        return rejection
+
+    def _is_unsettled(self) -> bool:
+        """Whether the request is quarantined for crashes that something else may explain."""
+        if self._part_rejection() is not None or self._request_rejection() is None:
+            return False
+        return not self._context.crash_guard.is_settled(self._fingerprint, self._loop.time())
+
+    async def await_duplicate(self, deadline_at_s: float) -> Rejection | None:
         """Wait while a duplicate of a suspect runs here; return a rejection if it may not be sent.
 
         Duplicates sent concurrently would each crash a replica before all gateways know the count.
+
+        Args:
+            deadline_at_s: Monotonic time of the request's deadline.
         """
         guard = self._context.crash_guard
         if self._rejection is not None:
@@ -93,7 +129,7 @@
             if self._loop.time() >= end_at_s or self._context.is_stopping():
                 return _DUPLICATE_RUNNING
             await self._context.wait_for_change(DUPLICATE_POLL_S)
-        return self.quarantine_rejection()
+        return await self.await_settled(deadline_at_s)
 
     def begin_attempt(self) -> bool:
         """Register an attempt; return whether `finish_attempt` must be called at its end."""
