Crowded gateway test: load as a multiple of the capacity of the machine at hand

The test sent 60, 120 and 330 requests a second to a gateway that was taken to serve 100. What it serves depends on the machine. Now its processor time for one request is measured first, and the cases are 0.6, 1.2 and 3.3 times what it can serve in its part of each period; shares, bounds and durations are as they were. Two cases more give it a quarter of the time, as on a slow machine.

--- a/tests/test_crowded_gateway.py
+++ b/tests/test_crowded_gateway.py
@@ -20,8 +20,11 @@
 REPLICAS = 4
 CALM_S, CROWDED_S, AFTER_S = 3.0, 8.0, 4.0
 CROWDED_SHARE = 0.9
-# The gateway gets processor time for a part of each period, about 100 requests a second.
-PERIOD_S, RUNNING_S = 0.04, 0.006
+# The gateway gets processor time for a part of each period.
+PERIOD_S, RUNNING_S, SHORT_RUNNING_S = 0.04, 0.006, 0.0015
+# Requests by which the gateway's processor time for one is measured.
+MEASURED_REQUESTS, MEASURED_AT_ONCE = 240, 8
+CALM_SHARE_OF_CAPACITY = 0.4
 PATIENCE_S = 3.0
 CONTACT_S = 3.0
 MIN_SHARE_OF_BEFORE = 0.75
@@ -108,7 +111,24 @@
     return sum(item.result == 200 for item in read) / max(1, len(read))
 
 
-async def _play(site, per_s):
+def _processor_s(pid):
+    """Return the processor time that a process has used so far, in seconds."""
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def _measure_capacity_per_s(front, running_s):
+    """Return how many requests a second the gateway can serve, running so long in each period."""
+    began_s = _processor_s(front.process.pid)
+    for _ in range(MEASURED_REQUESTS // MEASURED_AT_ONCE):
+        tries = await asyncio.gather(*(_try(front) for _ in range(MEASURED_AT_ONCE)))
+        assert all(item.result == 200 for item in tries)
+    request_s = (_processor_s(front.process.pid) - began_s) / MEASURED_REQUESTS
+    return running_s / PERIOD_S / request_s
+
+
+async def _play(site, share_of_capacity, running_s):
     document = configuration(1)
     document["services"][0]["maxConns"] = 400
     assert await site.publish(document) == 200
@@ -120,14 +140,18 @@
         return [(await site.ask(front, "/pay/a"))[0] for front in site.fronts] == [200] * GATEWAYS
 
     await site.until(served)
+    capacity_per_s = await _measure_capacity_per_s(site.fronts[0], running_s)
+    calm_per_s = CALM_SHARE_OF_CAPACITY * capacity_per_s
+    print(f"capacity: {capacity_per_s:.0f} requests a second")
     pid = site.fronts[0].process.pid
-    words = [str(pid), str(RUNNING_S), str(PERIOD_S - RUNNING_S), str(os.getpid())]
+    words = [str(pid), str(running_s), str(PERIOD_S - running_s), str(os.getpid())]
     throttle = await asyncio.create_subprocess_exec(sys.executable, "-c", THROTTLE, *words)
     try:
-        calm, _ = await _send(site, 40, CALM_S, crowded=False)
+        calm, _ = await _send(site, calm_per_s, CALM_S, crowded=False)
+        per_s = share_of_capacity * capacity_per_s
         crowded, callers_served = await _send(site, per_s, CROWDED_S, crowded=True)
         began_s = crowded[0].sent_at_s
-        after, _ = await _send(site, 40, AFTER_S, crowded=False)
+        after, _ = await _send(site, calm_per_s, AFTER_S, crowded=False)
     finally:
         throttle.kill()
         await throttle.wait()
@@ -140,12 +164,24 @@
     return calm, late, callers_served, recovered
 
 
-@pytest.mark.parametrize("per_s", [60, 120, 330], ids=["half", "once", "thrice"])
-def test_what_a_crowded_gateway_reads_is_served(tmp_path, per_s):
+# All requests as a multiple of the crowded gateway's capacity; it gets nine in ten of them.
+@pytest.mark.parametrize(
+    ("share_of_capacity", "running_s"),
+    [
+        pytest.param(0.6, RUNNING_S, id="half"),
+        pytest.param(1.2, RUNNING_S, id="once"),
+        pytest.param(3.3, RUNNING_S, id="thrice"),
+        pytest.param(0.6, SHORT_RUNNING_S, id="half_of_little"),
+        pytest.param(3.3, SHORT_RUNNING_S, id="thrice_of_little"),
+    ],
+)
+def test_what_a_crowded_gateway_reads_is_served(tmp_path, share_of_capacity, running_s):
     site = PlatformSite(tmp_path, fronts=GATEWAYS)
     site.start()
     try:
-        calm, late, callers_served, recovered = asyncio.run(_play(site, per_s))
+        calm, late, callers_served, recovered = asyncio.run(
+            _play(site, share_of_capacity, running_s)
+        )
     finally:
         site.stop()
     before = _served_share(calm, site)
@@ -161,5 +197,5 @@
     assert shares["crowded"] >= MIN_SHARE_OF_BEFORE * before, shares
     assert shares["after"] >= 0.95, shares
     # Nobody is turned away by a gateway that has room.
-    assert per_s > 60 or shares["unread"] <= 0.02, shares
+    assert share_of_capacity > 1.0 or shares["unread"] <= 0.02, shares
     assert callers_served >= MIN_SHARE_OF_BEFORE, shares
