A late event loop is no failure of a replica

Change: the timeout covers what the kernel does. When it ends, a connection that is open by then is used.

--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -8,7 +8,7 @@
 from crowsill.gateway.replica_connection import ReplicaConnection
 from crowsill.model.instances import Instance
 from crowsill.transport.leader_client import parse_address
-from crowsill.transport.sockets import set_peer_timeout
+from crowsill.transport.sockets import connect, set_peer_timeout
 
 # The kernel repeats a lost SYN only after a second, and replicas answer one within milliseconds.
 CONNECT_TIMEOUT_S = 0.5
@@ -141,10 +141,10 @@
     async def _open(self, instance: Instance, timeout_s: float) -> ReplicaConnection:
         address = parse_address(instance.address)
         self.opened += 1
-        async with asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s)):
-            transport, connection = await self._loop.create_connection(
-                lambda: ReplicaConnection(self._names), address.host, address.port
-            )
+        sock = await connect(address.host, address.port, min(CONNECT_TIMEOUT_S, timeout_s))
+        transport, connection = await self._loop.create_connection(
+            lambda: ReplicaConnection(self._names), sock=sock
+        )
         set_peer_timeout(transport, SILENCE_TIMEOUT_S)
         connection.on_lost = lambda: self._note_lost(instance.instance_id, connection)
         return connection
