A late gateway closes old connections first and cheaply, and accepts few at a time

Cause: closing a connection unread cost a transport and a protocol, and 32 a pass at most were taken from the backlog; so a backlog that had filled before the lag was noticed stayed full. The lag is noticed once in a pass, so three checks took seconds.

Change: the listener accepts by itself. What is to be closed is closed before a transport is made, up to 256 in a pass; what waited for over a second (tcp_info) is closed while connections are closed at all. While passes take over 0.2 s, fewer connections are accepted in each, down to four. Two checks begin it if the lag is long, more if it is short. Peers' connections go through none of this, as before.

--- a/src/crowsill/gateway/peers/listener.py
+++ b/src/crowsill/gateway/peers/listener.py
@@ -19,9 +19,6 @@
 class PeerRequestServer(RequestHandler, Protocol):
     """Serves callers' requests, and those that peers pass on."""
 
-    def on_peer_connected(self, connection: CallerConnection) -> None:
-        """Handle a new connection of a peer."""
-
     def handle_from_peer(
         self, connection: CallerConnection, request: CallerRequest, terms: PeerTerms
     ) -> None:
@@ -49,7 +46,7 @@
 
     def on_connected(self, connection: CallerConnection) -> None:
         """Handle a new connection."""
-        self._server.on_peer_connected(connection)
+        self._server.on_connected(connection)
 
     def on_disconnected(self, connection: CallerConnection) -> None:
         """Handle the end of a connection."""
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -155,7 +155,7 @@
         self.suspect_runs = SuspectRunClient(
             self._follower.query, self._follower.is_connected, self.crash_watch
         )
-        await self._listener.start(self._settings.callers, lambda: CallerConnection(self))
+        self._listener.start(self._settings.callers, lambda: CallerConnection(self))
         if self._settings.peers is not None:
             await self.peers.listen(self, self._settings.peers)
         self._ready_server = ReadyServer(self._settings.ready, self.is_ready)
@@ -317,23 +317,12 @@
         return self._stop_limit_at_s
 
     def on_connected(self, connection: CallerConnection) -> None:
-        """Handle a new connection of a caller."""
+        """Handle a new connection of a caller, or of another gateway."""
         if self._has_drained:
             # Accepted while the listener closed: its request would run and be cut off without a
             # response.
             connection.abort()
             return
-        if self._listener.admit(connection):
-            self._running.add_connection(connection)
-
-    def on_peer_connected(self, connection: CallerConnection) -> None:
-        """Handle a new connection of another gateway.
-
-        It is not closed unread: its request could have run, as far as that gateway knows.
-        """
-        if self._has_drained:
-            connection.abort()
-            return
         detect_silence(connection)
         self._running.add_connection(connection)
 
--- a/tests/test_connection_admission.py
+++ b/tests/test_connection_admission.py
@@ -2,10 +2,17 @@
 
 import asyncio
 import contextlib
+import errno
 import time
 from random import Random
 
-from crowsill.gateway.connection_admission import CHECK_INTERVAL_S, ConnectionAdmission
+from crowsill.gateway.connection_admission import (
+    CHECK_INTERVAL_S,
+    MAX_ACCEPTED_PER_PASS,
+    MAX_WAITED_S,
+    MIN_ACCEPTED_PER_PASS,
+    ConnectionAdmission,
+)
 from crowsill.gateway.peers import listener as peer_listener
 from tests.gateway_world import respond_ok, run, world
 
@@ -124,3 +131,51 @@
             assert not any(connection.aborted for connection in connections)
 
     run(scenario())
+
+
+def test_connections_that_waited_for_long_are_closed_only_while_the_gateway_is_late():
+    # All that a crowded gateway accepted had waited for as long as its callers' patience.
+    admission, random = ConnectionAdmission(), Random(4)
+    assert admission.accepts(0.0, random, 2 * MAX_WAITED_S)
+    for _ in range(3):
+        admission.note_lag(0.8)
+    assert not any(admission.accepts(1.0, random, 2 * MAX_WAITED_S) for _ in range(20))
+    assert admission.accepts(1.0, random, 0.5 * MAX_WAITED_S)
+    for _ in range(30):
+        admission.note_lag(0.0)
+    assert admission.accepts(2.0, random, 2 * MAX_WAITED_S)
+
+
+def test_fewer_connections_are_accepted_in_a_pass_while_passes_take_long():
+    admission = ConnectionAdmission()
+    for _ in range(10):
+        admission.note_lag(0.5)
+    assert admission.max_per_pass == MIN_ACCEPTED_PER_PASS
+    for _ in range(5):
+        admission.note_lag(0.0)
+    assert admission.max_per_pass == MAX_ACCEPTED_PER_PASS
+
+
+def test_a_gateway_accepts_connections_again_after_it_had_no_file_descriptor_left():
+    class Exhausted:
+        def __init__(self, real):
+            self._real = real
+            self.errors = 0
+
+        def accept(self):
+            if self.errors < 2:
+                self.errors += 1
+                raise OSError(errno.EMFILE, "too many open files")
+            return self._real.accept()
+
+        def __getattr__(self, name):
+            return getattr(self._real, name)
+
+    async def scenario():
+        async with world(respond_ok) as site:
+            listener = site.role._listener
+            listener._socket = Exhausted(listener._socket)
+            assert await is_served(site, 1)
+            assert listener._socket.errors == 2
+
+    run(scenario())
