--- a/src/crowsill/transport/sockets.py
+++ b/src/crowsill/transport/sockets.py
@@ -29,9 +29,17 @@
 
 
 def seconds_since_received(sock: socket.socket) -> float:
-    """Return how long ago the kernel last received data on a connection, or opened it."""
+    """Return how long ago the kernel last received data on a connection, or opened it.
+
+    It is 0 where the kernel does not tell.
+    """
     size = _LAST_DATA_RECEIVED_OFFSET + _LAST_DATA_RECEIVED.size
-    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    except OSError:
+        return 0.0
+    if len(info) < size:
+        return 0.0
     (milliseconds,) = _LAST_DATA_RECEIVED.unpack_from(info, _LAST_DATA_RECEIVED_OFFSET)
     return float(milliseconds) / 1000.0
 
