--- a/src/crowsill/gateway/headers.py
+++ b/src/crowsill/gateway/headers.py
@@ -27,6 +27,7 @@
             reject without a crash; any of them counts.
         model: Model, followed by a slash and the adapter if there is one.
         token_counts: Number of prompt tokens and maximum number of output tokens.
+        length_hint: The caller's estimate of the number of output tokens.
         prompt_parts: Parts of the prompt as `ID:TOKENS`, separated by commas.
         priority: Rank of the request at the replica.
         instance: Id of the instance that responds.
@@ -47,6 +48,7 @@
     brittle: tuple[bytes, ...] = (b"crowsill-server-brittle",)
     model: bytes = b"crowsill-model"
     token_counts: bytes = b"crowsill-token-counts"
+    length_hint: bytes = b"crowsill-length-hint"
     prompt_parts: bytes = b"crowsill-prompt-parts"
     priority: bytes = b"crowsill-priority"
     instance: bytes = b"crowsill-instance-id"
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -279,6 +279,9 @@
             others = ReplicaUse(
                 max(0, use.requests - own_use.requests),
                 max(0, use.prompt_tokens - own_use.prompt_tokens),
+                max(0, use.memory_tokens - own_use.memory_tokens),
+                max(0, use.work_ms - own_use.work_ms),
+                use.pace_percent,
             )
             record.note_peer_use(others, now_s)
 
--- a/src/crowsill/gateway/replica_signals.py
+++ b/src/crowsill/gateway/replica_signals.py
@@ -15,6 +15,9 @@
 RETRY_AFTER = b"retry-after"
 MAX_UNREADABLE_CHARS = 80
 _DRAINING_VALUE = b"1"
+# A pace beyond these bounds is not credible and counts as not reported.
+MIN_PACE_PERCENT = 5.0
+MAX_PACE_PERCENT = 10_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,10 +27,13 @@
     Attributes:
         running: Requests that it runs.
         waiting: Requests that wait there.
+        pace_percent: Time that work takes there now, in percent of the usual time; None if not
+            reported, or outside `MIN_PACE_PERCENT` to `MAX_PACE_PERCENT`.
     """
 
     running: float
     waiting: float
+    pace_percent: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,10 +131,14 @@
 
 
 def read_load(header: bytes | None) -> ReplicaLoad | None:
-    """Parse a load of the form `running,waiting,slots`; return None if it is absent or invalid.
+    """Parse a load of the form `running,waiting,slots`, with or without `,pace`.
+
+    Returns None if it is absent or invalid.
 
     >>> read_load(b"3,1,8"), read_load(b"3"), read_load(None)
-    (ReplicaLoad(running=3.0, waiting=1.0), None, None)
+    (ReplicaLoad(running=3.0, waiting=1.0, pace_percent=None), None, None)
+    >>> [read_load(b"3,1,8," + pace).pace_percent for pace in (b"250", b"0", b"-1", b"soon")]
+    [250.0, None, None, None]
     """
     fields = [] if header is None else header.split(b",")
     if len(fields) < 2:
@@ -136,4 +146,7 @@
     running, waiting = read_number(fields[0]), read_number(fields[1])
     if running is None or waiting is None:
         return None
-    return ReplicaLoad(running, waiting)
+    pace = read_number(fields[3]) if len(fields) > 3 else None
+    if pace is not None and not MIN_PACE_PERCENT <= pace <= MAX_PACE_PERCENT:
+        pace = None
+    return ReplicaLoad(running, waiting, pace)
--- a/src/crowsill/gateway/request.py
+++ b/src/crowsill/gateway/request.py
@@ -33,6 +33,7 @@
         adapter: Adapter of the model; empty without one.
         prompt_tokens: Number of tokens of the prompt.
         output_tokens: Maximum number of tokens of the output.
+        length_hint: The caller's estimate of the number of output tokens; None without one.
         parts: Parts of the prompt, in order.
     """
 
@@ -51,6 +52,7 @@
     adapter: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    length_hint: float | None = None
     parts: list[PromptPart] = field(default_factory=list)
 
     @property
@@ -72,6 +74,7 @@
     counts = (find_header(headers, names.token_counts) or b"").split(b",")
     request.prompt_tokens = int(read_number(counts[0]) or 0)
     request.output_tokens = int(read_number(counts[1]) or 0) if len(counts) > 1 else 0
+    request.length_hint = read_number(find_header(headers, names.length_hint))
     request.parts = _read_parts(find_header(headers, names.prompt_parts))
     return request
 
--- a/src/crowsill/model/replica_use.py
+++ b/src/crowsill/model/replica_use.py
@@ -9,10 +9,33 @@
     Attributes:
         requests: Requests that were sent and have not finished.
         prompt_tokens: Prompt tokens of the requests that have not received a first event.
+        memory_tokens: Tokens that these requests occupy in the replica's memory, or will occupy;
+            0 if the sender does not count them.
+        work_ms: Expected time that a replica of usual pace still works on these requests; 0 if the
+            sender does not estimate it.
+        pace_percent: Time that work takes there, in percent of the usual time, as the replica
+            reported it last; 0 if it reported none lately.
     """
 
     requests: int
     prompt_tokens: int = 0
+    memory_tokens: int = 0
+    work_ms: int = 0
+    pace_percent: int = 0
+
+    def plus(self, other: "ReplicaUse") -> "ReplicaUse":
+        """Return the sum of two reports; of two paces, the slower one.
+
+        >>> ReplicaUse(1, 200, pace_percent=70).plus(ReplicaUse(2, pace_percent=175))
+        ReplicaUse(requests=3, prompt_tokens=200, memory_tokens=0, work_ms=0, pace_percent=175)
+        """
+        return ReplicaUse(
+            self.requests + other.requests,
+            self.prompt_tokens + other.prompt_tokens,
+            self.memory_tokens + other.memory_tokens,
+            self.work_ms + other.work_ms,
+            max(self.pace_percent, other.pace_percent),
+        )
 
 
 NO_USE = ReplicaUse(0)
@@ -24,18 +47,13 @@
 def total_use(parts: list[UseByReplica]) -> UseByReplica:
     """Return the sum of several reports.
 
-    >>> total_use([{"a": ReplicaUse(1, 200)}, {"a": ReplicaUse(2), "b": ReplicaUse(1, 50)}])
-    {'a': ReplicaUse(requests=3, prompt_tokens=200), 'b': ReplicaUse(requests=1, prompt_tokens=50)}
+    >>> total = total_use([{"a": ReplicaUse(1, 200)}, {"a": ReplicaUse(2), "b": ReplicaUse(1, 50)}])
+    >>> [(name, use.requests, use.prompt_tokens) for name, use in total.items()]
+    [('a', 3, 200), ('b', 1, 50)]
     """
     total: UseByReplica = {}
     for part in parts:
         for replica, use in part.items():
             known = total.get(replica)
-            total[replica] = (
-                use
-                if known is None
-                else ReplicaUse(
-                    known.requests + use.requests, known.prompt_tokens + use.prompt_tokens
-                )
-            )
+            total[replica] = use if known is None else known.plus(use)
     return total
--- a/src/crowsill/settings.py
+++ b/src/crowsill/settings.py
@@ -144,6 +144,28 @@
     urgent_headroom: Annotated[float, msgspec.Meta(ge=0, lt=1)] = 0.25
 
 
+class LoadControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Decisions of a gateway under load that a deployment asks for; each can be switched off.
+
+    Attributes:
+        ordered_waiting: Whether requests that wait for a replica are served by rank, remaining time
+            and tenant, instead of at once whenever something changes.
+        shared_admission: Whether all gateways together admit requests by rank and tenant while a
+            service is overloaded, from sums that the control group keeps.
+        engine_memory: Whether a request is sent only to an engine whose memory has room for it.
+        replica_pace: Whether the pace that replicas report is used; without reports it has no
+            effect.
+        cost_estimates: Whether replicas are compared by the work that they still have to do, with
+            the cost of each request estimated from what was observed.
+    """
+
+    ordered_waiting: bool = False
+    shared_admission: bool = False
+    engine_memory: bool = False
+    replica_pace: bool = True
+    cost_estimates: bool = False
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The gateway role: forwards plain HTTP requests to registered replicas.
 
@@ -163,6 +185,7 @@
             that others wait for. 0 disables this; see `ControlSettings.rare_model_turns`.
         peers: Listener for other gateways, which pass on requests of callers while they reach no
             replica themselves. Without it this gateway accepts none; it still passes its own on.
+        load_control: Decisions under load that are switched on.
     """
 
     callers: Address
@@ -176,6 +199,7 @@
     key_revocation_s: NonNegativeSeconds = 5.0
     keep_asking_s: NonNegativeSeconds = 0.0
     peers: Address | None = None
+    load_control: LoadControlSettings = LoadControlSettings()
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -81,6 +81,15 @@
     assert gateway.retry_window_s == 10.0
 
 
+def test_decisions_under_load_are_on_only_where_the_contracts_ask_for_them(tmp_path):
+    with_pressure = 'contracts = ["base", "quota", "pressure"]\n' + FRONT
+    off = load_text(tmp_path, FRONT).unwrap().gateway.load_control
+    on = load_text(tmp_path, with_pressure).unwrap().gateway.load_control
+    assert (off.ordered_waiting, off.shared_admission, off.engine_memory) == (False,) * 3
+    assert (on.ordered_waiting, on.shared_admission, on.engine_memory) == (True,) * 3
+    assert on.cost_estimates and not off.cost_estimates
+
+
 @pytest.mark.parametrize(
     ("text", "expected"),
     [
