--- a/spec/check.py
+++ b/spec/check.py
@@ -19,10 +19,12 @@
     replacement,
     restarts,
     revocation,
+    store_loads,
 )
 from spec.orders import Variant
 
 MEMORY = "memory is not overcommitted"
+STORE = "no window has more loads than the store allows"
 MAX_STATES = 1_000_000
 # A counter-example in a part of the state space is sufficient.
 MAX_BROKEN_STATES = 50_000
@@ -115,6 +117,17 @@
         orders.protocol(Variant(True, True, counts_outstanding=False)),
         MEMORY,
     ),
+    Case("store loads", store_loads.protocol()),
+    Case(
+        "store loads, ordered first",
+        store_loads.protocol(orders_first=True),
+        STORE,
+    ),
+    Case(
+        "store loads, from the record",
+        store_loads.protocol(counts_from_record=True),
+        STORE,
+    ),
 ]
 
 
--- a/src/crowsill/control/engine_jobs.py
+++ b/src/crowsill/control/engine_jobs.py
@@ -13,12 +13,19 @@
 from crowsill.backends.engine_calls import EngineCalls, EngineOrder, EngineReport, OrderResponse
 from crowsill.clock import monotonic_s
 from crowsill.control.engine_state import EngineState
+from crowsill.control.store_loads import RECORDED_LOAD_LIFETIME_S
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.metrics import ORDERS
 from crowsill.model.instances import Instance, LoadedModel, LoadingModel
 from crowsill.placement.copy_views import Job
-from crowsill.state.commands import Command, OfferModels, OrderKind, RemoveInstance
+from crowsill.state.commands import (
+    Command,
+    OfferModels,
+    OrderKind,
+    RecordStoreLoad,
+    RemoveInstance,
+)
 from crowsill.state.machine import StateMachine
 from crowsill.transport.messages import Submitted
 
@@ -130,6 +137,12 @@
         if not isinstance(reply, Submitted):
             raise JobFailedError("the offer of models could not be committed")
 
+    async def _record_store_load(self, instance: Instance) -> None:
+        """Commit that a load from the weight store is about to begin."""
+        reply = await self._ports.submit(RecordStoreLoad(instance.service))
+        if not isinstance(reply, Submitted):
+            raise JobFailedError("the load from the weight store could not be committed")
+
     async def _unload(self, instance: Instance, engine: EngineState, resource: str) -> None:
         model, _, adapter = resource.partition("/")
         started_at_s = monotonic_s()
@@ -152,7 +165,9 @@
     async def _load(self, instance: Instance, engine: EngineState, job: Job) -> None:
         started_at_s = monotonic_s()
         resource = resource_name(job.model, job.adapter)
-        await self._send_order(instance, engine, OrderKind.LOAD, job.model, job.adapter)
+        await self._send_order(
+            instance, engine, OrderKind.LOAD, job.model, job.adapter, from_store=job.from_store
+        )
         if job.adapter:
             await self._wait_for_adapter(instance, engine, job)
             engine.held.setdefault(job.model, set()).add(job.adapter)
@@ -166,18 +181,38 @@
         self._log_settled(instance, OrderKind.LOAD, resource, started_at_s)
 
     async def _send_order(
-        self, instance: Instance, engine: EngineState, kind: OrderKind, model: str, adapter: str
+        self,
+        instance: Instance,
+        engine: EngineState,
+        kind: OrderKind,
+        model: str,
+        adapter: str,
+        *,
+        from_store: bool = False,
     ) -> bool:
         """Send an order until the engine responds; return whether its effect was already there."""
         async with engine.lock:
-            return await self._send_order_locked(instance, engine, kind, model, adapter)
+            return await self._send_order_locked(
+                instance, engine, kind, model, adapter, from_store=from_store
+            )
 
     async def _send_order_locked(
-        self, instance: Instance, engine: EngineState, kind: OrderKind, model: str, adapter: str
+        self,
+        instance: Instance,
+        engine: EngineState,
+        kind: OrderKind,
+        model: str,
+        adapter: str,
+        *,
+        from_store: bool,
     ) -> bool:
         """Send an order; the caller holds the engine's lock."""
         has_lost_response = False
+        recorded_at_s = float("-inf")
         for _ in range(MAX_ORDER_ATTEMPTS):
+            if from_store and monotonic_s() - recorded_at_s > RECORDED_LOAD_LIFETIME_S:
+                await self._record_store_load(instance)
+                recorded_at_s = monotonic_s()
             if engine.sequence is None or not self._ports.has_lease():
                 raise JobFailedError("this member has no lease or no known state of the engine")
             # An engine that restarted under its name would execute an order meant for its former
--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -73,6 +73,8 @@
         heartbeat_s: Time between two heartbeats of a replica.
         limit_of: Returns the rate limit in requests per second that a replica advertises; None
             without a limit.
+        recorded_loads: Returns when the loads from the weight store that leaders recorded for a
+            service since a time may have begun; None if they are not known.
     """
 
     engines: EngineJobPorts
@@ -82,6 +84,7 @@
     collect_overloaded: Callable[[], dict[str, int]]
     heartbeat_s: float = 1.0
     limit_of: Callable[[str], float | None] = lambda _instance_id: None
+    recorded_loads: Callable[[str, float], list[float] | None] = lambda _service, _since_s: None
 
 
 class ModelPlacer:
@@ -323,19 +326,23 @@
         if window is None:
             store = self._limits
             window = LoadWindow(store.window_s, limits.store_loads_per_s, store.burst)
-            for _ in range(self._predecessor_loads(service, limits)):
-                window.note_load(self._began_at_s)
+            for started_at_s in self._predecessor_loads(service, limits):
+                window.note_load(started_at_s)
             self._windows[service] = window
         return window
 
-    def _predecessor_loads(self, service: str, limits: EngineLimits) -> int:
-        """Return how many loads the last leader may have started within the last window."""
+    def _predecessor_loads(self, service: str, limits: EngineLimits) -> list[float]:
+        """Return when the loads of former leaders within the last window may have started."""
         if not self._has_predecessor:
-            return 0
+            return []
+        recorded = self._ports.recorded_loads(service, self._began_at_s - self._limits.window_s)
+        if recorded is not None:
+            return recorded
         min_load_s = min((model.load_s for model in limits.models), default=1.0)
         loads_per_engine = math.ceil(self._limits.window_s / max(0.1, min_load_s))
         reported = self._ports.engines.machine.directory.reported
-        return loads_per_engine * sum(1 for instance in reported if instance.service == service)
+        engines = sum(1 for instance in reported if instance.service == service)
+        return [self._began_at_s] * (loads_per_engine * engines)
 
     def _start(self, job: Job, instance: Instance, service: str, limits: EngineLimits) -> None:
         engine = self._engines[job.instance_id]
--- a/src/crowsill/control/placers.py
+++ b/src/crowsill/control/placers.py
@@ -11,6 +11,7 @@
 from crowsill.control.model_placer import ModelPlacer, ModelPlacerPorts, WeightStoreLimits
 from crowsill.control.placement_controller import PlacementController, PlacementPorts
 from crowsill.control.service import MemberService
+from crowsill.control.store_loads import StoreLoadLog
 from crowsill.model.fleet import FleetView
 from crowsill.model.routes import RouteConfiguration
 from crowsill.placement.core import PlacementLimits
@@ -27,6 +28,7 @@
         service: Handles requests of other processes.
         driver: Its consensus driver.
         routes: Returns the active routes.
+        store_loads: Loads from the weight store that leaders recorded.
     """
 
     node: str
@@ -34,6 +36,7 @@
     service: MemberService
     driver: ConsensusDriver
     routes: Callable[[], RouteConfiguration | None]
+    store_loads: StoreLoadLog
 
 
 def make_registered_placer(member: LeadingMember, calls: EngineCalls) -> ModelPlacer:
@@ -55,6 +58,7 @@
         collect_overloaded=service.reports.overloaded.collect,
         heartbeat_s=control.replica_heartbeat_s,
         limit_of=service.reports.replica_grants.limit_per_s_of,
+        recorded_loads=member.store_loads.since,
     )
     return ModelPlacer(
         ports,
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -11,7 +11,7 @@
 from crowsill.api.operators import operator_application
 from crowsill.api.server import HttpServer
 from crowsill.backends.engine_calls import EngineCalls
-from crowsill.clock import PROCESS_STARTED_S
+from crowsill.clock import PROCESS_STARTED_S, monotonic_s
 from crowsill.consensus.membership import Membership
 from crowsill.consensus.messages import Envelope
 from crowsill.consensus.node import RaftNode
@@ -31,6 +31,7 @@
 from crowsill.control.quota_grants import QuotaGrants
 from crowsill.control.registrations import Registrations
 from crowsill.control.service import MemberService, member_addresses
+from crowsill.control.store_loads import StoreLoadLog
 from crowsill.control.subscribers import Subscribers
 from crowsill.events import Event
 from crowsill.logs import log_event
@@ -39,7 +40,7 @@
 from crowsill.model.routes import RouteConfiguration
 from crowsill.platform_ports import PlatformPorts
 from crowsill.settings import ControlSettings, Settings
-from crowsill.state.commands import Command, CommandResult, RecordQuotaUse
+from crowsill.state.commands import Command, CommandResult, RecordQuotaUse, RecordStoreLoad
 from crowsill.state.machine import StateMachine
 from crowsill.storage.folder import DataFolder, open_data_folder
 from crowsill.storage.frames import DamagedFileError
@@ -107,6 +108,7 @@
         self._registrations: HttpServer | None = None
         self._engine_calls: EngineCalls | None = None
         self._routes: RouteConfiguration | None = None
+        self._store_loads = StoreLoadLog(monotonic_s())
         self._quota = QuotaGrants(
             QuotaBounds(control.quota_window_s, control.quota_tolerance, control.quota_slack),
             self._machine.quota_use,
@@ -241,10 +243,13 @@
     def _on_applied(self, command: Command, result: CommandResult) -> None:
         if isinstance(command, RecordQuotaUse):
             self._quota.on_applied(command)
+        elif isinstance(command, RecordStoreLoad):
+            self._store_loads.note(command, monotonic_s())
         self._publisher.on_applied(command, result)
 
     def _on_restored(self) -> None:
         self._quota.on_restored()
+        self._store_loads.note_restored(monotonic_s())
         self._subscribers.push_full_state()
 
     def _receive(self, envelopes: list[Envelope]) -> None:
@@ -288,7 +293,12 @@
         if self._control.seeds:
             self._announce_group(self._service, member_changes, driver)
         member = LeadingMember(
-            self._settings.node, self._control, self._service, driver, self._current_routes
+            self._settings.node,
+            self._control,
+            self._service,
+            driver,
+            self._current_routes,
+            self._store_loads,
         )
         if self._engine_calls is not None:
             self._start_registered_placement(member, self._engine_calls)
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -192,6 +192,20 @@
     at_s: float = 0.0
 
 
+class RecordStoreLoad(msgspec.Struct, frozen=True, array_like=True, tag="record-store-load"):
+    """Record that the leader is about to order a load from the weight store.
+
+    Members note when they applied it, so that a successor knows how many loads began lately. It
+    leaves the replicated state as it is.
+
+    Attributes:
+        service: Service of the engine that loads.
+    """
+
+    service: str
+    at_s: float = 0.0
+
+
 class RecordControlAddress(
     msgspec.Struct, frozen=True, array_like=True, tag="record-control-address"
 ):
@@ -305,7 +319,7 @@
     RecordCrash | ClearSuspects | BeginSuspectRun | EndSuspectRun | NoteSoundParts | ReviewParts
 )
 # State that a leader records for its successors.
-LeaderRecord = RecordControlAddress | RecordMissingModels | RecordQuotaUse
+LeaderRecord = RecordControlAddress | RecordMissingModels | RecordQuotaUse | RecordStoreLoad
 DirectoryCommand = RecordHeartbeat | DrainInstance | RemoveInstance | OfferModels
 Registration = PublishRoutes | DirectoryCommand | CrashCommand | LeaderRecord
 Command = (
@@ -323,6 +337,7 @@
     | RecordControlAddress
     | RecordMissingModels
     | RecordQuotaUse
+    | RecordStoreLoad
     | RecordCrash
     | ClearSuspects
     | BeginSuspectRun
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -35,6 +35,7 @@
     RecordHeartbeat,
     RecordMissingModels,
     RecordQuotaUse,
+    RecordStoreLoad,
     Registration,
     RemoveInstance,
     ReviewParts,
@@ -280,6 +281,8 @@
                 return self.missing_models.record(command.requests, command.ages_s)
             case RecordQuotaUse():
                 return self.quota_use.record(command.units)
+            case RecordStoreLoad():
+                return False
 
     def snapshot(self) -> bytes:
         """Encode the full state."""
