--- a/src/crowsill/control/gateway_reports.py
+++ b/src/crowsill/control/gateway_reports.py
@@ -3,12 +3,15 @@
 import secrets
 from random import Random
 
+from crowsill.control.gateway_paces import GatewayPaces, PaceChange
 from crowsill.control.gateway_peers import GatewayPeers
 from crowsill.control.gateway_use import GatewayUse
 from crowsill.control.replica_grants import ReplicaGrants
 from crowsill.control.subscribers import DemandCounter, LiveEntries
+from crowsill.events import Event
+from crowsill.logs import log_event
 from crowsill.model.peers import PeerOffer
-from crowsill.model.replica_use import UseByReplica
+from crowsill.model.replica_use import UseByReplica, without_paces
 from crowsill.transport.messages import Heartbeat
 
 
@@ -22,6 +25,7 @@
         overloaded: Those requests whose first event took most of their target latency, or that
             found no replica with capacity.
         use: The gateways' use of replicas.
+        paces: The paces of replicas, learned from the gateways' reports.
         replica_grants: Rate limits that replicas advertise, and the grants under them.
         peers: Gateways that accept requests of others.
     """
@@ -32,20 +36,33 @@
         self.urgent = DemandCounter()
         self.overloaded = DemandCounter()
         self.use = GatewayUse()
+        self.paces = GatewayPaces()
         self.replica_grants = ReplicaGrants()
         self.peers = GatewayPeers(Random(secrets.randbits(64)))
 
     def note(self, heartbeat: Heartbeat, now_s: float) -> None:
-        """Record a heartbeat's reports; `use` is recorded separately, by its source."""
+        """Record a heartbeat's reports, but for its `in_use`: see `note_use`."""
         self.live_entries.note(heartbeat.entries, now_s)
         self.demand.add(heartbeat.demand)
         self.urgent.add(heartbeat.urgent)
         self.overloaded.add(heartbeat.overloaded)
         self.replica_grants.note(heartbeat.limits)
 
+    def note_use(self, source: str, use: UseByReplica, now_s: float) -> None:
+        """Record the use of replicas by a gateway or follower, and the paces that it received."""
+        _log_changes(self.paces.note_reports(use, now_s))
+        self.use.note(source, without_paces(use), now_s)
+
+    def note_total_use(self, total: UseByReplica, now_s: float) -> None:
+        """Record the use by all gateways and the learned paces, as received from the leader."""
+        _log_changes(self.paces.note_learned(total, now_s))
+        self.use.note_total(total, now_s)
+
     def total_use(self, is_leader: bool, now_s: float) -> UseByReplica | None:
         """Return the use of replicas by all gateways, as far as this member knows it."""
-        return self.use.sum(now_s) if is_leader else self.use.total(now_s)
+        if not is_leader:
+            return self.use.total(now_s)
+        return self.paces.with_learned(self.use.sum(now_s), now_s)
 
     def peer_offers(self, zone: str, now_s: float) -> list[PeerOffer]:
         """Return offers of gateways to tell a gateway or follower of a zone."""
@@ -74,6 +91,16 @@
             follows_configuration=False,
             urgent=self.urgent.collect(),
             overloaded=self.overloaded.collect(),
-            in_use=self.use.sum(now_s) if is_due else None,
+            in_use=self.paces.with_unsent(self.use.sum(now_s)) if is_due else None,
             limits=self.replica_grants.to_reports() if is_due else [],
         )
+
+
+def _log_changes(changes: list[PaceChange]) -> None:
+    for change in changes:
+        log_event(
+            Event.REPLICA_PACE_LEARNED,
+            replica=change.instance_id,
+            percent=change.percent,
+            before=change.before_percent,
+        )
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -309,7 +309,7 @@
     ) -> Body:
         self.reports.note(heartbeat, monotonic_s())
         if heartbeat.in_use is not None:
-            self.reports.use.note(connection.peer.identity, heartbeat.in_use, monotonic_s())
+            self.reports.note_use(connection.peer.identity, heartbeat.in_use, monotonic_s())
         self._subscribers.subscribe(connection, heartbeat)
         await self._wait_for_first_leader(driver)
         freshness = await self.confirmed_freshness()
@@ -408,7 +408,7 @@
         self.reports.replica_grants.note(reply.limits)
         if reply.in_use is None:
             return reply
-        self.reports.use.note_total(reply.in_use, monotonic_s())
+        self.reports.note_total_use(reply.in_use, monotonic_s())
         self.reports.peers.note_from_leader(reply.peers, monotonic_s())
         return msgspec.structs.replace(reply, in_use=None, peers=[])
 
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -137,6 +137,16 @@
         "This gateway began or ceased to close new connections unread: its event loop lags.",
     )
 
+    REPLICA_PACE_CHANGED = EventDefinition(
+        235,
+        "INFO",
+        "Work at a replica takes a quarter more or less time than this gateway knew; 100 percent "
+        "is usual.",
+    )
+    REPLICA_PACE_FORGOTTEN = EventDefinition(
+        236, "INFO", "A replica has not reported its pace for long; it counts as usual again."
+    )
+
     ROLE_CHANGED = EventDefinition(300, "INFO", "This control member changed its role.")
     LOG_TAIL_CUT = EventDefinition(
         301, "WARNING", "An incomplete, unsynced record at the end of the log was truncated."
@@ -253,6 +263,12 @@
         "INFO",
         "This member received the rate limit that a replica advertises, or that it has none.",
     )
+    REPLICA_PACE_LEARNED = EventDefinition(
+        518,
+        "INFO",
+        "This member learned that work at a replica takes a quarter more or less time than it "
+        "knew; 100 percent is usual.",
+    )
 
     PARTS_QUARANTINED = EventDefinition(
         514,
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -328,6 +328,8 @@
             zone=context.zone,
             max_in_flight=max(MIN_CONNECTIONS, share),
             max_expected_ms=max_expected_ms,
+            target_ms=route.target_latency_ms,
+            target_gap_ms=route.target_gap_ms,
             has_idle=context.pool.has_idle,
             has_open=context.pool.has_open,
             includes_silent=includes_silent,
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -109,6 +109,7 @@
             others=round(record.other_requests(now_s), 1),
             peers=round(record.peer_requests(now_s), 1),
             slowness=round(record.slowness_now(now_s), 2),
+            pace=round(record.pace.factor(now_s), 2),
             sending=attempt_number,
             ms=self._age_ms(),
         )
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -19,6 +19,7 @@
 from crowsill.control.subscribers import DemandCounter
 from crowsill.events import Event
 from crowsill.gateway.crash_guard import CrashGuard
+from crowsill.gateway.pace_log import PaceLog
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.logs import log_event
 from crowsill.model.peers import PeerOffer
@@ -130,6 +131,7 @@
         self._is_switching_zone = False
         # Versions that the group confirmed as current, until the gateway has received all of them.
         self._pending_freshness: Freshness | None = None
+        self._pace_log = PaceLog()
         self._heartbeat_sent_at_s = 0.0
 
     def use_seeds(self, seeds: list[Address]) -> None:
@@ -238,7 +240,7 @@
             suspects_version=self._guard.version,
             urgent=urgent,
             overloaded=overloaded,
-            in_use=in_use,
+            in_use=self.registry.with_received_paces(in_use),
             limits=self.registry.limit_reports(monotonic_s()),
         )
         sent_at_s = monotonic_s()
@@ -257,6 +259,7 @@
         self._hooks.on_peers(reply.peers)
         if reply.in_use is not None:
             self.registry.note_total_use(reply.in_use, in_use, monotonic_s())
+        self._pace_log.update(self.registry.paces(monotonic_s()))
         if reply.members:
             members = [parse_address(member) for member in reply.members]
             self._contacts.set_members(members, reply.member_zones)
--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -45,6 +45,8 @@
     ) -> None:
         """Apply the signals of a response head as soon as it arrives."""
         now_s = self._loop.time()
+        if signals.load is not None:
+            self._context.registry.note_pace(record, signals.load.pace_percent, now_s)
         if signals.unreadable and not record.availability.had_unreadable_signal:
             record.availability.had_unreadable_signal = True
             self._log.log_unreadable(record, signals.unreadable)
@@ -151,10 +153,10 @@
         if request.model:
             unread = max(0, request.prompt_tokens - choice.known_tokens)
             latency_model = self._context.registry.latency_model(self._log.service)
-            record.note_response_time(
-                taken_s, latency_model.idle_first_event_ms(request.model, unread) / 1000.0, now_s
-            )
-            latency_model.observe_first_event(request.model, unread, taken_s * 1000.0)
+            pace = record.pace.slow_factor(now_s)
+            idle_ms = latency_model.idle_first_event_ms(request.model, unread) * pace
+            record.note_response_time(taken_s, idle_ms / 1000.0, now_s)
+            latency_model.observe_first_event(request.model, unread, taken_s * 1000.0 / pace)
             latency_model.observe_stream(
                 request.model, request.output_tokens, (now_s - first_data_at_s) * 1000.0
             )
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -11,8 +11,9 @@
 from crowsill.model.exclusions import MAX_REPORTED_EXCLUSIONS, ExcludedReplica
 from crowsill.model.instances import Instance, InstanceState
 from crowsill.model.replica_limits import MAX_REPORTED_LIMITS, LimitReport
-from crowsill.model.replica_use import NO_USE, ReplicaUse, UseByReplica
+from crowsill.model.replica_use import NO_USE, ReplicaUse, UseByReplica, with_paces
 from crowsill.routing.engine_latency import DecayingDelay, LatencyModel
+from crowsill.routing.replica_pace import ReplicaPace
 from crowsill.state.directory import DirectoryChange
 
 REPORT_LIFETIME_S = 1.5
@@ -52,6 +53,7 @@
         unanswered_sent_at_s: Times when own streams without a first event were sent, by stream.
         model_ready_at_s: Times when the models that it is loading should be ready, by model.
         parts: Parts of prompts that it has read lately, in order of last use.
+        pace: How long work takes there.
     """
 
     instance: Instance
@@ -72,6 +74,7 @@
     unanswered_sent_at_s: dict[int, float] = field(default_factory=dict)
     model_ready_at_s: dict[str, float] = field(default_factory=dict)
     parts: OrderedDict[PromptPartKey, None] = field(default_factory=OrderedDict)
+    pace: ReplicaPace = field(default_factory=ReplicaPace)
 
     def __post_init__(self) -> None:
         """Apply the state in the directory."""
@@ -197,10 +200,12 @@
         version: Version of the last directory update that was applied.
         waiting_to_open: Number of requests here that wait for a replica to open, by the replica and
             whether they are urgent.
+        uses_pace: Whether the pace of replicas is used; if not, it is neither recorded nor told.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, uses_pace: bool = True) -> None:
         self.version = 0
+        self.uses_pace = uses_pace
         self.waiting_to_open: Counter[tuple[str, bool]] = Counter()
         self._records: dict[str, ReplicaRecord] = {}
         self._by_service: dict[str, list[ReplicaRecord]] = {}
@@ -266,6 +271,28 @@
             if record.in_flight
         }
 
+    def note_pace(self, record: ReplicaRecord, percent: float | None, now_s: float) -> None:
+        """Record the pace in percent that a replica reported; None if it reported none."""
+        if self.uses_pace and percent is not None:
+            record.pace.note(percent, now_s)
+
+    def paces(self, now_s: float) -> dict[str, int | None]:
+        """Return the learned pace in percent of each replica that ever reported one."""
+        return {
+            instance_id: record.pace.learned_percent(now_s)
+            for instance_id, record in self._records.items()
+            if record.pace.has_reports
+        }
+
+    def with_received_paces(self, use: UseByReplica) -> UseByReplica:
+        """Return a report with the paces that were received since the last one."""
+        received = {
+            instance_id: percent
+            for instance_id, record in self._records.items()
+            if record.pace.has_reports and (percent := record.pace.take_unsent_percent())
+        }
+        return with_paces(use, received) if received else use
+
     def note_total_use(self, total: UseByReplica, own: UseByReplica, now_s: float) -> None:
         """Record what all gateways together have in flight.
 
@@ -284,6 +311,8 @@
                 use.pace_percent,
             )
             record.note_peer_use(others, now_s)
+            if self.uses_pace:
+                record.pace.note_told(use.pace_percent, now_s)
 
     def latency_model(self, service: str) -> LatencyModel:
         """Return the latency model of the engines of a service."""
--- a/src/crowsill/gateway/response_estimate.py
+++ b/src/crowsill/gateway/response_estimate.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from crowsill.gateway.pace_score import idle_difference_ms, late_ms, pause_ms
 from crowsill.gateway.replica_registry import PromptPartKey, ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection_limits import SelectionLimits
@@ -19,6 +20,8 @@
 # A gap between events counts as much as the same time before the first one: both can make a stream
 # late, and an engine whose streams have gaps has little capacity left.
 EVENT_GAP_WEIGHT = 1.0
+# Decimal places of a score in ms that takes account of the pace.
+SCORE_DIGITS = 3
 ERROR_PENALTY = 4.0
 TOLERATED_ERROR_SHARE = 0.2
 
@@ -31,15 +34,21 @@
         record: The replica.
         expected_ms: Time to its first event, or to its response.
         known_tokens: Tokens of the prompt that it has read lately.
+        pace_ms: What the score counts more, or less, because of the replica's pace.
     """
 
     record: ReplicaRecord
     expected_ms: float
     known_tokens: int
+    pace_ms: float = 0.0
 
     def score_ms(self, now_s: float) -> float:
         """Return the expected time plus the weighted gap between the events that follow."""
-        return self.expected_ms + EVENT_GAP_WEIGHT * self.record.event_gap.current_ms(now_s)
+        gap_ms = EVENT_GAP_WEIGHT * self.record.event_gap.current_ms(now_s)
+        if not self.record.pace.has_reports:
+            return self.expected_ms + gap_ms
+        # Equally good replicas of different pace get equal scores, so that chance decides.
+        return round(self.expected_ms + gap_ms + self.pace_ms, SCORE_DIGITS)
 
 
 def part_keys(request: CallerRequest) -> list[PromptPartKey]:
@@ -66,7 +75,15 @@
         total_ms = first_event_ms(record, request, known, limits, now_s)
     else:
         total_ms = response_ms(record, record.other_requests(now_s), now_s)
-    return Estimate(record, _weighted_ms(record, limits, total_ms), known)
+    expected_ms = _weighted_ms(record, limits, total_ms)
+    if not record.pace.has_reports:
+        return Estimate(record, expected_ms, known)
+    idle_ms = DEFAULT_SERVICE_MS
+    if request.model:
+        unread = max(0, request.prompt_tokens - known)
+        idle_ms = limits.latency_model.idle_first_event_ms(request.model, unread)
+    pace_ms = idle_difference_ms(record, idle_ms, now_s) + late_ms(expected_ms, limits)
+    return Estimate(record, expected_ms, known, pace_ms)
 
 
 def full_estimate(
@@ -77,11 +94,18 @@
     if not request.model:
         others = max(record.other_requests(now_s), record.peer_requests(now_s))
         total_ms = response_ms(record, others, now_s)
-        return Estimate(record, _weighted_ms(record, limits, total_ms), own.known_tokens)
+        expected_ms = _weighted_ms(record, limits, total_ms)
+        return Estimate(record, expected_ms, own.known_tokens, own.pace_ms)
     unread = record.peer_prompt_tokens(now_s)
     queued_ms = limits.latency_model.prefill_ms(request.model, int(unread))
     queued_ms += PEER_REQUEST_MS * record.peer_requests(now_s)
-    return Estimate(record, own.expected_ms + queued_ms, own.known_tokens)
+    if not record.pace.has_reports:
+        return Estimate(record, own.expected_ms + queued_ms, own.known_tokens)
+    expected_ms = own.expected_ms + queued_ms * record.pace.factor(now_s)
+    pace_ms = own.pace_ms + late_ms(expected_ms, limits) - late_ms(own.expected_ms, limits)
+    unread_tokens = max(0, request.prompt_tokens - own.known_tokens)
+    pace_ms += pause_ms(record, request.model, unread_tokens, limits, now_s)
+    return Estimate(record, expected_ms, own.known_tokens, pace_ms)
 
 
 def _weighted_ms(record: ReplicaRecord, limits: SelectionLimits, total_ms: float) -> float:
@@ -106,6 +130,8 @@
     unread = max(0, request.prompt_tokens - known)
     idle_ms = limits.latency_model.idle_first_event_ms(request.model, unread)
     waiting_ms = limits.latency_model.prefill_ms(request.model, record.pending_prompt_tokens)
+    pace = record.pace.factor(now_s)
+    idle_ms, waiting_ms = idle_ms * pace, waiting_ms * pace
     waiting_ms += record.delay.current_ms(now_s)
     return idle_ms + max(waiting_ms, record.oldest_unanswered_ms(now_s))
 
@@ -115,4 +141,4 @@
     requests = record.in_flight + others
     slots = max(1, record.instance.slots)
     base_ms = DEFAULT_SERVICE_MS * max(1.0, (requests + 1.0) / slots) + requests
-    return base_ms * record.slowness_now(now_s)
+    return base_ms * record.slowness_now(now_s) * record.pace.factor(now_s)
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -80,7 +80,7 @@
         self.names = names
         self.zone = settings.zone
         self.random = Random(secrets.randbits(64))
-        self.registry = ReplicaRegistry()
+        self.registry = ReplicaRegistry(gateway.load_control.replica_pace)
         self.fingerprints = Fingerprints(key)
         self.crash_guard = CrashGuard()
         self._table: GatewayRoutingTable | None = None
--- a/src/crowsill/gateway/selection_limits.py
+++ b/src/crowsill/gateway/selection_limits.py
@@ -16,6 +16,8 @@
         zone: Zone of this gateway.
         max_in_flight: Requests that this gateway may have at one replica.
         max_expected_ms: A request that is expected to take longer is not sent.
+        target_ms: Target of the caller for the first event.
+        target_gap_ms: Target of the caller for the time between two events; 0 without one.
         has_idle: Returns whether an idle connection to an instance is open.
         has_open: Returns whether any connection to an instance is open.
         latency_model: Latency model of the engines of the service.
@@ -29,6 +31,8 @@
     zone: str
     max_in_flight: int
     max_expected_ms: float = float("inf")
+    target_ms: float = float("inf")
+    target_gap_ms: float = 0.0
     has_idle: Callable[[str], bool] = lambda _instance_id: True
     has_open: Callable[[str], bool] = lambda _instance_id: True
     latency_model: LatencyModel = field(default_factory=LatencyModel)
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -68,6 +68,13 @@
     ["framing", "result"],
     registry=REGISTRY,
 )
+REPLICA_PACES = Gauge(
+    "crowsill_gateway_replica_paces",
+    "Replicas whose pace this gateway knows; "
+    "quick and slow ones differ from the usual by a quarter.",
+    ["pace"],
+    registry=REGISTRY,
+)
 REPLICA_SIGNALS = Counter(
     "crowsill_replica_signals",
     "Signals of replicas: requested backoffs, advertised rate limits, reports that an incarnation "
--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from crowsill.control.gateway_paces import GatewayPaces
 from crowsill.control.gateway_use import REPORT_INTERVAL_S, GatewayUse
 from crowsill.control.replica_limits import ReplicaLimits
 from crowsill.gateway.follower import HEARTBEAT_S
@@ -19,6 +20,7 @@
 from crowsill.gateway.selection import NoReplicaReason, choose
 from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, LoadedModel
+from crowsill.model.replica_use import without_paces
 from crowsill.routing.engine_latency import LatencyModel
 from crowsill.state.directory import DirectoryChange
 
@@ -33,6 +35,13 @@
 FIRST_EVENT_TARGET_S = 0.8
 EVENT_GAP_TARGET_S = 0.4
 MAX_FIRST_EVENT_MS = 1600.0
+# Noise of neighbours: the factor on the step time of an engine, and how long it lasts.
+NOISE_FACTOR = 2.5
+NOISE_S = 0.6
+# Requests that come in clumps: the first part of each period has most of them.
+CLUMP_PERIOD_S = 2.0
+CLUMP_S = 0.5
+CLUMP_SHARE = 0.5
 # Simulated time after the last request.
 DRAIN_S = 20.0
 
@@ -88,6 +97,28 @@
         return self.per_s if is_advertised else None
 
 
+@dataclass
+class EnginePaces:
+    """Engines of unequal pace that report it, and the noise of their neighbours.
+
+    Attributes:
+        factors: Factors on the step time, for one engine after the other.
+        noise_share: Share of the engines that are slower for `NOISE_S`.
+        is_used: Whether gateways read the reports.
+    """
+
+    factors: tuple = (0.7, 0.7, 1.7)
+    noise_share: float = 0.0
+    is_used: bool = True
+
+    def factor_of(self, number, now_s):
+        """Return the current factor on the step time of an engine."""
+        factor = self.factors[number % len(self.factors)]
+        period = math.floor(now_s / NOISE_S + number / 7.0)
+        is_noisy = Random(f"{number} {period}").random() < self.noise_share
+        return factor * (NOISE_FACTOR if is_noisy else 1.0)
+
+
 @dataclass
 class Stream:
     """A request at an engine."""
@@ -115,12 +146,12 @@
 class Gateway:
     """The state of one gateway."""
 
-    def __init__(self, number, instances, random):
+    def __init__(self, number, instances, random, uses_pace=True):
         self.zone = f"z{number % ZONES}"
         self.random = random
         self.latency_model = LatencyModel()
         self.name = f"g-{number}"
-        self.registry = ReplicaRegistry()
+        self.registry = ReplicaRegistry(uses_pace)
         self.registry.adopt(DirectoryChange(1, instances, []), True, 0.0)
         self.idle = dict.fromkeys([item.instance_id for item in instances], 0)
 
@@ -130,6 +161,8 @@
             self.zone,
             SLOTS,
             max_expected_ms=MAX_FIRST_EVENT_MS,
+            target_ms=FIRST_EVENT_TARGET_S * 1000.0,
+            target_gap_ms=EVENT_GAP_TARGET_S * 1000.0,
             has_idle=lambda instance_id: self.idle[instance_id] > 0,
             latency_model=self.latency_model,
             random=self.random,
@@ -144,6 +177,8 @@
     Attributes:
         requested: Requests.
         in_time: Those whose first event and gaps met the targets of their callers.
+        late_first: Those that ended with a first event beyond the target.
+        paused: Those that ended with a gap between events beyond the target.
         timed_out: Those that reached their deadline.
         rejected: Those that no engine was chosen for.
         new_connections: Connections that were opened for them.
@@ -154,6 +189,8 @@
 
     requested: int = 0
     in_time: int = 0
+    late_first: int = 0
+    paused: int = 0
     timed_out: int = 0
     rejected: int = 0
     new_connections: int = 0
@@ -177,7 +214,17 @@
     """The site; `run` simulates some seconds of requests and returns the results."""
 
     def __init__(
-        self, held, shares, gateways, rate, seed, slow=None, shares_use=True, advertised_limits=None
+        self,
+        held,
+        shares,
+        gateways,
+        rate,
+        seed,
+        slow=None,
+        shares_use=True,
+        advertised_limits=None,
+        paces=None,
+        is_clumped=False,
     ):
         """Create it.
 
@@ -190,7 +237,12 @@
             slow: Engines that are slow for some time.
             shares_use: Whether gateways report their requests at engines to one another.
             advertised_limits: Engines that advertise a rate limit for some time.
+            paces: Engines of unequal pace that report it.
+            is_clumped: Whether half of the requests come in a quarter of the time.
         """
+        self.paces = paces
+        self.is_clumped = is_clumped
+        self.gateway_paces = GatewayPaces()
         self.advertised_limits = advertised_limits or AdvertisedLimits()
         self.limits = ReplicaLimits()
         self.random = Random(seed)
@@ -201,7 +253,13 @@
         self.use = GatewayUse()
         instances = [_instance(number, models) for number, models in enumerate(held)]
         self.gateways = [
-            Gateway(number, instances, Random(seed * 1000 + number)) for number in range(gateways)
+            Gateway(
+                number,
+                instances,
+                Random(seed * 1000 + number),
+                paces is not None and paces.is_used,
+            )
+            for number in range(gateways)
         ]
         self.waiting = [[] for _ in held]
         self.running = [[] for _ in held]
@@ -222,7 +280,7 @@
         at_s = self.random.expovariate(self.rate)
         while at_s < seconds:
             self._at(at_s, self._arrive)
-            at_s += self.random.expovariate(self.rate)
+            at_s += self.random.expovariate(self._rate_at(at_s))
         self._prepare()
         while self._events:
             now_s, _, action, arguments = heapq.heappop(self._events)
@@ -231,6 +289,14 @@
             action(now_s, *arguments)
         return self.outcome
 
+    def _rate_at(self, now_s):
+        """Return the requests per second that arrive at this time."""
+        if not self.is_clumped:
+            return self.rate
+        length_s = CLUMP_S if now_s % CLUMP_PERIOD_S < CLUMP_S else CLUMP_PERIOD_S - CLUMP_S
+        share = CLUMP_SHARE if length_s == CLUMP_S else 1.0 - CLUMP_SHARE
+        return self.rate * share * CLUMP_PERIOD_S / length_s
+
     def _prepare(self):
         """Schedule the heartbeats."""
         if self.shares_use:
@@ -240,9 +306,12 @@
     def _heartbeat(self, now_s, gateway):
         """Exchange reports between a gateway and the group: use of engines and rate limits."""
         own = gateway.registry.in_use()
-        self.use.note(gateway.name, own, now_s)
+        report = gateway.registry.with_received_paces(own)
+        self.gateway_paces.note_reports(report, now_s)
+        self.use.note(gateway.name, without_paces(report), now_s)
         if now_s >= self._summed_at_s + REPORT_INTERVAL_S:
-            self._summed_at_s, self._total = now_s, self.use.sum(now_s)
+            self._summed_at_s = now_s
+            self._total = self.gateway_paces.with_learned(self.use.sum(now_s), now_s)
         gateway.registry.note_total_use(self._total, own, now_s)
         self.limits.note(gateway.registry.limit_reports(now_s), now_s)
         gateway.registry.note_limit_reports(self.limits.to_reports(now_s), now_s)
@@ -320,6 +389,9 @@
             availability.note_limit(per_s, now_s)
         else:
             availability.limit.note_not_advertised(stream.sent_at_s)
+        if self.paces is not None:
+            percent = 100.0 * self.paces.factor_of(number, now_s)
+            stream.gateway.registry.note_pace(stream.record, percent, now_s)
 
     def _count(self, gateway, record):
         """Count a request that is sent; return the number of its engine."""
@@ -349,13 +421,18 @@
                 first.append(waiting.pop(0))
         step_ms = STEP_MS + STEP_MS_PER_STREAM * len(running) + read / PREFILL_TOKENS_PER_MS
         step_ms *= self.slow.factor_of(number, now_s)
+        if self.paces is not None:
+            step_ms *= self.paces.factor_of(number, now_s)
         self._at(now_s + step_ms / 1000.0, self._end_step, number, first)
 
     def _end_step(self, now_s, number, first):
         running = self.running[number]
         for stream in list(running):
             stream.remaining_tokens -= 1
-            stream.longest_gap_s = max(stream.longest_gap_s, now_s - stream.last_event_at_s)
+            gap_s = now_s - stream.last_event_at_s
+            stream.longest_gap_s = max(stream.longest_gap_s, gap_s)
+            if self.paces is not None:
+                stream.record.note_event_gap(gap_s, now_s)
             stream.last_event_at_s = now_s
             if stream.remaining_tokens <= 0 or now_s > stream.deadline_at_s:
                 running.remove(stream)
@@ -384,13 +461,15 @@
         idle_first_event_s = (
             gateway.latency_model.idle_first_event_ms(request.model, request.prompt_tokens) / 1000.0
         )
-        record.note_response_time(first_event_s, idle_first_event_s, now_s)
+        pace = record.pace.slow_factor(now_s)
+        record.note_response_time(first_event_s, idle_first_event_s * pace, now_s)
         gateway.latency_model.observe_first_event(
-            request.model, request.prompt_tokens, first_event_s * 1000.0
-        )
-        is_in_time = (
-            first_event_s <= FIRST_EVENT_TARGET_S and stream.longest_gap_s <= EVENT_GAP_TARGET_S
+            request.model, request.prompt_tokens, first_event_s * 1000.0 / pace
         )
+        is_first_late = first_event_s > FIRST_EVENT_TARGET_S
+        self.outcome.late_first += is_first_late
+        self.outcome.paused += stream.longest_gap_s > EVENT_GAP_TARGET_S
+        is_in_time = not is_first_late and stream.longest_gap_s <= EVENT_GAP_TARGET_S
         self.outcome.in_time += is_in_time
 
 
@@ -408,3 +487,11 @@
         for number in least_loaded[:model_copies]:
             held[number].append(model)
     return EngineSite(held, shares, gateways, rate, seed, **more)
+
+
+def even_site(seed, *, rate, paces, engines=45, gateways=76, **more):
+    """Return a site in which each model is held by six engines, of all paces alike."""
+    groups = engines // 3
+    held = [[f"m{number // 3}", f"m{(number // 3 + 1) % groups}"] for number in range(engines)]
+    shares = {f"m{place}": 1.0 for place in range(groups)}
+    return EngineSite(held, shares, gateways, rate, seed, paces=paces, is_clumped=True, **more)
