--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -75,6 +75,8 @@
             without a limit.
         recorded_loads: Returns when the loads from the weight store that leaders recorded for a
             service since a time may have begun; None if they are not known.
+        pace_of: Returns the time that work takes at a replica, in percent of the usual; None if it
+            is not known.
     """
 
     engines: EngineJobPorts
@@ -85,6 +87,7 @@
     heartbeat_s: float = 1.0
     limit_of: Callable[[str], float | None] = lambda _instance_id: None
     recorded_loads: Callable[[str, float], list[float] | None] = lambda _service, _since_s: None
+    pace_of: Callable[[str], int | None] = lambda _instance_id: None
 
 
 class ModelPlacer:
@@ -250,6 +253,7 @@
             busy = busy or instance.instance_id in excluded
             engine_view = to_engine_view(instance, engine, limits, busy)
             engine_view.limit_per_s = self._ports.limit_of(instance.instance_id)
+            engine_view.pace_percent = self._ports.pace_of(instance.instance_id)
             views.append(engine_view)
         awaited = list(_select_service(self._waited_for_at_s, name))
         self._missing_requests.note_held(
--- a/src/crowsill/control/placers.py
+++ b/src/crowsill/control/placers.py
@@ -59,6 +59,9 @@
         heartbeat_s=control.replica_heartbeat_s,
         limit_of=service.reports.replica_grants.limit_per_s_of,
         recorded_loads=member.store_loads.since,
+        pace_of=lambda instance_id: service.reports.paces.certain_percent_of(
+            instance_id, monotonic_s()
+        ),
     )
     return ModelPlacer(
         ports,
