--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -110,6 +110,17 @@
         "A request was held while something else could explain the crashes that quarantined it.",
     )
 
+    REQUEST_TURN = EventDefinition(
+        227,
+        "INFO",
+        "A request that waited is sent; the line tells its place and why it is its turn.",
+    )
+    WAIT_QUEUE_FULL = EventDefinition(
+        228,
+        "WARNING",
+        "As many requests wait as may wait at this gateway; further ones are rejected.",
+    )
+
     LINKS_LOST = EventDefinition(
         217,
         "WARNING",
--- a/src/crowsill/gateway/context.py
+++ b/src/crowsill/gateway/context.py
@@ -17,6 +17,7 @@
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.gateway.suspect_runs import SuspectRunClient
+from crowsill.gateway.wait_turns import WaitTurns
 from crowsill.routing.shared_budget import SharedRetryBudget
 
 
@@ -37,6 +38,7 @@
     suspect_runs: SuspectRunClient
     peers: Peers
     replica_watch: ReplicaWatch
+    turns: WaitTurns | None
 
     @property
     def revocation_s(self) -> float:
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -199,8 +199,17 @@
             route,
             self._progress,
             self._log,
+            admission=self._admission,
             is_from_peer=self._terms is not None,
         )
+        try:
+            await self._serve_in_turn(route, deadline_at_s, waiting)
+        finally:
+            waiting.end()
+
+    async def _serve_in_turn(
+        self, route: Route, deadline_at_s: float, waiting: WaitingRequest
+    ) -> None:
         is_ended = False
         while not is_ended:
             rejection = await self._repeat_guard.await_duplicate(deadline_at_s)
@@ -214,6 +223,8 @@
                 continue
             if not isinstance(choice, Choice) and self._may_use_silent():
                 choice = self._choose(route, includes_silent=True)
+            if isinstance(choice, Choice) and waiting.goes_after_others():
+                choice = NoReplicaReason.ALL_FULL
             if isinstance(choice, Choice):
                 is_ended = await self._serve_by_replica(route, choice, deadline_at_s, waiting)
             elif not (self._may_wait(choice) and await waiting.wait(choice)):
@@ -234,9 +245,11 @@
             return True
         if not await self._charge_repetition(deadline_at_s):
             return True
+        waiting.note_sent()
         end = await self._sender.send(
             route, choice, deadline_at_s, self._outcome.closes_connection()
         )
+        waiting.note_end(end)
         if end is None:
             self._refund(is_retry)
             return False
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -34,6 +34,7 @@
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.gateway.running_exchanges import RunningExchanges
 from crowsill.gateway.suspect_runs import SuspectRunClient
+from crowsill.gateway.wait_turns import WaitTurns
 from crowsill.logs import log_event
 from crowsill.metrics import READY, REQUESTS_FROM_PEERS, ROUTES_VERSION
 from crowsill.model.peers import PeerOffer
@@ -83,6 +84,7 @@
         self.registry = ReplicaRegistry()
         self.fingerprints = Fingerprints(key)
         self.crash_guard = CrashGuard()
+        self.turns = WaitTurns() if gateway.load_control.ordered_waiting else None
         self._table: GatewayRoutingTable | None = None
         self._gateway_count = GatewayCount()
         self._settings = gateway
@@ -209,7 +211,7 @@
         self._table = GatewayRoutingTable(configuration)
         ROUTES_VERSION.set(document.version)
         log_event(Event.ROUTES_ADOPTED, version=document.version, routes=len(configuration.routes))
-        self._notify_change()
+        self._notify_change(concerns_all=True)
 
     def _on_directory(self, dropped_ids: list[str]) -> None:
         for instance_id in dropped_ids:
@@ -248,9 +250,14 @@
             log_event(Event.READINESS_CHANGED, ready=True, gateways=gateways)
             self._notify_change()
 
-    def _notify_change(self) -> None:
+    def _notify_change(self, *, concerns_all: bool = False) -> None:
+        """Wake what waits for a change; in ordered waiting all, or those that get their turn."""
         self._changed.set()
         self._changed = asyncio.Event()
+        if self.turns is not None and concerns_all:
+            self.turns.wake_all()
+        elif self.turns is not None:
+            self.turns.offer_all()
 
     # `ExchangeContext`.
 
@@ -357,7 +364,7 @@
         started_at_s = loop.time()
         self._stopping = True
         self._wait_limit_at_s = started_at_s + STOP_WAIT_S
-        self._notify_change()
+        self._notify_change(concerns_all=True)
         READY.set(0)
         log_event(
             Event.DRAIN_STARTED, requests=self._running.exchanges, callers=self._running.connections
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -103,7 +103,7 @@
                 record.instance, deadline_at_s - self._loop.time()
             )
             attempt = self._new_attempt(route, record, connection, closes_connection)
-            attempt.on_first_data = functools.partial(self._handle_first_data, prompt)
+            attempt.on_first_data = functools.partial(self._handle_first_data, record, prompt)
             attempt.on_signals = functools.partial(self._handle_signals, record, probe, attempt)
             # Checked again after the last wait: opening the connection may have taken a second.
             if (
@@ -142,6 +142,7 @@
             self._end_attempt(record)
             if connection is not None:
                 context.pool.release(instance_id, connection, reusable)
+            self._note_room(record)
 
     async def _confirm_end(
         self, record: ReplicaRecord, attempt: Attempt, end: AttemptEnd
@@ -237,9 +238,15 @@
             sent_at_s,
         )
 
-    def _handle_first_data(self, prompt: PendingPrompt) -> None:
+    def _handle_first_data(self, record: ReplicaRecord, prompt: PendingPrompt) -> None:
         prompt.stop_counting()
         self._repeat_guard.note_first_data()
+        self._note_room(record)
+
+    def _note_room(self, record: ReplicaRecord) -> None:
+        """Tell the requests that wait that a replica may have room for one of them."""
+        if self._context.turns is not None:
+            self._context.turns.note_room(record)
 
     def _handle_signals(
         self,
--- a/src/crowsill/gateway/wait_decision.py
+++ b/src/crowsill/gateway/wait_decision.py
@@ -11,7 +11,7 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from crowsill.model.routes import Route, RouteKind
 
@@ -28,6 +28,8 @@
 # After a backoff a replica accepts one request and then two, and few under a rate limit. Of more
 # requests waiting for it at one gateway, most would be rejected in the end.
 MAX_WAITING_TO_OPEN = 2
+# Probability that a request is sent when its turn is expected, by the time between two places.
+TURN_PROBABILITY = 0.9
 # Retry times of one rank are spread over this interval; the next rank follows after it.
 RETRY_RANK_INTERVAL_S = 0.1
 
@@ -144,6 +146,31 @@
     return estimate.probability * (value + avoided_cost) > (1.0 - estimate.probability) * cost
 
 
+def in_order(
+    estimate: WaitEstimate, turn_after_s: float, budget: WaitBudget, response_s: float
+) -> WaitEstimate:
+    """Return the estimate for a request that waits in an order.
+
+    Args:
+        estimate: When a replica may take any one request.
+        turn_after_s: Expected time until those that go before it are sent; infinite if unknown.
+        budget: How long its caller waits.
+        response_s: Time from its turn to the first data of the response.
+
+    >>> caller = WaitBudget(0.0, 0.0, 8.0, 6.0, 12.0)
+    >>> in_order(WaitEstimate(0.3, 0.2, 0.3), 2.0, caller, 0.1)
+    WaitEstimate(ready_s=2.0, probability=0.9, known_after_s=2.0)
+    >>> in_order(WaitEstimate(0.3, 0.2, 0.3), 7.0, caller, 0.1)
+    WaitEstimate(ready_s=7.0, probability=0.2, known_after_s=0.3)
+    """
+    if math.isinf(turn_after_s):
+        return estimate
+    ready_s = max(estimate.ready_s, turn_after_s)
+    if budget.waited_s + ready_s + response_s > budget.target_s:
+        return replace(estimate, ready_s=ready_s)
+    return WaitEstimate(ready_s, max(estimate.probability, TURN_PROBABILITY), ready_s)
+
+
 def retry_delay_s(estimate: WaitEstimate, budget: WaitBudget, rank: int, spread: float) -> float:
     """Return the time after which a rejected caller should retry; urgent ones come first.
 
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -7,6 +7,8 @@
 import asyncio
 from dataclasses import dataclass, replace
 
+from crowsill.gateway.admission import Admission
+from crowsill.gateway.attempt import AttemptEnd, AttemptResult
 from crowsill.gateway.context import ExchangeContext
 from crowsill.gateway.exchange_log import ExchangeLog
 from crowsill.gateway.exclusion import ExclusionReason
@@ -19,11 +21,13 @@
     MAX_WAITING_TO_OPEN,
     WaitBudget,
     WaitEstimate,
+    in_order,
     retry_delay_s,
     should_wait,
     wait_budget,
 )
 from crowsill.gateway.wait_estimates import estimate_wait
+from crowsill.gateway.wait_turns import Turn
 from crowsill.model.routes import ModelWeights, Route
 
 CAPACITY_POLL_S = 0.1
@@ -61,6 +65,7 @@
         progress: Progress,
         log: ExchangeLog,
         *,
+        admission: Admission,
         is_from_peer: bool = False,
     ) -> None:
         self._is_from_peer = is_from_peer
@@ -71,6 +76,51 @@
         self._progress = progress
         self._log = log
         self._loop = asyncio.get_running_loop()
+        self._turn = self._new_turn(admission)
+
+    def _new_turn(self, admission: Admission) -> Turn | None:
+        """Return the place of the request in the queue; None if requests wait in no order."""
+        context, tenant, service = self._context, admission.tenant, self._log.service
+        if context.turns is None:
+            return None
+        return context.turns.turn(
+            self._request,
+            self._route,
+            service,
+            context.registry.latency_model(service),
+            rank=admission.rank(self._route),
+            tenant=None if tenant is None else tenant.name,
+            table=context.table,
+        )
+
+    def goes_after_others(self) -> bool:
+        """Whether a request that a replica could take lets others go first."""
+        if self._turn is None or self._loop.time() >= self._context.wait_limit_at_s():
+            return False
+        return self._turn.goes_after_others()
+
+    def note_sent(self) -> None:
+        """Record that the request is sent to a replica."""
+        if self._turn is not None:
+            self._turn.note_sent()
+
+    def note_end(self, end: AttemptEnd | None) -> None:
+        """Record the end of an attempt; None if nothing was sent."""
+        is_not_run = end is None or end.result is AttemptResult.NOT_RUN
+        if self._turn is not None and is_not_run:
+            self._turn.note_not_run()
+
+    def end(self) -> None:
+        """Stop waiting, because the request has ended."""
+        if self._turn is not None:
+            self._turn.leave()
+
+    async def _wait_for_change(self, timeout_s: float) -> None:
+        """Wait for any change, or for the turn of the request."""
+        if self._turn is None:
+            await self._context.wait_for_change(timeout_s)
+        else:
+            await self._turn.wait(timeout_s)
 
     async def wait(self, reason: NoReplicaReason) -> bool:
         """Wait for something to change; return False when the request must be rejected."""
@@ -86,6 +136,8 @@
             self._context.demand.note_overloaded(self._log.service, request.model)
         if self._is_missing(reason):
             self._context.demand.report_missing(self._log.service, request.model, request.adapter)
+        if self._turn is not None and not self._turn.join(bool(self._progress.tried)):
+            return False
         remaining_s = self._context.wait_limit_at_s() - self._loop.time()
         if remaining_s <= 0.0 or not should_wait(
             self._estimate(reason), self._wait_budget(), self._response_s()
@@ -98,7 +150,7 @@
         poll_s = CAPACITY_POLL_S if reason is NoReplicaReason.ALL_FULL else DEMAND_REPEAT_S
         if reason is NoReplicaReason.ALL_CLOSED:
             return await self._wait_to_open(min(remaining_s, poll_s))
-        await self._context.wait_for_change(min(remaining_s, poll_s))
+        await self._wait_for_change(min(remaining_s, poll_s))
         return True
 
     async def _wait_to_open(self, time_s: float) -> bool:
@@ -117,7 +169,7 @@
             return False
         waiting[key] += 1
         try:
-            await self._context.wait_for_change(time_s)
+            await self._wait_for_change(time_s)
         finally:
             waiting[key] -= 1
             if not waiting[key]:
@@ -181,7 +233,7 @@
         request, now_s = self._request, self._loop.time()
         records = self._context.registry.of_service(self._log.service)
         waited_s = now_s - request.arrived_at_s
-        return estimate_wait(
+        estimate = estimate_wait(
             reason,
             request,
             records=records,
@@ -190,6 +242,10 @@
             now_s=now_s,
             is_urgent=self._is_urgent,
         )
+        if self._turn is None or reason is not NoReplicaReason.ALL_FULL:
+            return estimate
+        turn_after_s = self._turn.expected_after_s()
+        return in_order(estimate, turn_after_s, self._wait_budget(), self._response_s())
 
     def _closed_detail(self) -> str:
         """Describe the closed replica that could run the request and opens first."""
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -55,6 +55,19 @@
     buckets=_LATENCY_BUCKETS_S,
     registry=REGISTRY,
 )
+GATEWAY_WAITED_S = Histogram(
+    "crowsill_gateway_waited_seconds",
+    "Time that requests waited in the queue of a gateway until they were sent, by rank.",
+    ["rank"],
+    buckets=_LATENCY_BUCKETS_S,
+    registry=REGISTRY,
+)
+GATEWAY_TURNS = Counter(
+    "crowsill_gateway_turns",
+    "Turns of requests in the queue of a gateway, by rank and result (sent, passed).",
+    ["rank", "result"],
+    registry=REGISTRY,
+)
 GATEWAY_ATTEMPTS = Counter(
     "crowsill_gateway_attempts",
     "Attempts at replicas, by result (whole, not_run, failed, cut, unreachable).",
