--- a/src/crowsill/gateway/wait_queue.py
+++ b/src/crowsill/gateway/wait_queue.py
@@ -1,9 +1,9 @@
 """The requests that wait at one gateway, and the order in which they get their turn. Pure.
 
-Requests are divided by service and resource. Those of one service with equal rank, tenant and
-prospects form a lane, which is sorted by the latest time at which a request must be sent. A round
-offers the turn to one request after the other. One that cannot be sent shows that others with the
-same prospects cannot be sent either; the round passes over them.
+Requests are divided by service and resource. Those of one class with equal rank and tenant form a
+lane, which is sorted by the latest time at which a request must be sent. A round offers the turn to
+one request after the other. One that cannot be sent shows that others of its class cannot be sent
+either; the round passes over them.
 """
 
 import heapq
@@ -12,11 +12,10 @@
 from dataclasses import dataclass, field
 
 from crowsill.gateway.tenant_work import TenantWork
+from crowsill.gateway.waiter import LaneKey, RequestClass, Resource, Waiter
 
 # Requests that may wait at one gateway; a further one is rejected.
 MAX_WAITING = 1000
-# A request that has used this share of its slack is pressing: it no longer gives way.
-PRESSING_SHARE = 0.5
 # At least one of this number of places goes to a pressing request, whatever its rank, so that it is
 # sent even if requests that go before it never cease.
 PLACES_PER_PRESSING = 4
@@ -25,87 +24,13 @@
 # A time between two places that was observed longer ago says nothing.
 INTERVAL_LIFETIME_S = 2.0
 
-
-@dataclass(frozen=True, slots=True)
-class Resource:
-    """What a request waits for; both are empty for a service without models."""
-
-    model: str = ""
-    adapter: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Prospects:
-    """What decides whether a replica can take a request; equal for requests that are alike.
-
-    Attributes:
-        resource: What it needs.
-        route: Its route.
-        size: Order of magnitude of its prompt: the number of bits of its tokens.
-        sole_id: Number that no other request has if it was sent to some replicas already; else 0.
-    """
-
-    resource: Resource
-    route: str
-    size: int
-    sole_id: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Waiter:
-    """A request that waits.
-
-    All times are monotonic, in seconds.
-
-    Attributes:
-        service: Its service.
-        prospects: What decides whether a replica can take it.
-        rank: Its rank; 0 is the most urgent.
-        tenant: Its tenant.
-        is_urgent: Whether its route's callers do not wait.
-        work_ms: Expected work of a replica.
-        arrived_at_s: Time of its arrival.
-        target_start_at_s: Latest time to be sent so that it meets its target.
-        deadline_start_at_s: Latest time to be sent so that it ends before its deadline.
-        is_late: Whether it can no longer meet its target.
-        is_queued: Whether it is in the queue.
-        is_by_bound: Whether it got its last turn because `PLACES_PER_PRESSING` were taken.
-    """
-
-    service: str
-    prospects: Prospects
-    rank: int
-    tenant: str
-    is_urgent: bool
-    work_ms: float
-    arrived_at_s: float
-    target_start_at_s: float
-    deadline_start_at_s: float
-    is_late: bool = False
-    is_queued: bool = False
-    is_by_bound: bool = False
-
-    @property
-    def start_key_s(self) -> float:
-        """Position in its lane; of two with equal slack, the one with less work goes first."""
-        start_at_s = self.deadline_start_at_s if self.is_late else self.target_start_at_s
-        return start_at_s + self.work_ms / 1000.0
-
-    @property
-    def pressing_at_s(self) -> float:
-        """Time from which it no longer gives way."""
-        start_at_s = self.deadline_start_at_s if self.is_late else self.target_start_at_s
-        return self.arrived_at_s + PRESSING_SHARE * max(0.0, start_at_s - self.arrived_at_s)
-
-
-LaneKey = tuple[int, str, bool, Prospects]
 LaneOrder = tuple[bool, int, float, bool, float, int]
 _Entry = tuple[bool, float, int, Waiter]
 
 
 @dataclass(slots=True)
 class _Lane:
-    """Requests with equal rank, tenant and prospects.
+    """Requests of one class with equal rank and tenant.
 
     Attributes:
         number: Number of the lane, to order equal ones.
@@ -121,7 +46,7 @@
         entries = self.entries
         while not entries[0][0] and entries[0][3].target_start_at_s < now_s:
             _, _, number, waiter = entries.pop(0)
-            waiter.is_late = True
+            waiter.note_late()
             insort(entries, (True, waiter.start_key_s, number, waiter))
         return entries[0][3]
 
@@ -153,9 +78,15 @@
     def order(self, lane: _Lane, now_s: float) -> LaneOrder:
         """Return the position of the first request of a lane among those of all lanes."""
         head = lane.head(now_s)
-        gives_way = not head.is_urgent and now_s < head.pressing_at_s
         counter = self.work.of(head.tenant)
-        return gives_way, head.rank, counter, head.is_late, head.start_key_s, lane.number
+        return (
+            head.gives_way(now_s),
+            head.rank,
+            counter,
+            head.is_late,
+            head.start_key_s,
+            lane.number,
+        )
 
 
 class WaitQueue:
@@ -192,9 +123,9 @@
         if self.is_full:
             return False
         service = self._services.setdefault(waiter.service, _Service())
-        group = service.groups.setdefault(waiter.prospects.resource, _Group())
+        group = service.groups.setdefault(waiter.request_class.resource, _Group())
         self._last_number += 1
-        key = (waiter.rank, waiter.tenant, waiter.is_urgent, waiter.prospects)
+        key = waiter.lane_key
         lane = group.lanes.get(key)
         if lane is None:
             lane = group.lanes[key] = _Lane(key, self._last_number)
@@ -216,15 +147,15 @@
             return
         waiter.is_queued = False
         service = self._services[waiter.service]
-        group = service.groups[waiter.prospects.resource]
-        key = (waiter.rank, waiter.tenant, waiter.is_urgent, waiter.prospects)
+        group = service.groups[waiter.request_class.resource]
+        key = waiter.lane_key
         lane = group.lanes[key]
         number = self._numbers.pop(waiter)
         del lane.entries[bisect_left(lane.entries, self._entry(waiter, number))]
         if not lane.entries:
             del group.lanes[key]
         if not group.lanes:
-            del service.groups[waiter.prospects.resource]
+            del service.groups[waiter.request_class.resource]
         service.waiting_by_tenant[waiter.tenant] -= 1
         if not service.waiting_by_tenant[waiter.tenant]:
             del service.waiting_by_tenant[waiter.tenant]
@@ -236,7 +167,7 @@
     def has_others(self, waiter: Waiter) -> bool:
         """Whether other requests wait for the resource that a request needs."""
         service = self._services.get(waiter.service)
-        group = None if service is None else service.groups.get(waiter.prospects.resource)
+        group = None if service is None else service.groups.get(waiter.request_class.resource)
         if group is None:
             return False
         return not waiter.is_queued or sum(len(lane.entries) for lane in group.lanes.values()) > 1
@@ -244,12 +175,12 @@
     def ahead_of(self, waiter: Waiter, now_s: float) -> int:
         """Return how many requests for the same resource go before one; all if it is not queued."""
         service = self._services.get(waiter.service)
-        group = None if service is None else service.groups.get(waiter.prospects.resource)
+        group = None if service is None else service.groups.get(waiter.request_class.resource)
         if service is None or group is None:
             return 0
         if not waiter.is_queued:
             return sum(len(lane.entries) for lane in group.lanes.values())
-        own = group.lanes[(waiter.rank, waiter.tenant, waiter.is_urgent, waiter.prospects)]
+        own = group.lanes[waiter.lane_key]
         own_order = service.order(own, now_s)
         ahead = bisect_left(own.entries, self._entry(waiter, self._numbers[waiter]))
         for lane in group.lanes.values():
@@ -260,7 +191,7 @@
     def turn_after_s(self, waiter: Waiter, now_s: float) -> float:
         """Return the expected time until a request that waits is sent; infinite if unknown."""
         service = self._services.get(waiter.service)
-        group = None if service is None else service.groups.get(waiter.prospects.resource)
+        group = None if service is None else service.groups.get(waiter.request_class.resource)
         if group is None or now_s - group.taken_at_s > INTERVAL_LIFETIME_S:
             return float("inf")
         return (self.ahead_of(waiter, now_s) + 1) * group.interval_s
@@ -279,7 +210,7 @@
         service.places_since_pressing += 1
         if waiter.is_by_bound:
             service.places_since_pressing = 0
-        group = service.groups.get(waiter.prospects.resource)
+        group = service.groups.get(waiter.request_class.resource)
         if group is not None:
             self._note_place(group, now_s)
 
@@ -329,12 +260,12 @@
         self._service = service
         self._lanes = [(service.order(lane, now_s), lane) for lane in lanes]
         heapq.heapify(self._lanes)
-        self._failed: set[Prospects] = set()
-        self._has_pressing = True
+        self._pressing = [lane for lane in lanes if lane.entries[0][3].pressing_at_s <= now_s]
+        self._failed: set[RequestClass] = set()
 
     def note_failed(self, waiter: Waiter) -> None:
         """Record that a request that had its turn found no replica."""
-        self._failed.add(waiter.prospects)
+        self._failed.add(waiter.request_class)
 
     def next(self, now_s: float) -> Waiter | None:
         """Take the next request from the queue; return None if no other can have a turn."""
@@ -353,17 +284,15 @@
 
     def _pressing_lane(self, now_s: float) -> _Lane | None:
         """Return the lane whose first request gets the place that is due to pressing ones."""
-        service = self._service
-        if not self._has_pressing or service.places_since_pressing < PLACES_PER_PRESSING - 1:
+        if self._service.places_since_pressing < PLACES_PER_PRESSING - 1:
             return None
-        pressing = [
+        self._pressing = [
             lane
-            for _, lane in self._lanes
+            for lane in self._pressing
             if self._is_usable(lane) and lane.head(now_s).pressing_at_s <= now_s
         ]
-        self._has_pressing = bool(pressing)
         # By arrival: by any other order, some could be passed over forever.
-        return min(pressing, key=lambda lane: lane.head(now_s).arrived_at_s, default=None)
+        return min(self._pressing, key=lambda lane: lane.head(now_s).arrived_at_s, default=None)
 
     def _first_lane(self, now_s: float) -> _Lane | None:
         """Return the lane whose first request goes before all others."""
--- a/src/crowsill/gateway/wait_turns.py
+++ b/src/crowsill/gateway/wait_turns.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 
 from crowsill.events import Event
 from crowsill.gateway.replica_registry import ReplicaRecord
@@ -16,7 +15,8 @@
 from crowsill.gateway.routing_table import GatewayRoutingTable, is_urgent
 from crowsill.gateway.tenant_work import NO_TENANT, tenant_shares
 from crowsill.gateway.wait_decision import wait_budget
-from crowsill.gateway.wait_queue import Prospects, Resource, Round, Waiter, WaitQueue
+from crowsill.gateway.wait_queue import Round, WaitQueue
+from crowsill.gateway.waiter import RequestClass, Resource, Waiter
 from crowsill.logs import log_event
 from crowsill.metrics import GATEWAY_TURNS, GATEWAY_WAITED_S
 from crowsill.model.routes import Route
@@ -61,7 +61,7 @@
     first_s = first_ms / 1000.0
     return Waiter(
         service,
-        Prospects(
+        RequestClass(
             Resource(request.model, request.adapter), route.name, request.prompt_tokens.bit_length()
         ),
         rank,
@@ -95,7 +95,7 @@
         """
         if self._has_turn or not self._turns.queue.has_others(self._waiter):
             return False
-        needed = self._waiter.prospects.resource
+        needed = self._waiter.request_class.resource
         self._turns.offer(self._waiter.service, lambda resource: resource == needed)
         return True
 
@@ -109,8 +109,8 @@
         waiter, queue = self._waiter, self._turns.queue
         if waiter.is_queued:
             return True
-        if was_sent_before and not waiter.prospects.sole_id:
-            waiter.prospects = replace(waiter.prospects, sole_id=self._turns.new_sole_id())
+        if was_sent_before and not waiter.request_class.sole_id:
+            waiter.request_class = waiter.request_class._replace(sole_id=self._turns.new_sole_id())
         if not queue.join(waiter):
             self._turns.note_full()
             return False
@@ -121,7 +121,18 @@
 
     def expected_after_s(self) -> float:
         """Return the expected time until the request is sent; infinite if unknown."""
-        return self._turns.queue.turn_after_s(self._waiter, self._loop.time())
+        waiter, now_s = self._waiter, self._loop.time()
+        turn_after_s = self._turns.queue.turn_after_s(waiter, now_s)
+        if waiter.gives_way(now_s):
+            return min(turn_after_s, waiter.pressing_at_s - now_s)
+        return turn_after_s
+
+    def gave_way_s(self) -> float:
+        """Return for how long the request has let urgent ones go first."""
+        waiter = self._waiter
+        if waiter.is_urgent:
+            return 0.0
+        return max(0.0, min(self._loop.time(), waiter.pressing_at_s) - waiter.arrived_at_s)
 
     async def wait(self, timeout_s: float) -> None:
         """Wait until the request has its turn or has to check its state again."""
@@ -157,7 +168,7 @@
             Event.REQUEST_TURN,
             request=self._request_id,
             service=waiter.service,
-            resource=waiter.prospects.resource.model,
+            resource=waiter.request_class.resource.model,
             tenant=waiter.tenant,
             rank=waiter.rank,
             position=self._position,
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -233,6 +233,10 @@
         request, now_s = self._request, self._loop.time()
         records = self._context.registry.of_service(self._log.service)
         waited_s = now_s - request.arrived_at_s
+        is_ordered = self._turn is not None and reason is NoReplicaReason.ALL_FULL
+        if self._turn is not None and is_ordered:
+            # Time in which it let others go first does not make a place less likely.
+            waited_s -= self._turn.gave_way_s()
         estimate = estimate_wait(
             reason,
             request,
@@ -242,7 +246,7 @@
             now_s=now_s,
             is_urgent=self._is_urgent,
         )
-        if self._turn is None or reason is not NoReplicaReason.ALL_FULL:
+        if self._turn is None or not is_ordered:
             return estimate
         turn_after_s = self._turn.expected_after_s()
         return in_order(estimate, turn_after_s, self._wait_budget(), self._response_s())
--- a/src/crowsill_lab/bench/commands.py
+++ b/src/crowsill_lab/bench/commands.py
@@ -178,6 +178,15 @@
         _print(figures)
 
 
+@application.command()
+def waiting() -> None:
+    """Measure the CPU time of the queue of waiting requests, with 10 and 1,000 of them."""
+    from crowsill_lab.bench.waiting import run_waiting_bench
+
+    for figures in run_waiting_bench():
+        _print(figures)
+
+
 @application.command()
 def returns(seed: int = 1) -> None:
     """Simulate strategies to resume sending to replicas after a backoff."""
--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -283,17 +283,21 @@
         if isinstance(choice, NoReplicaReason):
             outcome.rejected += 1
             return
+        self._send(now_s, gateway, request, choice, kind.deadline_s, output_tokens)
+
+    def _send(self, now_s, gateway, request, choice, remaining_s, output_tokens):
+        """Send a request to an engine."""
         number = self._count(gateway, choice.record)
-        outcome.sent_at_s.append((now_s, number, model))
+        self.outcome.sent_at_s.append((now_s, number, request.model))
         stream = Stream(
             gateway,
             choice.record,
             request,
             now_s,
-            now_s + kind.deadline_s,
-            prompt_tokens,
+            now_s + remaining_s,
+            request.prompt_tokens,
             output_tokens,
-            PendingPrompt(choice.record, prompt_tokens, now_s),
+            PendingPrompt(choice.record, request.prompt_tokens, now_s),
         )
         choice.record.in_flight += 1
         self.waiting[number].append(stream)
@@ -394,7 +398,7 @@
         self.outcome.in_time += is_in_time
 
 
-def popular_site(seed, *, rate, engines=60, gateways=200, models=20, **more):
+def popular_site(seed, *, rate, engines=60, gateways=200, models=20, kind=EngineSite, **more):
     """Return a site of engines with two models each; popular models have more copies."""
     random = Random(seed)
     shares = {f"m{place}": 1.0 / (place + 4) for place in range(models)}
@@ -407,4 +411,4 @@
         )
         for number in least_loaded[:model_copies]:
             held[number].append(model)
-    return EngineSite(held, shares, gateways, rate, seed, **more)
+    return kind(held, shares, gateways, rate, seed, **more)
--- a/tests/test_wait_queue.py
+++ b/tests/test_wait_queue.py
@@ -10,22 +10,24 @@
 from crowsill.gateway.wait_queue import (
     MAX_WAITING,
     PLACES_PER_PRESSING,
-    Prospects,
-    Resource,
-    Waiter,
     WaitQueue,
 )
+from crowsill.gateway.waiter import RequestClass, Resource, Waiter
 from crowsill.model.tenants import RateUnit, Tenant
 
 SERVICE = "engines"
 SEEDS = range(30)
 
 
+def class_of(model, route, **more):
+    return RequestClass(Resource(model), route, 8, **more)
+
+
 def waiter(model="m", *, rank=0, tenant="", patient=False, work_ms=100.0, at_s=0.0, **more):
     target_s, deadline_s = (6.0, 8.0) if patient else (0.8, 3.2)
     return Waiter(
         SERVICE,
-        more.get("prospects") or Prospects(Resource(model), "patient" if patient else "urgent", 8),
+        more.get("request_class") or class_of(model, "patient" if patient else "urgent"),
         rank,
         tenant,
         not patient,
@@ -169,14 +171,16 @@
 def test_a_request_that_finds_no_room_does_not_hold_up_those_for_another_resource():
     missing, usable = waiter("gone", target_s=0.1), waiter("held", rank=5)
     queue = queue_of(missing, usable)
-    assert turns(queue, fits=lambda item: item.prospects.resource.model == "held") == [usable]
+    assert turns(queue, fits=lambda item: item.request_class.resource.model == "held") == [usable]
     assert missing.is_queued
 
 
 def test_a_request_that_has_tried_a_replica_does_not_hold_up_its_equals():
-    tried = waiter(target_s=0.1, prospects=Prospects(Resource("m"), "urgent", 8, sole_id=1))
+    tried = waiter(target_s=0.1, request_class=class_of("m", "urgent", sole_id=1))
     fresh = waiter(target_s=0.9)
-    assert turns(queue_of(tried, fresh), fits=lambda item: not item.prospects.sole_id) == [fresh]
+    assert turns(queue_of(tried, fresh), fits=lambda item: not item.request_class.sole_id) == [
+        fresh
+    ]
 
 
 def test_equal_requests_are_passed_over_after_the_first_found_no_room():
@@ -239,14 +243,14 @@
             free = dict(room)
 
             def fits(item, free=free):
-                model = item.prospects.resource.model
+                model = item.request_class.resource.model
                 free[model] -= 1
                 return free[model] >= 0
 
-            wanted = Counter(item.prospects.resource.model for item in alive)
+            wanted = Counter(item.request_class.resource.model for item in alive)
             sent = turns(queue, now_s, fits=fits)
             for model, places in room.items():
-                taken = sum(item.prospects.resource.model == model for item in sent)
+                taken = sum(item.request_class.resource.model == model for item in sent)
                 assert taken == min(places, wanted[model])
             alive = [item for item in alive if item not in sent]
         assert len(queue) == len(alive)
--- a/tests/test_wait_turns.py
+++ b/tests/test_wait_turns.py
@@ -220,7 +220,7 @@
     sent, cancelled = [], set()
 
     async def request(item):
-        turn, resource = turns_of[item], item.prospects.resource
+        turn, resource = turns_of[item], item.request_class.resource
         model = resource.model
         try:
             while True:
@@ -267,7 +267,7 @@
     for _ in range(2000):
         await asyncio.sleep(0)
     left = [item for item, task in tasks.items() if not task.done()]
-    idle = [item for item in left if room[item.prospects.resource.model]]
+    idle = [item for item in left if room[item.request_class.resource.model]]
     for task in tasks.values():
         task.cancel()
     await asyncio.gather(*tasks.values(), return_exceptions=True)
