--- a/src/crowsill/gateway/wait_turns.py
+++ b/src/crowsill/gateway/wait_turns.py
@@ -26,6 +26,8 @@
 MAX_RANK_LABEL = 9
 # A full queue is logged once in this time.
 FULL_LOG_INTERVAL_S = 1.0
+# Figures that callers state are not credible beyond this; they must not keep their tenant waiting.
+MAX_WORK_MS = 60_000.0
 
 CanServe = Callable[[Resource], bool]
 
@@ -67,7 +69,7 @@
         rank,
         tenant,
         is_urgent(route),
-        work_ms,
+        min(work_ms, MAX_WORK_MS),
         request.arrived_at_s,
         target_start_at_s=first_try_at_s + budget.target_s - first_s,
         deadline_start_at_s=first_try_at_s + min(budget.total_s, budget.abandons_after_s) - first_s,
@@ -158,10 +160,11 @@
         self._turns.queue.note_sent(waiter, self._share, now_s)
         if self._joined_at_s is None:
             return
+        has_turn, self._has_turn = self._has_turn, False
         label, waited_s = rank_label(waiter.rank), now_s - self._joined_at_s
         GATEWAY_WAITED_S.labels(label).observe(waited_s)
-        why = "order" if self._has_turn else "alone"
-        if self._has_turn:
+        why = "order" if has_turn else "alone"
+        if has_turn:
             GATEWAY_TURNS.labels(label, "sent").inc()
             why = "bound" if waiter.is_by_bound else why
         log_event(
--- a/tests/test_gateway_tenants.py
+++ b/tests/test_gateway_tenants.py
@@ -10,6 +10,7 @@
 from crowsill.gateway.quota import QuotaGrantClient
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.model.tenants import RateUnit, Tenant
+from crowsill.settings import LoadControlSettings
 from crowsill.transport.messages import GrantReply, NotLeader
 from tests.gateway_world import NAMES, never_respond, reject_not_run, respond_ok, routes, run, world
 
@@ -127,10 +128,15 @@
     run(scenario())
 
 
-def test_a_revoked_key_runs_nothing_even_for_a_waiting_request():
+@pytest.mark.parametrize("is_ordered", [False, True])
+def test_a_revoked_key_runs_nothing_even_for_a_waiting_request(is_ordered):
     # The waiting request was identified before the key was revoked.
+    load_control = LoadControlSettings(ordered_waiting=is_ordered)
+
     async def scenario():
-        async with world(respond_ok, configuration=routes_with_tenants()) as here:
+        async with world(
+            respond_ok, configuration=routes_with_tenants(), load_control=load_control
+        ) as here:
             here.adopt([])
             caller = await here.caller()
             caller.send("once", headers=[KEY])
--- a/tests/test_wait_turns.py
+++ b/tests/test_wait_turns.py
@@ -7,10 +7,12 @@
 import pytest
 
 from crowsill.gateway import waiting
+from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.wait_queue import MAX_WAITING, WaitQueue
-from crowsill.gateway.wait_turns import WaitTurns
+from crowsill.gateway.wait_turns import WaitTurns, new_waiter
 from crowsill.metrics import GATEWAY_TURNS
 from crowsill.model.instances import LoadedModel, LoadingModel
+from crowsill.routing.engine_latency import LatencyModel
 from crowsill.settings import LoadControlSettings
 from tests.gateway_world import ID, encode_response, instance, respond_ok, routes, run, world
 from tests.test_wait_queue import SEEDS, SERVICE, waiter
@@ -189,6 +191,21 @@
     run(body())
 
 
+def test_absurd_figures_of_a_caller_keep_its_tenant_waiting_only_for_some_time():
+    request = CallerRequest(b"POST", b"/", [], b"", True, 0.0, model="m")
+    request.prompt_tokens = request.output_tokens = 10**12
+    request.length_hint = 1e12 - 1.0
+    route = routes().routes[-1]
+    item = new_waiter(request, route, SERVICE, LatencyModel(), rank=0, tenant="absurd")
+    queue, usual = WaitQueue(), waiter(tenant="usual", work_ms=500.0)
+    queue.note_sent(item, 1.0, 0.0)
+    now_s = 0.0
+    while queue._services[SERVICE].work.of("usual") <= queue._services[SERVICE].work.of("absurd"):
+        now_s += 0.5
+        queue.note_sent(usual, 1.0, now_s)
+    assert now_s < 60.0
+
+
 def test_a_shutdown_and_a_full_queue_reject_at_once(monkeypatch, without_poll):
     async def body():
         slots = Slots()
