--- a/tests/test_wait_turns.py
+++ b/tests/test_wait_turns.py
@@ -29,7 +29,10 @@
 
 
 class Slots:
-    """A replica's script that responds when it is told to, and the order of its requests."""
+    """A replica's script that responds when it is told to, and the order of its requests.
+
+    The end of a response follows some time after its first data: only then the place is free.
+    """
 
     def __init__(self):
         self.order = []
@@ -38,7 +41,10 @@
     async def __call__(self, headers, writer, _number):
         self.order.append(headers[ID])
         await self.release.acquire()
-        writer.write(encode_response(headers[ID]))
+        response = encode_response(headers[ID])
+        writer.write(response[:-1])
+        await asyncio.sleep(0.02)
+        writer.write(response[-1:])
         return True
 
 
