--- a/src/crowsill/control/gateway_reports.py
+++ b/src/crowsill/control/gateway_reports.py
@@ -9,6 +9,7 @@
 from crowsill.control.subscribers import DemandCounter, LiveEntries
 from crowsill.model.peers import PeerOffer
 from crowsill.model.replica_use import UseByReplica
+from crowsill.overload.level_keeper import LevelKeeper
 from crowsill.transport.messages import Heartbeat
 
 
@@ -24,6 +25,7 @@
         use: The gateways' use of replicas.
         replica_grants: Rate limits that replicas advertise, and the grants under them.
         peers: Gateways that accept requests of others.
+        levels: Demand for services, and what is admitted.
     """
 
     def __init__(self) -> None:
@@ -34,6 +36,7 @@
         self.use = GatewayUse()
         self.replica_grants = ReplicaGrants()
         self.peers = GatewayPeers(Random(secrets.randbits(64)))
+        self.levels = LevelKeeper()
 
     def note(self, heartbeat: Heartbeat, now_s: float) -> None:
         """Record a heartbeat's reports; `use` is recorded separately, by its source."""
@@ -76,4 +79,5 @@
             overloaded=self.overloaded.collect(),
             in_use=self.use.sum(now_s) if is_due else None,
             limits=self.replica_grants.to_reports() if is_due else [],
+            pressure=self.levels.sum_report(now_s) if is_due else None,
         )
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -310,6 +310,9 @@
         self.reports.note(heartbeat, monotonic_s())
         if heartbeat.in_use is not None:
             self.reports.use.note(connection.peer.identity, heartbeat.in_use, monotonic_s())
+        if heartbeat.pressure is not None:
+            source = connection.peer.identity
+            self.reports.levels.note_report(source, heartbeat.pressure, monotonic_s())
         self._subscribers.subscribe(connection, heartbeat)
         await self._wait_for_first_leader(driver)
         freshness = await self.confirmed_freshness()
@@ -320,6 +323,10 @@
         if not await self.has_applied(freshness, monotonic_s() + MAX_APPLY_WAIT_S):
             log_event(Event.MEMBER_BEHIND, follower=connection.peer.node)
             return MemberBehind()
+        if heartbeat.pressure is not None:
+            leader_term = driver.node.term if driver.is_leader else None
+            level = self.reports.levels.level(leader_term, monotonic_s())
+            freshness = msgspec.structs.replace(freshness, level=level)
         if heartbeat.in_use is None:
             return freshness
         in_use = self.reports.total_use(driver.is_leader, monotonic_s())
@@ -406,11 +413,13 @@
         if not isinstance(reply, Freshness):
             return None
         self.reports.replica_grants.note(reply.limits)
+        if reply.level is not None:
+            self.reports.levels.note_level(reply.level, monotonic_s())
         if reply.in_use is None:
-            return reply
+            return msgspec.structs.replace(reply, level=None)
         self.reports.use.note_total(reply.in_use, monotonic_s())
         self.reports.peers.note_from_leader(reply.peers, monotonic_s())
-        return msgspec.structs.replace(reply, in_use=None, peers=[])
+        return msgspec.structs.replace(reply, in_use=None, peers=[], level=None)
 
     async def refresh_from_leader(self) -> None:
         """Query the leader once, so that this member follows the fleet without any entry."""
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -137,6 +137,22 @@
         "This gateway began or ceased to close new connections unread: its event loop lags.",
     )
 
+    LEVEL_CHANGED = EventDefinition(
+        230,
+        "INFO",
+        "Admission to a service began or ceased to be limited here, because it is overloaded.",
+    )
+    LEVEL_EXPIRED = EventDefinition(
+        231,
+        "WARNING",
+        "This gateway received no admission level for too long and admits everything again.",
+    )
+    NOT_ADMITTED = EventDefinition(
+        232,
+        "INFO",
+        "A request was rejected: its tenant asks for more than its share of an overloaded service.",
+    )
+
     ROLE_CHANGED = EventDefinition(300, "INFO", "This control member changed its role.")
     LOG_TAIL_CUT = EventDefinition(
         301, "WARNING", "An incomplete, unsynced record at the end of the log was truncated."
@@ -260,4 +276,13 @@
         "Too many replicas crashed under prompts with these parts; gateways reject such prompts.",
     )
 
+    SERVICE_OVERLOADED = EventDefinition(
+        515,
+        "WARNING",
+        "Callers of a service met full replicas; tenants beyond their share are cut.",
+    )
+    SERVICE_RELIEVED = EventDefinition(
+        516, "INFO", "A service is no longer overloaded; everything is admitted again."
+    )
+
     CLAIM_ABANDONED = EventDefinition(600, "WARNING", "The outcome of a claimed request is lost.")
--- /dev/null
+++ b/src/crowsill/gateway/admission_level.py
@@ -0,0 +1,95 @@
+"""Decides at a gateway whether a request is admitted to an overloaded service. Pure."""
+
+from dataclasses import dataclass, field
+
+from crowsill.gateway.replica_registry import ReplicaRecord
+from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.selection import accepts, has_resources
+from crowsill.model.service_pressure import AdmissionLevel, TenantLevel
+
+# A member replies every 0.5 s, so a level of this age means that several replies are missing.
+LEVEL_LIFETIME_S = 1.5
+# After this time without a newer level, lower numbers are accepted: the group was formed anew.
+FORGET_AFTER_S = 10.0
+# Callers that are refused come back spread over this share of their delay, and at least this time.
+RETRY_SPREAD_SHARE = 0.3
+MIN_RETRY_SPREAD_S = 0.5
+# A replica with this share of its places free has room, whatever the level of its service.
+FREE_SHARE = 0.5
+# What other gateways have at a replica is unknown if it was not reported for this time.
+USE_LIFETIME_S = 1.5
+
+
+@dataclass(slots=True)
+class LevelView:
+    """The newest level that this gateway received."""
+
+    _level: AdmissionLevel | None = None
+    _received_at_s: float = float("-inf")
+    _tenants: dict[tuple[str, str], TenantLevel] = field(default_factory=dict)
+
+    def note(self, level: AdmissionLevel, now_s: float) -> bool:
+        """Adopt a level if it is newer than the known one; return whether it was adopted."""
+        known = self._level
+        if (
+            known is not None
+            and now_s - self._received_at_s < FORGET_AFTER_S
+            and (level.term, level.number) <= (known.term, known.number)
+        ):
+            return False
+        self._level, self._received_at_s = level, now_s
+        self._tenants = {
+            (service.service, item.tenant): item
+            for service in level.services
+            for item in service.tenants
+        }
+        return True
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Whether the level is recent enough to act on."""
+        return now_s - self._received_at_s <= LEVEL_LIFETIME_S
+
+    def limited_services(self, now_s: float) -> frozenset[str]:
+        """Return the services whose admission is limited now."""
+        if self._level is None or not self.is_fresh(now_s):
+            return frozenset()
+        return frozenset(service.service for service in self._level.services)
+
+    def refusal_delay_s(
+        self, service: str, tenant: str, number: int, *, draws: tuple[float, float], now_s: float
+    ) -> float | None:
+        """Return None if a request is admitted, else the seconds after which to come back.
+
+        Args:
+            service: Its service.
+            tenant: Its tenant; empty without one.
+            number: Its class.
+            draws: Two random numbers from 0 to 1: for admission, and to spread callers' returns.
+            now_s: Current monotonic time in seconds.
+        """
+        level = self._tenants.get((service, tenant))
+        if level is None or not self.is_fresh(now_s):
+            return None
+        if number < level.cut_class:
+            return None
+        if number == level.cut_class and draws[0] < level.share_percent / 100.0:
+            return None
+        delay_s = level.retry_after_ms / 1000.0
+        return delay_s + draws[1] * max(MIN_RETRY_SPREAD_S, delay_s * RETRY_SPREAD_SHARE)
+
+
+def has_free_room(records: list[ReplicaRecord], request: CallerRequest, now_s: float) -> bool:
+    """Whether a replica that could run a request has many free places, by recent reports."""
+    return any(
+        accepts(record)
+        and record.availability.available_at_s <= now_s
+        and has_resources(record, request)
+        and now_s - record.peer_use_reported_at_s <= USE_LIFETIME_S
+        and _used_places(record, now_s) < record.instance.slots * (1.0 - FREE_SHARE)
+        for record in records
+    )
+
+
+def _used_places(record: ReplicaRecord, now_s: float) -> float:
+    others = max(float(record.peer_use.requests), record.other_requests(now_s))
+    return record.in_flight + others
--- a/src/crowsill/gateway/context.py
+++ b/src/crowsill/gateway/context.py
@@ -16,6 +16,7 @@
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.routing_table import GatewayRoutingTable
+from crowsill.gateway.shared_admission import SharedAdmission
 from crowsill.gateway.suspect_runs import SuspectRunClient
 from crowsill.routing.shared_budget import SharedRetryBudget
 
@@ -37,6 +38,7 @@
     suspect_runs: SuspectRunClient
     peers: Peers
     replica_watch: ReplicaWatch
+    shared_admission: SharedAdmission | None
 
     @property
     def revocation_s(self) -> float:
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -22,6 +22,7 @@
 from crowsill.gateway.repeat_guard import RepeatGuard
 from crowsill.gateway.replica_feedback import MIN_SERVER_ERROR_STATUS
 from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.request_pressure import RequestPressure
 from crowsill.gateway.routing_table import GatewayRoutingTable, is_urgent, pick_service
 from crowsill.gateway.selection import Choice, NoReplicaReason, choose, is_running_elsewhere
 from crowsill.gateway.selection_limits import SelectionLimits
@@ -76,6 +77,7 @@
         self._log = ExchangeLog(request, context.fingerprints)
         self._admission = Admission(context, request, is_charged=terms is None)
         self._repeat_guard = RepeatGuard(context, request, self._log)
+        self._pressure = RequestPressure(context, request, is_from_peer=terms is not None)
         self._outcome = Outcome(
             context, caller, request, self._progress, self._log, is_for_peer=terms is not None
         )
@@ -149,9 +151,14 @@
             self._progress.attempts = self._terms.attempts
             self._log.log_received_from_peer(self._terms)
         try:
+            rejection = self._pressure.admit(route, self._service, self._admission)
+            if rejection is not None:
+                self._reject(rejection)
+                return
             async with asyncio.timeout_at(deadline_at_s):
                 await self._serve(route, deadline_at_s)
         except TimeoutError:
+            self._pressure.note_timed_out(self._progress)
             self._outcome.time_out()
         finally:
             if not self._progress.may_have_run:
@@ -216,12 +223,15 @@
                 choice = self._choose(route, includes_silent=True)
             if isinstance(choice, Choice):
                 is_ended = await self._serve_by_replica(route, choice, deadline_at_s, waiting)
-            elif not (self._may_wait(choice) and await waiting.wait(choice)):
+                continue
+            self._pressure.note_no_replica(choice)
+            if not (self._may_wait(choice) and await waiting.wait(choice)):
                 self._give_up(waiting, choice, route)
                 return
 
     def _give_up(self, waiting: WaitingRequest, reason: NoReplicaReason, route: Route) -> None:
         """Reject the request because no replica can take it."""
+        self._pressure.note_rejected(reason)
         self._outcome.give_up(waiting.give_up(reason, self._admission.rank(route)))
 
     async def _serve_by_replica(
@@ -234,9 +244,11 @@
             return True
         if not await self._charge_repetition(deadline_at_s):
             return True
+        self._pressure.note_sent()
         end = await self._sender.send(
             route, choice, deadline_at_s, self._outcome.closes_connection()
         )
+        self._pressure.note_end(end)
         if end is None:
             self._refund(is_retry)
             return False
@@ -268,7 +280,9 @@
         """Pass the request to a peer; return False if it may be sent again."""
         if not await self._charge_repetition(deadline_at_s):
             return True
+        self._pressure.note_sent()
         end = await self._peer_sender.send(route, deadline_at_s, self._outcome.closes_connection())
+        self._pressure.note_end(end)
         if end is None or (self._may_repeat(route, end) and self._has_destination(route)):
             return False
         self._outcome.respond(end)
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -22,6 +22,7 @@
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.logs import log_event
 from crowsill.model.peers import PeerOffer
+from crowsill.model.service_pressure import AdmissionLevel, PressureReport
 from crowsill.model.suspects import SuspectChange
 from crowsill.settings import Address
 from crowsill.state.route_store import RouteDocument
@@ -77,6 +78,8 @@
         on_suspects: Receives a change of the crash record, and whether it is the full record.
         peer_offer: Returns what this gateway offers to others; None for nothing.
         on_peers: Receives what other gateways offer, as far as the group reports it.
+        pressure: Returns the demand since the last heartbeat; None if it is not reported.
+        on_level: Receives what is admitted now, as far as the group reports it.
     """
 
     on_routes: Callable[[RouteDocument], None]
@@ -85,6 +88,8 @@
     on_suspects: Callable[[SuspectChange, bool], None]
     peer_offer: Callable[[], PeerOffer | None] = lambda: None
     on_peers: Callable[[list[PeerOffer]], None] = lambda _offers: None
+    pressure: Callable[[], PressureReport | None] = lambda: None
+    on_level: Callable[[AdmissionLevel], None] = lambda _level: None
 
 
 class GatewayFollower:
@@ -240,6 +245,7 @@
             overloaded=overloaded,
             in_use=in_use,
             limits=self.registry.limit_reports(monotonic_s()),
+            pressure=self._hooks.pressure(),
         )
         sent_at_s = monotonic_s()
         try:
@@ -255,6 +261,8 @@
             return False
         self.registry.note_limit_reports(reply.limits, monotonic_s())
         self._hooks.on_peers(reply.peers)
+        if reply.level is not None:
+            self._hooks.on_level(reply.level)
         if reply.in_use is not None:
             self.registry.note_total_use(reply.in_use, in_use, monotonic_s())
         if reply.members:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 import msgspec
@@ -33,6 +34,7 @@
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.gateway.running_exchanges import RunningExchanges
+from crowsill.gateway.shared_admission import SharedAdmission
 from crowsill.gateway.suspect_runs import SuspectRunClient
 from crowsill.logs import log_event
 from crowsill.metrics import READY, REQUESTS_FROM_PEERS, ROUTES_VERSION
@@ -83,6 +85,8 @@
         self.registry = ReplicaRegistry()
         self.fingerprints = Fingerprints(key)
         self.crash_guard = CrashGuard()
+        is_shared = gateway.load_control.shared_admission
+        self.shared_admission = SharedAdmission(self.random) if is_shared else None
         self._table: GatewayRoutingTable | None = None
         self._gateway_count = GatewayCount()
         self._settings = gateway
@@ -114,6 +118,12 @@
             peer_offer=self._peer_offer,
             on_peers=self._on_peers,
         )
+        if self.shared_admission is not None:
+            hooks = replace(
+                hooks,
+                pressure=self.shared_admission.report,
+                on_level=self.shared_admission.note_level,
+            )
         self._follower = GatewayFollower(
             local,
             gateway.control_seeds,
@@ -207,6 +217,8 @@
             return
         configuration = msgspec.structs.replace(decoded, version=document.version)
         self._table = GatewayRoutingTable(configuration)
+        if self.shared_admission is not None:
+            self.shared_admission.use_tenants(configuration.tenants)
         ROUTES_VERSION.set(document.version)
         log_event(Event.ROUTES_ADOPTED, version=document.version, routes=len(configuration.routes))
         self._notify_change()
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -177,6 +177,18 @@
     ["reason"],
     registry=REGISTRY,
 )
+NOT_ADMITTED = Counter(
+    "crowsill_gateway_not_admitted",
+    "Requests rejected because their tenants ask for more than their share of an overloaded "
+    "service.",
+    ["service"],
+    registry=REGISTRY,
+)
+OVERLOADED_SERVICES = Gauge(
+    "crowsill_overloaded_services",
+    "Services whose admission is limited because callers meet full replicas, at the leader.",
+    registry=REGISTRY,
+)
 ORDERS = Counter(
     "crowsill_orders",
     "Orders to engines by kind and result.",
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -13,6 +13,7 @@
 from crowsill.model.peers import PeerOffer
 from crowsill.model.replica_limits import LimitReport
 from crowsill.model.replica_use import UseByReplica
+from crowsill.model.service_pressure import AdmissionLevel, PressureReport
 from crowsill.state.commands import Command, CommandResult
 from crowsill.state.directory import DirectoryChange
 from crowsill.state.route_store import RouteDocument
@@ -134,6 +135,8 @@
         in_use: Use of replicas by the sender, or by all gateways connected to it; None if it
             neither reports its use nor needs the total.
         limits: Rate limits that replicas advertise, as far as the sender knows them.
+        pressure: Demand for services at the sender, or at all gateways connected to it; None where
+            no gateway has shared admission switched on.
     """
 
     fleet_epoch: int
@@ -149,6 +152,7 @@
     suspects_version: int = 0
     in_use: UseByReplica | None = None
     limits: list[LimitReport] = []
+    pressure: PressureReport | None = None
 
 
 class Ping(msgspec.Struct, frozen=True, tag="ping"):
@@ -200,6 +204,7 @@
         limits: Rate limits that replicas advertise, as far as the group knows them.
         peers: Gateways that accept requests of others; a random part of them, and only where
             `in_use` is set.
+        level: What is admitted now; None if it was not requested or is unknown.
     """
 
     revision: int
@@ -212,6 +217,7 @@
     member_zones: list[str] = []
     limits: list[LimitReport] = []
     peers: list[PeerOffer] = []
+    level: AdmissionLevel | None = None
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration-update"):
