--- a/src/crowsill/gateway/admission_level.py
+++ b/src/crowsill/gateway/admission_level.py
@@ -12,8 +12,12 @@
 # After this time without a newer level, lower numbers are accepted: the group was formed anew.
 FORGET_AFTER_S = 10.0
 # Callers that are refused come back spread over this share of their delay, and at least this time.
-RETRY_SPREAD_SHARE = 0.3
-MIN_RETRY_SPREAD_S = 0.5
+RETRY_SPREAD_SHARE = 1.0
+MIN_RETRY_SPREAD_S = 1.5
+MIN_RETRY_AFTER_S = 1.0
+# Callers that come back near their deadlines or later can't be served in time.
+LATEST_RETURN_SHARE = 0.9
+LATEST_RETURN_SPREAD = 0.8
 # A replica with this share of its places free has room, whatever the level of its service.
 FREE_SHARE = 0.5
 # What other gateways have at a replica is unknown if it was not reported for this time.
@@ -56,7 +60,14 @@
         return frozenset(service.service for service in self._level.services)
 
     def refusal_delay_s(
-        self, service: str, tenant: str, number: int, *, draws: tuple[float, float], now_s: float
+        self,
+        service: str,
+        tenant: str,
+        number: int,
+        *,
+        remaining_s: float,
+        draws: tuple[float, float],
+        now_s: float,
     ) -> float | None:
         """Return None if a request is admitted, else the seconds after which to come back.
 
@@ -64,6 +75,7 @@
             service: Its service.
             tenant: Its tenant; empty without one.
             number: Its class.
+            remaining_s: Time until its deadline.
             draws: Two random numbers from 0 to 1: for admission, and to spread callers' returns.
             now_s: Current monotonic time in seconds.
         """
@@ -75,7 +87,9 @@
         if number == level.cut_class and draws[0] < level.share_percent / 100.0:
             return None
         delay_s = level.retry_after_ms / 1000.0
-        return delay_s + draws[1] * max(MIN_RETRY_SPREAD_S, delay_s * RETRY_SPREAD_SHARE)
+        delay_s += draws[1] * max(MIN_RETRY_SPREAD_S, delay_s * RETRY_SPREAD_SHARE)
+        latest_s = remaining_s * (LATEST_RETURN_SHARE - LATEST_RETURN_SPREAD * draws[1])
+        return max(MIN_RETRY_AFTER_S, min(delay_s, latest_s))
 
 
 def has_free_room(records: list[ReplicaRecord], request: CallerRequest, now_s: float) -> bool:
--- a/src/crowsill/gateway/request_pressure.py
+++ b/src/crowsill/gateway/request_pressure.py
@@ -52,7 +52,8 @@
         rank = admission.rank(route)
         self._service = service
         self._tenant = "" if admission.tenant is None else admission.tenant.name
-        self._class = admission_class(rank, wait_budget(route, request.wait_ms, 0.0).is_retry)
+        budget = wait_budget(route, request.wait_ms, 0.0)
+        self._class = admission_class(rank, budget.is_retry)
         self._work = request_work(
             request.model, request.prompt_tokens, request.output_tokens, request.length_hint
         )
@@ -63,6 +64,7 @@
             service,
             self._tenant,
             self._class,
+            remaining_s=budget.total_s - budget.elapsed_before_s,
             draws=(shared.random.random(), shared.random.random()),
             now_s=now_s,
         )
@@ -74,6 +76,8 @@
         return self._refuse(rank, delay_s)
 
     def _refuse(self, rank: int, delay_s: float) -> Rejection:
+        if self._shared is not None:
+            self._shared.counter.note_refused(self._service, self._tenant, self._work)
         NOT_ADMITTED.labels(self._service).inc()
         log_event(
             Event.NOT_ADMITTED,
@@ -114,8 +118,9 @@
     def note_rejected(self, reason: NoReplicaReason | None) -> None:
         """Count that the request was rejected because no replica could take it."""
         self.note_no_replica(reason)
-        if reason is NoReplicaReason.ALL_FULL:
+        if self._shared is not None and reason is NoReplicaReason.ALL_FULL:
             self._note_full(1.0)
+            self._shared.counter.note_refused(self._service, self._tenant, self._work)
 
     def note_timed_out(self, progress: Progress) -> None:
         """Count that the request reached its deadline, perhaps while it waited for a replica."""
--- a/src/crowsill/model/service_pressure.py
+++ b/src/crowsill/model/service_pressure.py
@@ -64,10 +64,12 @@
     Attributes:
         tenant: Its position in the report's list of tenants.
         asked: Work per second by class, as `encode_rates` encodes it.
+        refused: Work per second that was refused, by the level or because every replica was full.
     """
 
     tenant: int
     asked: bytes
+    refused: int = 0
 
 
 class ServicePressure(msgspec.Struct, frozen=True, array_like=True):
--- a/src/crowsill/overload/pressure_counter.py
+++ b/src/crowsill/overload/pressure_counter.py
@@ -28,6 +28,7 @@
     started: float = 0.0
     full: float = 0.0
     asked: defaultdict[tuple[str, int], float] = field(default_factory=lambda: defaultdict(float))
+    refused: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     is_carried_over: bool = False
 
     def is_empty(self) -> bool:
@@ -57,6 +58,10 @@
         """Count work that met full replicas."""
         self._services[service].full += work
 
+    def note_refused(self, service: str, tenant: str, work: float) -> None:
+        """Count work that was refused, so that its caller is expected to come back."""
+        self._services[service].refused[tenant] += work
+
     def collect(self, weights: dict[str, int], now_s: float) -> PressureReport:
         """Return the rates since the last report, and start again.
 
@@ -115,5 +120,10 @@
         max(0, round(counts.requests / interval_s)),
         max(0, round(counts.started / interval_s)),
         max(0, round(counts.full / interval_s)),
-        [TenantDemand(places[tenant], encode_rates(found)) for tenant, found in rates.items()],
+        [
+            TenantDemand(
+                places[tenant], encode_rates(found), round(counts.refused[tenant] / interval_s)
+            )
+            for tenant, found in rates.items()
+        ],
     )
--- a/src/crowsill/overload/pressure_sums.py
+++ b/src/crowsill/overload/pressure_sums.py
@@ -28,6 +28,14 @@
 MAX_SERVICES = 64
 # Slower work is treated as none.
 MIN_RATE = 0.01
+# A report covers 0.5 s already, so a longer average would only add to its age.
+TIME_CONSTANT_S = 0.25
+# A level acts on demand that is measured about a second earlier. The difference of two averages
+# tells how fast demand changes, from which the present demand is estimated, within these bounds.
+SLOW_TIME_CONSTANT_S = 0.75
+TREND_FACTOR = 0.7
+MIN_OUTLOOK = 0.4
+MAX_OUTLOOK = 1.6
 
 # Work per second by tenant and class.
 DemandByTenant = dict[str, dict[int, float]]
@@ -42,12 +50,14 @@
         started: Work per second that replicas accepted.
         full: Work per second that was refused or held because every replica was full.
         asked: Work per second by tenant and class.
+        refused: Work per second that was refused, by tenant.
     """
 
     requests: float = 0.0
     started: float = 0.0
     full: float = 0.0
     asked: DemandByTenant = field(default_factory=dict)
+    refused: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -103,7 +113,9 @@
     for demand in pressure.demands:
         if not 0 <= demand.tenant < len(tenants) or tenants[demand.tenant].tenant not in weights:
             continue
-        rates = known.asked.setdefault(tenants[demand.tenant].tenant, {})
+        tenant = tenants[demand.tenant].tenant
+        known.refused[tenant] = known.refused.get(tenant, 0.0) + _bounded(demand.refused)
+        rates = known.asked.setdefault(tenant, {})
         for number, rate in decode_rates(demand.asked).items():
             rates[number] = rates.get(number, 0.0) + rate
 
@@ -121,7 +133,10 @@
             round(found.requests),
             round(found.started),
             round(found.full),
-            [TenantDemand(places[tenant], encode_rates(r)) for tenant, r in found.asked.items()],
+            [
+                TenantDemand(places[tenant], encode_rates(rates), round(found.refused[tenant]))
+                for tenant, rates in found.asked.items()
+            ],
         )
         for service, found in total.services.items()
     ]
@@ -134,25 +149,28 @@
 
     Attributes:
         value: The averages.
+        outlook: Ratio of the work that is probably asked now to the average.
     """
 
     value: ServiceSum = field(default_factory=ServiceSum)
+    outlook: float = 1.0
+    _slow_asked: float = 0.0
     _is_empty: bool = True
 
-    def update(self, sample: ServiceSum, elapsed_s: float, time_constant_s: float) -> None:
+    def update(self, sample: ServiceSum, elapsed_s: float) -> None:
         """Move the averages to a sample.
 
         Args:
             sample: The current sums.
             elapsed_s: Time since the last update.
-            time_constant_s: Time after which the averages are two thirds on the way.
         """
-        share = 1.0 if self._is_empty else 1.0 - math.exp(-elapsed_s / time_constant_s)
-        self._is_empty = False
+        share = 1.0 if self._is_empty else 1.0 - math.exp(-elapsed_s / TIME_CONSTANT_S)
+        was_empty, self._is_empty = self._is_empty, False
         known = self.value
         known.requests += share * (sample.requests - known.requests)
         known.started += share * (sample.started - known.started)
         known.full += share * (sample.full - known.full)
+        known.refused = sample.refused
         asked: defaultdict[str, dict[int, float]] = defaultdict(dict)
         for tenant in known.asked.keys() | sample.asked.keys():
             old, new = known.asked.get(tenant, {}), sample.asked.get(tenant, {})
@@ -162,3 +180,14 @@
                 if rate >= MIN_RATE:
                     asked[tenant][number] = rate
         known.asked = dict(asked)
+        self._estimate_outlook(1.0 if was_empty else elapsed_s)
+
+    def _estimate_outlook(self, elapsed_s: float) -> None:
+        total = sum(sum(rates.values()) for rates in self.value.asked.values())
+        share = 1.0 - math.exp(-elapsed_s / SLOW_TIME_CONSTANT_S)
+        self._slow_asked += share * (total - self._slow_asked)
+        if total <= 0.0:
+            self.outlook = 1.0
+            return
+        outlook = 1.0 + TREND_FACTOR * (total - self._slow_asked) / total
+        self.outlook = min(MAX_OUTLOOK, max(MIN_OUTLOOK, outlook))
