--- a/src/crowsill/gateway/admission_level.py
+++ b/src/crowsill/gateway/admission_level.py
@@ -43,9 +43,10 @@
             return False
         self._level, self._received_at_s = level, now_s
         self._tenants = {
-            (service.service, item.tenant): item
+            (service.service, level.tenants[cut.tenant]): cut
             for service in level.services
-            for item in service.tenants
+            for cut in service.cuts
+            if 0 <= cut.tenant < len(level.tenants)
         }
         return True
 
@@ -79,14 +80,14 @@
             draws: Two random numbers from 0 to 1: for admission, and to spread callers' returns.
             now_s: Current monotonic time in seconds.
         """
-        level = self._tenants.get((service, tenant))
-        if level is None or not self.is_fresh(now_s):
+        cut = self._tenants.get((service, tenant))
+        if cut is None or not self.is_fresh(now_s):
             return None
-        if number < level.cut_class:
+        if number < cut.cut_class:
             return None
-        if number == level.cut_class and draws[0] < level.share_percent / 100.0:
+        if number == cut.cut_class and draws[0] < cut.share_percent / 100.0:
             return None
-        delay_s = level.retry_after_ms / 1000.0
+        delay_s = cut.retry_after_ds / 10.0
         delay_s += draws[1] * max(MIN_RETRY_SPREAD_S, delay_s * RETRY_SPREAD_SHARE)
         latest_s = remaining_s * (LATEST_RETURN_SHARE - LATEST_RETURN_SPREAD * draws[1])
         return max(MIN_RETRY_AFTER_S, min(delay_s, latest_s))
--- a/src/crowsill/overload/fair_shares.py
+++ b/src/crowsill/overload/fair_shares.py
@@ -1,6 +1,7 @@
 """Divides the room of an overloaded service between tenants. Pure."""
 
-from crowsill.model.service_pressure import TenantLevel
+from dataclasses import dataclass
+
 from crowsill.model.tenants import Tenant
 from crowsill.overload.pressure_sums import DemandByTenant
 
@@ -12,6 +13,23 @@
 MAX_WEIGHT_PERCENT = 2000
 
 
+@dataclass(frozen=True, slots=True)
+class TenantCut:
+    """What is admitted of a tenant that asks for more than its share.
+
+    Attributes:
+        tenant: The tenant; empty for callers without one.
+        cut_class: Classes before this one are admitted in full, those after it not at all.
+        share_percent: Share of `cut_class` that is admitted.
+        retry_after_s: Time after which work that is refused now is expected to be admitted.
+    """
+
+    tenant: str
+    cut_class: int
+    share_percent: int
+    retry_after_s: float
+
+
 def tenant_weights(tenants: list[Tenant]) -> dict[str, int]:
     """Return the weights of tenants in percent of the mean; empty if all are equal.
 
@@ -66,10 +84,10 @@
     return {}
 
 
-def tenant_level(
+def tenant_cut(
     tenant: str, asked: dict[int, float], share: float, retry_after_s: float
-) -> TenantLevel | None:
-    """Return the level that admits a tenant's share, most urgent classes first; None if all fits.
+) -> TenantCut | None:
+    """Return the cut that admits a tenant's share, most urgent classes first; None if all fits.
 
     Args:
         tenant: The tenant.
@@ -77,8 +95,8 @@
         share: Its share in work per second.
         retry_after_s: When refused work is expected to be admitted.
 
-    >>> tenant_level("a", {1: 4.0, 3: 8.0, 5: 8.0}, 10.0, 0.5)
-    TenantLevel(tenant='a', cut_class=3, share_percent=75, retry_after_ms=500)
+    >>> tenant_cut("a", {1: 4.0, 3: 8.0, 5: 8.0}, 10.0, 0.5)
+    TenantCut(tenant='a', cut_class=3, share_percent=75, retry_after_s=0.5)
     """
     if sum(asked.values()) <= share * MIN_EXCESS:
         return None
@@ -86,18 +104,18 @@
     for number in sorted(asked):
         if asked[number] > left:
             percent = round(100.0 * max(0.0, left) / asked[number])
-            return TenantLevel(tenant, number, percent, round(retry_after_s * 1000.0))
+            return TenantCut(tenant, number, percent, retry_after_s)
         left -= asked[number]
     return None
 
 
-def cut_levels(
+def tenant_cuts(
     asked: DemandByTenant,
     weights: dict[str, int],
     target: float,
     retry_after_s: dict[str, float],
-) -> list[TenantLevel]:
-    """Return the levels of all tenants beyond their shares.
+) -> list[TenantCut]:
+    """Return the cuts of all tenants beyond their shares.
 
     Args:
         asked: Work per second by tenant and class.
@@ -106,8 +124,8 @@
         retry_after_s: When refused work is expected to be admitted, by tenant.
     """
     totals = {tenant: sum(rates.values()) for tenant, rates in asked.items()}
-    levels = [
-        tenant_level(tenant, asked[tenant], share, retry_after_s.get(tenant, 0.0))
+    cuts = [
+        tenant_cut(tenant, asked[tenant], share, retry_after_s.get(tenant, 0.0))
         for tenant, share in fair_shares(totals, weights, target).items()
     ]
-    return [level for level in levels if level is not None]
+    return [cut for cut in cuts if cut is not None]
--- a/src/crowsill/overload/level_keeper.py
+++ b/src/crowsill/overload/level_keeper.py
@@ -52,9 +52,25 @@
             self._received, self._received_at_s = level, now_s
 
     def sum_report(self, now_s: float) -> PressureReport | None:
-        """Return the sum of the recent reports; None if there are none."""
+        """Return the sum of the recent reports; None if there are none.
+
+        Tenants are left out for services where nobody met full replicas and nothing is cut.
+        """
         reports = self._sums.live(now_s)
-        return to_report(total_pressure(reports)) if reports else None
+        if not reports:
+            return None
+        level = self.level(None, now_s)
+        limited = set() if level is None else {item.service for item in level.services}
+        total = total_pressure(reports)
+        for service, found in total.services.items():
+            if found.full == 0.0 and service not in limited:
+                found.asked = {}
+        total.weights = {
+            tenant: weight
+            for tenant, weight in total.weights.items()
+            if any(tenant in found.asked for found in total.services.values())
+        }
+        return to_report(total)
 
     def level(self, leader_term: int | None, now_s: float) -> AdmissionLevel | None:
         """Return the level in force, as far as this member knows it.
@@ -79,7 +95,7 @@
         self._controllers = {}
         if self._received is not None and now_s - self._received_at_s <= INHERITED_LIFETIME_S:
             self._controllers = {
-                item.service: ServiceController(float(item.target), levels=item.tenants)
+                item.service: ServiceController(float(item.target))
                 for item in self._received.services
                 if item.target > 0
             }
@@ -101,11 +117,14 @@
             for service, controller in self._controllers.items()
             if service in total.services or controller.target is not None
         }
-        levels = [item.to_level(service) for service, item in sorted(self._controllers.items())]
+        places: dict[str, int] = {}
+        levels = [
+            item.to_level(service, places) for service, item in sorted(self._controllers.items())
+        ]
         number = 1 if self._decided is None else self._decided.number + 1
         services = [level for level in levels if level is not None]
         OVERLOADED_SERVICES.set(len(services))
-        self._decided = AdmissionLevel(self._term, number, services)
+        self._decided = AdmissionLevel(self._term, number, services, list(places))
         self._decided_at_s = now_s
 
     def _log_change(self, service: str, controller: ServiceController) -> None:
@@ -118,5 +137,5 @@
             pressure=round(controller.pressure, 3),
             started=round(controller.started),
             target=round(controller.target or 0.0),
-            cut=",".join(level.tenant or "-" for level in controller.levels),
+            cut=",".join(cut.tenant or "-" for cut in controller.cuts),
         )
--- a/src/crowsill/overload/owed_work.py
+++ b/src/crowsill/overload/owed_work.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass, field
 
-from crowsill.model.service_pressure import TenantLevel
+from crowsill.overload.fair_shares import TenantCut
 
 # Callers are expected to come back within this time, or not at all.
 OWED_LIFETIME_S = 10.0
@@ -19,15 +19,15 @@
 MIN_LEFT_SHARE = 0.1
 
 
-def refused_work(asked: dict[int, float], level: TenantLevel) -> float:
-    """Return the work per second that a level refuses.
+def refused_work(asked: dict[int, float], cut: TenantCut) -> float:
+    """Return the work per second that a cut refuses.
 
-    >>> refused_work({1: 4.0, 3: 8.0, 5: 8.0}, TenantLevel("a", 3, 75, 0))
+    >>> refused_work({1: 4.0, 3: 8.0, 5: 8.0}, TenantCut("a", 3, 75, 0.0))
     10.0
     """
-    cut_share = 1.0 - level.share_percent / 100.0
-    beyond = sum(rate for number, rate in asked.items() if number > level.cut_class)
-    return beyond + cut_share * asked.get(level.cut_class, 0.0)
+    cut_share = 1.0 - cut.share_percent / 100.0
+    beyond = sum(rate for number, rate in asked.items() if number > cut.cut_class)
+    return beyond + cut_share * asked.get(cut.cut_class, 0.0)
 
 
 @dataclass(slots=True)
@@ -53,21 +53,21 @@
         self._owed = {tenant: work for tenant, work in self._owed.items() if work > 0.0}
 
     def retry_after_s(
-        self, level: TenantLevel, asked: dict[int, float], overloaded_for_s: float
+        self, cut: TenantCut, asked: dict[int, float], overloaded_for_s: float
     ) -> float:
-        """Return when work that a level refuses now is expected to be admitted.
+        """Return when work that a cut refuses now is expected to be admitted.
 
         Args:
-            level: The level of the tenant.
+            cut: The cut of the tenant.
             asked: The tenant's work per second by class.
             overloaded_for_s: Time since the level of the service began.
         """
-        share = sum(asked.values()) - refused_work(asked, level)
-        owed = self._owed.get(level.tenant, 0.0)
+        share = sum(asked.values()) - refused_work(asked, cut)
+        owed = self._owed.get(cut.tenant, 0.0)
         if share <= 0.0:
             return MAX_RETRY_AFTER_S
         first_tries = sum(
-            rate for number, rate in asked.items() if number < level.cut_class and number % 2 == 1
+            rate for number, rate in asked.items() if number < cut.cut_class and number % 2 == 1
         )
         left = share - first_tries
         has_left = left >= MIN_LEFT_SHARE * share
--- a/src/crowsill/overload/pressure_counter.py
+++ b/src/crowsill/overload/pressure_counter.py
@@ -8,6 +8,7 @@
     ServicePressure,
     TenantDemand,
     TenantWeight,
+    encode_rate,
     encode_rates,
 )
 
@@ -122,7 +123,9 @@
         max(0, round(counts.full / interval_s)),
         [
             TenantDemand(
-                places[tenant], encode_rates(found), round(counts.refused[tenant] / interval_s)
+                places[tenant],
+                encode_rates(found),
+                encode_rate(counts.refused[tenant] / interval_s),
             )
             for tenant, found in rates.items()
         ],
--- a/src/crowsill/overload/pressure_sums.py
+++ b/src/crowsill/overload/pressure_sums.py
@@ -15,7 +15,9 @@
     ServicePressure,
     TenantDemand,
     TenantWeight,
+    decode_rate,
     decode_rates,
+    encode_rate,
     encode_rates,
 )
 
@@ -114,7 +116,7 @@
         if not 0 <= demand.tenant < len(tenants) or tenants[demand.tenant].tenant not in weights:
             continue
         tenant = tenants[demand.tenant].tenant
-        known.refused[tenant] = known.refused.get(tenant, 0.0) + _bounded(demand.refused)
+        known.refused[tenant] = known.refused.get(tenant, 0.0) + decode_rate(demand.refused)
         rates = known.asked.setdefault(tenant, {})
         for number, rate in decode_rates(demand.asked).items():
             rates[number] = rates.get(number, 0.0) + rate
@@ -134,7 +136,9 @@
             round(found.started),
             round(found.full),
             [
-                TenantDemand(places[tenant], encode_rates(rates), round(found.refused[tenant]))
+                TenantDemand(
+                    places[tenant], encode_rates(rates), encode_rate(found.refused[tenant])
+                )
                 for tenant, rates in found.asked.items()
             ],
         )
--- a/src/crowsill/overload/service_level.py
+++ b/src/crowsill/overload/service_level.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from crowsill.model.service_pressure import ServiceLevel, TenantLevel
-from crowsill.overload.fair_shares import cut_levels
+from crowsill.overload.fair_shares import TenantCut, tenant_cuts
 from crowsill.overload.owed_work import OwedWork
 from crowsill.overload.pressure_sums import ServiceSum, SmoothedDemand
 
@@ -48,12 +48,12 @@
     Attributes:
         target: Work per second that is admitted; None while everything is.
         pressure: Share of the work that met full replicas at the last update.
-        levels: Tenants that are cut.
+        cuts: Tenants beyond their share.
     """
 
     target: float | None = None
     pressure: float = 0.0
-    levels: list[TenantLevel] = field(default_factory=list)
+    cuts: list[TenantCut] = field(default_factory=list)
     _demand: SmoothedDemand = field(default_factory=SmoothedDemand)
     _owed: OwedWork = field(default_factory=OwedWork)
     _full_updates: int = 0
@@ -81,26 +81,26 @@
         """
         self._demand.update(sample, elapsed_s)
         demand = self._demand.value
-        met = demand.full + demand.started
+        met = sample.full + sample.started
         self._last_pressure = self.pressure
-        self.pressure = demand.full / met if met > 0.0 else 0.0
+        self.pressure = sample.full / met if met > 0.0 else 0.0
         self._owed.update(sample.asked, sample.refused, elapsed_s)
         self._room = max(demand.started, self._room * math.exp(-elapsed_s / ROOM_TIME_CONSTANT_S))
         if is_settled:
             self._adjust_target(sample, demand, elapsed_s)
-        self.levels = []
+        self.cuts = []
         if self.target is None:
             return
         # Two passes: what is owed is divided by the share, which the first pass finds.
         target = self.target / self._demand.outlook
-        bare = cut_levels(demand.asked, weights, target, {})
+        bare = tenant_cuts(demand.asked, weights, target, {})
         delays_s = {
-            level.tenant: self._owed.retry_after_s(
-                level, demand.asked[level.tenant], self._overloaded_for_s
+            cut.tenant: self._owed.retry_after_s(
+                cut, demand.asked[cut.tenant], self._overloaded_for_s
             )
-            for level in bare
+            for cut in bare
         }
-        self.levels = cut_levels(demand.asked, weights, target, delays_s)
+        self.cuts = tenant_cuts(demand.asked, weights, target, delays_s)
 
     def _adjust_target(self, sample: ServiceSum, demand: ServiceSum, elapsed_s: float) -> None:
         if self.target is None:
@@ -116,20 +116,19 @@
         if self.pressure > HIGH_SHARE:
             self._low_for_s = 0.0
             self.target = self._decreased(self.target)
-        elif self.pressure < LOW_SHARE and self.levels:
+        elif self.pressure < LOW_SHARE and self.cuts:
             self._low_for_s += elapsed_s
             is_fast = self.target < self._room or self._low_for_s > FAST_INCREASE_AFTER_S
             increase = FAST_INCREASE if is_fast else INCREASE
             self.target *= 1.0 + increase * elapsed_s / UPDATE_INTERVAL_S
 
     def _has_begun(self, sample: ServiceSum) -> bool:
-        """Whether the service is overloaded; averages would tell it later."""
+        """Whether the service is overloaded."""
         if sample.requests < MIN_REQUESTS_PER_S or sample.started <= 0.0:
             self._full_updates = 0
             return False
-        share = sample.full / (sample.full + sample.started)
-        self._full_updates = self._full_updates + 1 if share >= ONSET_SHARE else 0
-        return share >= CERTAIN_ONSET_SHARE or self._full_updates >= ONSET_UPDATES
+        self._full_updates = self._full_updates + 1 if self.pressure >= ONSET_SHARE else 0
+        return self.pressure >= CERTAIN_ONSET_SHARE or self._full_updates >= ONSET_UPDATES
 
     def _decreased(self, target: float) -> float:
         """Return the target after an update in which callers met full replicas."""
@@ -148,12 +147,26 @@
         target = self.target or 0.0
         if demand.started < MIN_SERVED_SHARE * target or demand.requests < MIN_REQUESTS_PER_S / 2:
             return True
-        is_uncut = not self.levels and self.pressure < HIGH_SHARE
+        is_uncut = not self.cuts and self.pressure < HIGH_SHARE
         self._uncut_for_s = self._uncut_for_s + elapsed_s if is_uncut else 0.0
         return self._uncut_for_s >= END_AFTER_S
 
-    def to_level(self, service: str) -> ServiceLevel | None:
-        """Return the level to tell gateways; None while everything is admitted."""
+    def to_level(self, service: str, places: dict[str, int]) -> ServiceLevel | None:
+        """Return the level to tell gateways; None while everything is admitted.
+
+        Args:
+            service: The service.
+            places: Positions of tenants in the list of the whole level; further ones are added.
+        """
         if self.target is None:
             return None
-        return ServiceLevel(service, round(self.target), self.levels)
+        cuts = [
+            TenantLevel(
+                places.setdefault(cut.tenant, len(places)),
+                cut.cut_class,
+                cut.share_percent,
+                round(cut.retry_after_s * 10.0),
+            )
+            for cut in self.cuts
+        ]
+        return ServiceLevel(service, round(self.target), cuts)
