--- a/src/crowsill/model/service_pressure.py
+++ b/src/crowsill/model/service_pressure.py
@@ -26,6 +26,9 @@
     return 2 * min(MAX_RANK, max(0, rank)) + (0 if is_return else 1)
 
 
+_CLASSES = admission_class(MAX_RANK, False) + 1
+
+
 def encode_rate(rate: float) -> int:
     """Encode a rate of work; a negative one, or one that is not finite, counts as 0."""
     if rate <= 0.0 or not math.isfinite(rate):
@@ -33,13 +36,17 @@
     return min(MAX_CODE, round(CODES_PER_DOUBLING * math.log2(1.0 + rate)))
 
 
+# Rates by code.
+_RATES = tuple(math.pow(2.0, code / CODES_PER_DOUBLING) - 1.0 for code in range(MAX_CODE + 1))
+
+
 def decode_rate(code: int) -> float:
     """Return the rate of work of a code.
 
     >>> round(decode_rate(encode_rate(5000.0))), decode_rate(-3), encode_rate(float("nan"))
     (5042, 0.0, 0)
     """
-    return math.pow(2.0, min(MAX_CODE, max(0, code)) / CODES_PER_DOUBLING) - 1.0
+    return _RATES[min(MAX_CODE, max(0, code))]
 
 
 def encode_rates(rates: dict[int, float]) -> bytes:
@@ -56,8 +63,17 @@
 
 def decode_rates(codes: bytes) -> dict[int, float]:
     """Return the rates of work by class that are not 0."""
-    known_codes = codes[: admission_class(MAX_RANK, False) + 1]
-    return {number: decode_rate(code) for number, code in enumerate(known_codes) if code}
+    rates: dict[int, float] = {}
+    add_rates(rates, codes)
+    return rates
+
+
+def add_rates(rates: dict[int, float], codes: bytes) -> None:
+    """Add encoded rates of work by class to others."""
+    known = rates.get
+    for number, code in enumerate(codes[:_CLASSES]):
+        if code:
+            rates[number] = known(number, 0.0) + _RATES[code]
 
 
 class TenantWeight(msgspec.Struct, frozen=True, gc=False, array_like=True):
--- a/src/crowsill/overload/pressure_sums.py
+++ b/src/crowsill/overload/pressure_sums.py
@@ -15,8 +15,8 @@
     ServicePressure,
     TenantDemand,
     TenantWeight,
+    add_rates,
     decode_rate,
-    decode_rates,
     encode_rate,
     encode_rates,
 )
@@ -118,8 +118,7 @@
         tenant = tenants[demand.tenant].tenant
         known.refused[tenant] = known.refused.get(tenant, 0.0) + decode_rate(demand.refused)
         rates = known.asked.setdefault(tenant, {})
-        for number, rate in decode_rates(demand.asked).items():
-            rates[number] = rates.get(number, 0.0) + rate
+        add_rates(rates, demand.asked)
 
 
 def _bounded(rate: float) -> float:
--- a/src/crowsill_lab/bench/commands.py
+++ b/src/crowsill_lab/bench/commands.py
@@ -151,6 +151,15 @@
         typer.echo("  ".join(str(value) for value in msgspec.structs.astuple(row)))
 
 
+@application.command()
+def levels() -> None:
+    """Measure the CPU time to sum the demand of 100 gateways and to decide the admission level."""
+    from crowsill_lab.bench.levels import run_level_bench
+
+    for figures in run_level_bench():
+        _print(figures)
+
+
 @application.command()
 def admission() -> None:
     """Measure the CPU time to identify a caller and to grant its units."""
