--- a/src/crowsill/gateway/admission_level.py
+++ b/src/crowsill/gateway/admission_level.py
@@ -4,7 +4,7 @@
 
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import accepts, has_resources
+from crowsill.gateway.selection import Choice, NoReplicaReason, has_resources
 from crowsill.model.service_pressure import AdmissionLevel, TenantLevel
 
 # A member replies every 0.5 s, so a level of this age means that several replies are missing.
@@ -18,8 +18,11 @@
 # Callers that come back near their deadlines or later can't be served in time.
 LATEST_RETURN_SHARE = 0.9
 LATEST_RETURN_SPREAD = 0.8
-# A replica with this share of its places free has room, whatever the level of its service.
-FREE_SHARE = 0.5
+# Replicas with this share of their places free have room, whatever the level of their service.
+FREE_SHARE = 0.25
+# An engine whose first event takes longer than this multiple of that of an idle one has no room,
+# however many places are free.
+MAX_SLOWDOWN = 2.0
 # What other gateways have at a replica is unknown if it was not reported for this time.
 USE_LIFETIME_S = 1.5
 
@@ -93,16 +96,37 @@
         return max(MIN_RETRY_AFTER_S, min(delay_s, latest_s))
 
 
-def has_free_room(records: list[ReplicaRecord], request: CallerRequest, now_s: float) -> bool:
-    """Whether a replica that could run a request has many free places, by recent reports."""
-    return any(
-        accepts(record)
-        and record.availability.available_at_s <= now_s
-        and has_resources(record, request)
-        and now_s - record.peer_use_reported_at_s <= USE_LIFETIME_S
-        and _used_places(record, now_s) < record.instance.slots * (1.0 - FREE_SHARE)
+def has_free_room(
+    records: list[ReplicaRecord],
+    request: CallerRequest,
+    choice: Choice | NoReplicaReason,
+    *,
+    idle_ms: float,
+    now_s: float,
+) -> bool:
+    """Whether the replicas that could run a request have room, by recent reports.
+
+    A service may be overloaded for some of its models only.
+
+    Args:
+        records: Replicas of the service.
+        request: The request.
+        choice: The replica that would be chosen now.
+        idle_ms: Time to the first event at an idle engine; 0 for a plain service.
+        now_s: Current time of the event loop.
+    """
+    if not isinstance(choice, Choice) or (idle_ms and choice.expected_ms > MAX_SLOWDOWN * idle_ms):
+        return False
+    suitable = [
+        record
         for record in records
-    )
+        if record.availability.available_at_s <= now_s and has_resources(record, request)
+    ]
+    # Of many small replicas, some have free places by chance, so all are taken together.
+    places = sum(record.instance.slots for record in suitable)
+    is_known = all(now_s - record.peer_use_reported_at_s <= USE_LIFETIME_S for record in suitable)
+    used = sum(_used_places(record, now_s) for record in suitable)
+    return is_known and used < places * (1.0 - FREE_SHARE)
 
 
 def _used_places(record: ReplicaRecord, now_s: float) -> float:
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -151,7 +151,7 @@
             self._progress.attempts = self._terms.attempts
             self._log.log_received_from_peer(self._terms)
         try:
-            rejection = self._pressure.admit(route, self._service, self._admission)
+            rejection = self._pressure.admit(route, self._service, self._admission, self._choose)
             if rejection is not None:
                 self._reject(rejection)
                 return
--- a/src/crowsill/gateway/request_pressure.py
+++ b/src/crowsill/gateway/request_pressure.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from crowsill.clock import monotonic_s
 from crowsill.errors import ErrorKind
@@ -16,7 +17,7 @@
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.rejection import Rejection
 from crowsill.gateway.request import CallerRequest
-from crowsill.gateway.selection import NoReplicaReason
+from crowsill.gateway.selection import Choice, NoReplicaReason
 from crowsill.gateway.wait_decision import wait_budget
 from crowsill.logs import log_event
 from crowsill.metrics import NOT_ADMITTED
@@ -44,8 +45,21 @@
         # Part of the work that was counted as having met full replicas.
         self._full_share = 0.0
 
-    def admit(self, route: Route, service: str, admission: Admission) -> Rejection | None:
-        """Count the request, and decide whether it is admitted now; return a rejection if not."""
+    def admit(
+        self,
+        route: Route,
+        service: str,
+        admission: Admission,
+        choose: Callable[[Route], Choice | NoReplicaReason],
+    ) -> Rejection | None:
+        """Count the request, and decide whether it is admitted now; return a rejection if not.
+
+        Args:
+            route: Its route.
+            service: Its service.
+            admission: Its tenant and rank.
+            choose: Returns the replica that would be chosen now.
+        """
         shared, request = self._shared, self._request
         if shared is None:
             return None
@@ -68,13 +82,23 @@
             draws=(shared.random.random(), shared.random.random()),
             now_s=now_s,
         )
-        if delay_s is None:
-            return None
-        records = self._registry.of_service(service)
-        if has_free_room(records, request, asyncio.get_running_loop().time()):
+        if delay_s is None or self._has_free_room(choose(route)):
             return None
         return self._refuse(rank, delay_s)
 
+    def _has_free_room(self, choice: Choice | NoReplicaReason) -> bool:
+        request, idle_ms = self._request, 0.0
+        if request.model:
+            latency_model = self._registry.latency_model(self._service)
+            idle_ms = latency_model.idle_first_event_ms(request.model, request.prompt_tokens)
+        return has_free_room(
+            self._registry.of_service(self._service),
+            request,
+            choice,
+            idle_ms=idle_ms,
+            now_s=asyncio.get_running_loop().time(),
+        )
+
     def _refuse(self, rank: int, delay_s: float) -> Rejection:
         if self._shared is not None:
             self._shared.counter.note_refused(self._service, self._tenant, self._work)
--- a/src/crowsill/overload/service_level.py
+++ b/src/crowsill/overload/service_level.py
@@ -120,7 +120,9 @@
             self._low_for_s += elapsed_s
             is_fast = self.target < self._room or self._low_for_s > FAST_INCREASE_AFTER_S
             increase = FAST_INCREASE if is_fast else INCREASE
-            self.target *= 1.0 + increase * elapsed_s / UPDATE_INTERVAL_S
+            grown = self.target * (1.0 + increase * elapsed_s / UPDATE_INTERVAL_S)
+            # More may be started than is admitted where gateways see free places.
+            self.target = max(grown, demand.started)
 
     def _has_begun(self, sample: ServiceSum) -> bool:
         """Whether the service is overloaded."""
--- a/tests/patterns/shared_room.py
+++ b/tests/patterns/shared_room.py
@@ -67,7 +67,7 @@
             seed: Seed of all randomness.
             is_shared: Whether shared admission is switched on.
         """
-        self.places = places
+        self.places = self.usual_places = places
         self.used = 0
         self.is_shared = is_shared
         self.random = Random(seed)
@@ -91,8 +91,8 @@
 
     @property
     def room_per_s(self):
-        """Requests of mean work that can be served per second."""
-        return self.places / SERVICE_S
+        """Requests of mean work that can be served per second while no replica is lost."""
+        return self.usual_places / SERVICE_S
 
     def at(self, time_s, action, *arguments):
         """Schedule an action, which receives the time and the arguments."""
@@ -161,6 +161,10 @@
             gateway.name += ".2"
             gateway.counter, gateway.view = PressureCounter(now_s), LevelView()
 
+    def change_places(self, _now_s, places):
+        """Lose or regain replicas; what runs at lost ones is still counted until it ends."""
+        self.places = places
+
     def crash(self, now_s, seconds):
         """Let all replicas crash for some seconds; what runs there is lost."""
         self.is_crashed = True
--- a/tests/patterns/test_shared_room.py
+++ b/tests/patterns/test_shared_room.py
@@ -161,3 +161,14 @@
     refused = sum(caller.refused_by_level > 0 for caller in room.callers)
     assert refused / len(room.callers) < 0.1
     assert room.goodput(7.6, 9.0) >= 0.95
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_level_follows_when_half_of_the_replicas_are_lost_and_come_back(seed):
+    room = hot_tenant(seed)
+    room.at(7.0, room.change_places, PLACES // 2)
+    room.at(11.0, room.change_places, PLACES)
+    room.run(35.0)
+    # Shares of the room as it is without the loss.
+    assert room.goodput(8.0, 11.0) >= 0.95 * 0.5
+    assert room.goodput(12.0, HOT_END_S) >= 0.9
--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -21,10 +21,11 @@
     LevelView,
     has_free_room,
 )
+from crowsill.gateway.quota import QuotaGrantClient
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.request_pressure import RequestPressure
-from crowsill.gateway.selection import NoReplicaReason
+from crowsill.gateway.selection import Choice, NoReplicaReason
 from crowsill.gateway.shared_admission import SharedAdmission
 from crowsill.model.instances import Instance, LoadedModel
 from crowsill.model.replica_use import ReplicaUse
@@ -50,9 +51,17 @@
 from crowsill.overload.pressure_sums import MAX_RATE, PressureSums, total_pressure
 from crowsill.state.quota_use import QuotaUse
 from crowsill.transport.group_contacts import GroupContacts
-from crowsill.transport.messages import EntryStatus, Freshness, Heartbeat
+from crowsill.transport.messages import EntryStatus, Freshness, GrantReply, Heartbeat
 from crowsill.transport.stream import LocalIdentity
-from tests.gateway_world import RETRY_DEADLINE_HEADER, reject_not_run, respond_ok, run, world
+from tests.gateway_world import (
+    RETRY_DEADLINE_HEADER,
+    never_respond,
+    reject_not_run,
+    respond_ok,
+    run,
+    world,
+)
+from tests.test_gateway_tenants import KEY, LIMITED_SHOP, ScriptedLeader, routes_with_tenants
 
 # A tenant that asks three times its share, and one inside its share.
 REPORT = PressureReport(
@@ -305,18 +314,34 @@
     assert all(1.0 <= delay_s <= 2.7 for delay_s in delays_s[200:])
 
 
-def test_nothing_is_refused_while_a_replica_that_could_run_it_is_half_empty():
-    instance = Instance("i", "s", "127.0.0.1:1", "z", 8, models=[LoadedModel("m")])
-    record = ReplicaRecord(instance)
+def engines_with(*used, model="m", reported_at_s=10.0):
+    records = []
+    for number, requests in enumerate(used):
+        models = [LoadedModel(model)]
+        instance = Instance(f"i-{number}", "s", "127.0.0.1:1", "z", 8, models=models)
+        records.append(ReplicaRecord(instance))
+        records[-1].note_peer_use(ReplicaUse(requests), reported_at_s)
+    return records
+
+
+def test_nothing_is_refused_while_the_replicas_that_could_run_it_have_room():
     request = CallerRequest(b"POST", b"/", [], b"", True, 0.0, model="m")
-    record.note_peer_use(ReplicaUse(3), 10.0)
-    assert has_free_room([record], request, 10.2)
-    record.in_flight = 1
-    assert not has_free_room([record], request, 10.2)
-    record.in_flight = 0
-    assert not has_free_room([record], request, 20.0), "what others have there is not known"
-    request.model = "other"
-    assert not has_free_room([record], request, 10.2)
+
+    def has_room(records, *, expected_ms=150.0, now_s=10.2):
+        choice = Choice(records[0], expected_ms, 0, 1)
+        return has_free_room(records, request, choice, idle_ms=100.0, now_s=now_s)
+
+    assert has_room(engines_with(8, 3))
+    # A service may be overloaded for other models only.
+    assert has_room([*engines_with(8, 8, model="other"), *engines_with(2)])
+    assert not has_room([*engines_with(0, 0, model="other"), *engines_with(8)])
+    # Of many small replicas some have free places by chance.
+    assert not has_room(engines_with(3, 8, 8, 7, 8, 7))
+    # An engine with long prompts is busy with few requests.
+    assert not has_room(engines_with(2), expected_ms=250.0)
+    assert not has_room(engines_with(2), now_s=20.0), "what others have there is not known"
+    full = NoReplicaReason.ALL_FULL
+    assert not has_free_room(engines_with(2), request, full, idle_ms=100.0, now_s=10.2)
 
 
 # What a request contributes.
@@ -335,7 +360,7 @@
         timeout_ms=5000.0, target_latency_ms=500.0, target_gap_ms=0.0, kind=None, rank=2
     )
     admission = SimpleNamespace(rank=lambda _route: 2, tenant=None)
-    assert pressure.admit(route, "s", admission) is None
+    assert pressure.admit(route, "s", admission, lambda _route: None) is None
     return shared, pressure
 
 
@@ -408,6 +433,40 @@
     run(scenario())
 
 
+def test_units_of_a_request_that_is_not_admitted_are_returned():
+    async def scenario():
+        configuration = routes_with_tenants(LIMITED_SHOP)
+        async with world(respond_ok, configuration=configuration) as here:
+            leader = ScriptedLeader(GrantReply(True, 0.0, 5.0))
+            here.role.quota_grants = QuotaGrantClient(leader.query)
+            here.role.shared_admission = SharedAdmission(Random(1))
+            here.role.shared_admission.view.note(level(tenant="shop"), monotonic_s())
+            assert (await (await here.caller()).request("once", headers=[KEY]))[0] == 503
+            here.role.shared_admission.view = LevelView()
+            assert (await (await here.caller()).request("once", headers=[KEY]))[0] == 200
+            assert len(leader.requests) == 1
+
+    run(scenario())
+
+
+def test_a_caller_that_leaves_while_its_request_is_held_leaves_nothing_behind():
+    async def scenario():
+        async with world(never_respond) as here:
+            here.role.shared_admission = shared = SharedAdmission(Random(1))
+            caller = await here.caller()
+            caller.send("once")
+            await asyncio.sleep(0.1)
+            caller.disconnect()
+            await asyncio.sleep(0.1)
+            assert shared.report().services[0].requests > 0
+            for _ in range(2):
+                await asyncio.sleep(0.01)
+                shared.report()
+            assert shared.report() == PressureReport()
+
+    run(scenario())
+
+
 def test_callers_that_come_back_precede_first_tries_of_their_rank():
     async def scenario():
         async with world(respond_ok) as here:
@@ -429,7 +488,7 @@
     pressure = RequestPressure(
         SimpleNamespace(shared_admission=shared, registry=None), request, is_from_peer=True
     )
-    assert pressure.admit(None, "s", None) is None
+    assert pressure.admit(None, "s", None, None) is None
     pressure.note_sent()
     pressure.note_end(None)
     pressure.note_rejected(NoReplicaReason.ALL_FULL)
@@ -491,3 +550,24 @@
         assert (await send_heartbeat("g2.1", in_use={})).level is None
 
     asyncio.run(scenario())
+
+
+def test_a_follower_reports_its_sum_and_keeps_the_level_of_the_leader():
+    grants = QuotaGrants(QuotaBounds(), QuotaUse(), lambda: None)
+    local = LocalIdentity("c2", "c2.1", "z", b"k" * 32)
+    subscribers = SimpleNamespace(fleet_position=lambda: (0, 0))
+    service = MemberService(
+        local, False, subscribers, None, GroupContacts([], Random(1)), quota=grants
+    )
+    sent = []
+
+    async def reply(request, _timeout_s):
+        sent.append(request)
+        return Freshness(0, 3, in_use={}, level=level(7))
+
+    service.leader_stream = SimpleNamespace(is_closed=False, request=reply)
+    service.reports.levels.note_report("g1", REPORT, monotonic_s())
+    shared_reply = asyncio.run(service._query_leader())
+    assert sent[0].pressure.services[0].started == 100
+    assert shared_reply.level is None, "each subscriber's own reply carries it"
+    assert service.reports.levels.level(None, monotonic_s()).number == 7
