--- a/src/crowsill/overload/level_keeper.py
+++ b/src/crowsill/overload/level_keeper.py
@@ -80,6 +80,7 @@
             now_s: Monotonic time in seconds.
         """
         if leader_term is None:
+            self._end_term()
             is_recent = now_s - self._received_at_s <= LEVEL_LIFETIME_S
             return self._received if is_recent else None
         if leader_term != self._term:
@@ -89,6 +90,12 @@
             self._decide(min(elapsed_s, MAX_PAUSE_S), now_s)
         return self._decided
 
+    def _end_term(self) -> None:
+        """Forget what this member decided as the leader."""
+        if self._decided is not None:
+            self._decided, self._controllers = None, {}
+            OVERLOADED_SERVICES.set(0)
+
     def _begin_term(self, term: int, now_s: float) -> None:
         self._term, self._term_began_at_s = term, now_s
         self._decided, self._decided_at_s = None, now_s - UPDATE_INTERVAL_S
--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -234,6 +234,15 @@
     assert stale.level(2, 9.0).services == []
 
 
+def test_a_leader_that_lost_its_lead_passes_on_only_what_the_new_one_decides():
+    keeper = LevelKeeper()
+    assert decide(keeper, 3.0).services
+    assert keeper.level(None, 3.5) is None
+    keeper.note_level(level(1, term=2), 3.6)
+    assert keeper.level(None, 3.7).term == 2
+    assert keeper.level(3, 9.0).services == [], "what it followed is too old to start from"
+
+
 def test_a_follower_passes_on_the_newest_level_for_a_while():
     keeper = LevelKeeper()
     keeper.note_level(level(5), 0.0)
