--- a/src/crowsill/control/gateway_reports.py
+++ b/src/crowsill/control/gateway_reports.py
@@ -12,6 +12,7 @@
 from crowsill.logs import log_event
 from crowsill.model.peers import PeerOffer
 from crowsill.model.replica_use import UseByReplica, without_paces
+from crowsill.overload.level_keeper import LevelKeeper
 from crowsill.transport.messages import Heartbeat
 
 
@@ -28,6 +29,7 @@
         paces: The paces of replicas, learned from the gateways' reports.
         replica_grants: Rate limits that replicas advertise, and the grants under them.
         peers: Gateways that accept requests of others.
+        levels: Demand for services, and what is admitted.
     """
 
     def __init__(self) -> None:
@@ -39,6 +41,7 @@
         self.paces = GatewayPaces()
         self.replica_grants = ReplicaGrants()
         self.peers = GatewayPeers(Random(secrets.randbits(64)))
+        self.levels = LevelKeeper()
 
     def note(self, heartbeat: Heartbeat, now_s: float) -> None:
         """Record a heartbeat's reports, but for its `in_use`: see `note_use`."""
@@ -93,6 +96,7 @@
             overloaded=self.overloaded.collect(),
             in_use=self.paces.with_unsent(self.use.sum(now_s)) if is_due else None,
             limits=self.replica_grants.to_reports() if is_due else [],
+            pressure=self.levels.sum_report(now_s) if is_due else None,
         )
 
 
--- a/src/crowsill/gateway/context.py
+++ b/src/crowsill/gateway/context.py
@@ -16,6 +16,7 @@
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.routing_table import GatewayRoutingTable
+from crowsill.gateway.shared_admission import SharedAdmission
 from crowsill.gateway.suspect_runs import SuspectRunClient
 from crowsill.gateway.wait_turns import WaitTurns
 from crowsill.routing.shared_budget import SharedRetryBudget
@@ -39,6 +40,7 @@
     peers: Peers
     replica_watch: ReplicaWatch
     turns: WaitTurns | None
+    shared_admission: SharedAdmission | None
 
     @property
     def revocation_s(self) -> float:
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -23,6 +23,7 @@
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.logs import log_event
 from crowsill.model.peers import PeerOffer
+from crowsill.model.service_pressure import AdmissionLevel, PressureReport
 from crowsill.model.suspects import SuspectChange
 from crowsill.settings import Address
 from crowsill.state.route_store import RouteDocument
@@ -78,6 +79,8 @@
         on_suspects: Receives a change of the crash record, and whether it is the full record.
         peer_offer: Returns what this gateway offers to others; None for nothing.
         on_peers: Receives what other gateways offer, as far as the group reports it.
+        pressure: Returns the demand since the last heartbeat; None if it is not reported.
+        on_level: Receives what is admitted now, as far as the group reports it.
     """
 
     on_routes: Callable[[RouteDocument], None]
@@ -86,6 +89,8 @@
     on_suspects: Callable[[SuspectChange, bool], None]
     peer_offer: Callable[[], PeerOffer | None] = lambda: None
     on_peers: Callable[[list[PeerOffer]], None] = lambda _offers: None
+    pressure: Callable[[], PressureReport | None] = lambda: None
+    on_level: Callable[[AdmissionLevel], None] = lambda _level: None
 
 
 class GatewayFollower:
@@ -242,6 +247,7 @@
             overloaded=overloaded,
             in_use=self.registry.with_received_paces(in_use),
             limits=self.registry.limit_reports(monotonic_s()),
+            pressure=self._hooks.pressure(),
         )
         sent_at_s = monotonic_s()
         try:
@@ -257,6 +263,8 @@
             return False
         self.registry.note_limit_reports(reply.limits, monotonic_s())
         self._hooks.on_peers(reply.peers)
+        if reply.level is not None:
+            self._hooks.on_level(reply.level)
         if reply.in_use is not None:
             self.registry.note_total_use(reply.in_use, in_use, monotonic_s())
         self._pace_log.update(self.registry.paces(monotonic_s()))
