--- a/src/crowsill/gateway/response_estimate.py
+++ b/src/crowsill/gateway/response_estimate.py
@@ -130,8 +130,9 @@
     unread = max(0, request.prompt_tokens - known)
     idle_ms = limits.latency_model.idle_first_event_ms(request.model, unread)
     waiting_ms = limits.latency_model.prefill_ms(request.model, record.pending_prompt_tokens)
-    pace = record.pace.factor(now_s)
-    idle_ms, waiting_ms = idle_ms * pace, waiting_ms * pace
+    if record.pace.has_reports:
+        pace = record.pace.factor(now_s)
+        idle_ms, waiting_ms = idle_ms * pace, waiting_ms * pace
     waiting_ms += record.delay.current_ms(now_s)
     return idle_ms + max(waiting_ms, record.oldest_unanswered_ms(now_s))
 
@@ -141,4 +142,6 @@
     requests = record.in_flight + others
     slots = max(1, record.instance.slots)
     base_ms = DEFAULT_SERVICE_MS * max(1.0, (requests + 1.0) / slots) + requests
-    return base_ms * record.slowness_now(now_s) * record.pace.factor(now_s)
+    if record.pace.has_reports:
+        base_ms *= record.pace.factor(now_s)
+    return base_ms * record.slowness_now(now_s)
