--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -21,6 +21,7 @@
 from crowsill.gateway.rejection import Rejection
 from crowsill.gateway.repeat_guard import RepeatGuard
 from crowsill.gateway.replica_feedback import MIN_SERVER_ERROR_STATUS
+from crowsill.gateway.replica_work import RequestCost, estimate_cost, request_kind
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayRoutingTable, is_urgent, pick_service
 from crowsill.gateway.selection import Choice, NoReplicaReason, choose, is_running_elsewhere
@@ -336,10 +337,21 @@
             is_urgent=is_urgent(route),
             brittle=brittle if brittle.is_in_effect else None,
             gateways=context.gateways,
+            cost=self._estimate_cost(route),
         )
         records = context.registry.of_service(self._service)
         return choose(records, self._request, self._progress.tried, limits, self._loop.time())
 
+    def _estimate_cost(self, route: Route) -> RequestCost | None:
+        """Estimate the cost of the request; None if replicas are compared by counts."""
+        registry = self._context.registry
+        if registry.costs is None:
+            return None
+        tenant = "" if self._admission.tenant is None else self._admission.tenant.name
+        latency_model = registry.latency_model(self._service)
+        kind = request_kind(self._request, self._service, route, tenant, latency_model)
+        return estimate_cost(registry.costs, kind, self._loop.time())
+
     def _spend_retry(self) -> bool:
         """Spend a retry from the budget; return False if no further attempt is allowed."""
         if self._progress.attempts >= MAX_ATTEMPTS:
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -225,7 +225,7 @@
         demand = self.demand.collect()
         urgent = self.urgent.collect()
         overloaded = self.overloaded.collect()
-        in_use = self.registry.in_use()
+        in_use = self.registry.in_use(monotonic_s())
         heartbeat = Heartbeat(
             fleet_epoch=0,
             fleet_sequence=0,
--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -8,6 +8,7 @@
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.replica_signals import ReplicaSignals
+from crowsill.gateway.replica_work import SentWork
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.response_estimate import part_keys
 from crowsill.gateway.selection import Choice
@@ -118,7 +119,7 @@
             record.note_error_response()
 
     def note_attempt_end(
-        self, choice: Choice, attempt: Attempt, end: AttemptEnd, sent_at_s: float
+        self, choice: Choice, attempt: Attempt, end: AttemptEnd, sent_at_s: float, work: SentWork
     ) -> None:
         """Update the state of the replica from an attempt that has ended."""
         record, request = choice.record, self._request
@@ -148,6 +149,8 @@
             record.remember_part(key)
         first_data_at_s = now_s if attempt.first_data_at_s is None else attempt.first_data_at_s
         taken_s = first_data_at_s - sent_at_s
+        load = attempt.signals.load
+        work.note_complete(sent_at_s, load is not None and load.waiting > 0.0, now_s)
         if request.model:
             unread = max(0, request.prompt_tokens - choice.known_tokens)
             latency_model = self._context.registry.latency_model(self._log.service)
@@ -159,5 +162,7 @@
                 request.model, request.output_tokens, (now_s - first_data_at_s) * 1000.0
             )
             return
+        if choice.cost is not None:
+            return
         expected_s = choice.expected_ms / 1000.0 / max(0.2, record.slowness_now(now_s))
         record.note_response_time(taken_s, expected_s, now_s)
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -1,5 +1,6 @@
 """The replicas that this gateway knows, from the directory and from its own requests."""
 
+import math
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
@@ -8,11 +9,13 @@
 from crowsill.gateway.availability import Availability
 from crowsill.gateway.exclusion import ExclusionReason
 from crowsill.gateway.replica_signals import ReplicaLoad
+from crowsill.gateway.replica_work import OwnWork
 from crowsill.model.exclusions import MAX_REPORTED_EXCLUSIONS, ExcludedReplica
 from crowsill.model.instances import Instance, InstanceState
 from crowsill.model.replica_limits import MAX_REPORTED_LIMITS, LimitReport
 from crowsill.model.replica_use import NO_USE, ReplicaUse, UseByReplica
 from crowsill.routing.engine_latency import DecayingDelay, LatencyModel
+from crowsill.routing.request_cost import CostModel
 from crowsill.state.directory import DirectoryChange
 
 REPORT_LIFETIME_S = 1.5
@@ -52,6 +55,7 @@
         unanswered_sent_at_s: Times when own streams without a first event were sent, by stream.
         model_ready_at_s: Times when the models that it is loading should be ready, by model.
         parts: Parts of prompts that it has read lately, in order of last use.
+        own_work: Own requests there with their expected costs; empty without a cost model.
     """
 
     instance: Instance
@@ -72,6 +76,7 @@
     unanswered_sent_at_s: dict[int, float] = field(default_factory=dict)
     model_ready_at_s: dict[str, float] = field(default_factory=dict)
     parts: OrderedDict[PromptPartKey, None] = field(default_factory=OrderedDict)
+    own_work: OwnWork = field(default_factory=OwnWork)
 
     def __post_init__(self) -> None:
         """Apply the state in the directory."""
@@ -197,10 +202,12 @@
         version: Version of the last directory update that was applied.
         waiting_to_open: Number of requests here that wait for a replica to open, by the replica and
             whether they are urgent.
+        costs: What requests cost; None if the choice of a replica does not depend on it.
     """
 
     def __init__(self) -> None:
         self.version = 0
+        self.costs: CostModel | None = None
         self.waiting_to_open: Counter[tuple[str, bool]] = Counter()
         self._records: dict[str, ReplicaRecord] = {}
         self._by_service: dict[str, list[ReplicaRecord]] = {}
@@ -258,10 +265,14 @@
             if record is not None:
                 record.availability.limit.merge(report, now_s)
 
-    def in_use(self) -> UseByReplica:
+    def in_use(self, now_s: float = 0.0) -> UseByReplica:
         """Return what this gateway has in flight, by replica."""
         return {
-            instance_id: ReplicaUse(record.in_flight, record.pending_prompt_tokens)
+            instance_id: ReplicaUse(
+                record.in_flight,
+                record.pending_prompt_tokens,
+                work_ms=math.ceil(record.own_work.left_ms(now_s)),
+            )
             for instance_id, record in self._records.items()
             if record.in_flight
         }
--- a/src/crowsill/gateway/response_estimate.py
+++ b/src/crowsill/gateway/response_estimate.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from crowsill.gateway.replica_registry import PromptPartKey, ReplicaRecord
+from crowsill.gateway.replica_work import service_time_ms, wait_ms
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection_limits import SelectionLimits
 
@@ -31,15 +32,18 @@
         record: The replica.
         expected_ms: Time to its first event, or to its response.
         known_tokens: Tokens of the prompt that it has read lately.
+        stream_work_ms: Time by which the work of running streams makes an engine less preferable.
     """
 
     record: ReplicaRecord
     expected_ms: float
     known_tokens: int
+    stream_work_ms: float = 0.0
 
     def score_ms(self, now_s: float) -> float:
         """Return the expected time plus the weighted gap between the events that follow."""
-        return self.expected_ms + EVENT_GAP_WEIGHT * self.record.event_gap.current_ms(now_s)
+        gap_ms = EVENT_GAP_WEIGHT * self.record.event_gap.current_ms(now_s)
+        return self.expected_ms + gap_ms + self.stream_work_ms
 
 
 def part_keys(request: CallerRequest) -> list[PromptPartKey]:
@@ -64,9 +68,12 @@
     known = known_tokens(record, request) if request.model else 0
     if request.model:
         total_ms = first_event_ms(record, request, known, limits, now_s)
+    elif limits.cost is not None:
+        total_ms = service_time_ms(record, limits.cost, now_s, with_peers=False)
     else:
         total_ms = response_ms(record, record.other_requests(now_s), now_s)
-    return Estimate(record, _weighted_ms(record, limits, total_ms), known)
+    work_ms = stream_work_ms(record, request, limits, now_s, with_peers=False)
+    return Estimate(record, _weighted_ms(record, limits, total_ms), known, work_ms)
 
 
 def full_estimate(
@@ -76,12 +83,33 @@
     record = own.record
     if not request.model:
         others = max(record.other_requests(now_s), record.peer_requests(now_s))
-        total_ms = response_ms(record, others, now_s)
+        if limits.cost is not None:
+            total_ms = service_time_ms(record, limits.cost, now_s, with_peers=True)
+        else:
+            total_ms = response_ms(record, others, now_s)
         return Estimate(record, _weighted_ms(record, limits, total_ms), own.known_tokens)
     unread = record.peer_prompt_tokens(now_s)
     queued_ms = limits.latency_model.prefill_ms(request.model, int(unread))
     queued_ms += PEER_REQUEST_MS * record.peer_requests(now_s)
-    return Estimate(record, own.expected_ms + queued_ms, own.known_tokens)
+    work_ms = stream_work_ms(record, request, limits, now_s, with_peers=True)
+    return Estimate(record, own.expected_ms + queued_ms, own.known_tokens, work_ms)
+
+
+def stream_work_ms(
+    record: ReplicaRecord,
+    request: CallerRequest,
+    limits: SelectionLimits,
+    now_s: float,
+    with_peers: bool,
+) -> float:
+    """Return by how much the work of running streams makes an engine less preferable.
+
+    It only counts in comparisons: whether a request is refused does not depend on a guess of
+    outputs.
+    """
+    if limits.cost is None or not request.model:
+        return 0.0
+    return wait_ms(record, limits.cost, now_s, with_peers)
 
 
 def _weighted_ms(record: ReplicaRecord, limits: SelectionLimits, total_ms: float) -> float:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -40,6 +40,7 @@
 from crowsill.model.route_codec import RouteCodec, decompress_document
 from crowsill.model.routes import CallerLimits
 from crowsill.model.suspects import SuspectChange
+from crowsill.routing.request_cost import CostModel
 from crowsill.routing.shared_budget import RetryBudgetLimits, RetryBudgets, SharedRetryBudget
 from crowsill.settings import GatewaySettings, Settings
 from crowsill.state.route_store import RouteDocument
@@ -81,6 +82,8 @@
         self.zone = settings.zone
         self.random = Random(secrets.randbits(64))
         self.registry = ReplicaRegistry()
+        if gateway.load_control.cost_estimates:
+            self.registry.costs = CostModel()
         self.fingerprints = Fingerprints(key)
         self.crash_guard = CrashGuard()
         self._table: GatewayRoutingTable | None = None
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -14,6 +14,7 @@
 from random import Random
 
 from crowsill.gateway.replica_registry import ReplicaRecord
+from crowsill.gateway.replica_work import RequestCost
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.response_estimate import (
     DEFAULT_SERVICE_MS,
@@ -62,12 +63,14 @@
         expected_ms: Expected time to its first event, or to its response.
         known_tokens: Tokens of the prompt that it has read lately.
         candidates: Number of replicas that were compared.
+        cost: Expected cost of the request; None if replicas were compared by counts.
     """
 
     record: ReplicaRecord
     expected_ms: float
     known_tokens: int
     candidates: int
+    cost: RequestCost | None = None
 
 
 def accepts(record: ReplicaRecord) -> bool:
@@ -244,7 +247,7 @@
         # Compare all replicas before the request is rejected.
         full_estimates = [full_estimate(item, request, limits, now_s) for item in own_estimates]
         best = _lowest_score(full_estimates, limits.random, now_s)
-    return Choice(best.record, best.expected_ms, best.known_tokens, len(records))
+    return Choice(best.record, best.expected_ms, best.known_tokens, len(records), limits.cost)
 
 
 def choose(
--- a/src/crowsill/gateway/selection_limits.py
+++ b/src/crowsill/gateway/selection_limits.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from crowsill.gateway.brittle_replicas import BrittleReplicas
+from crowsill.gateway.replica_work import RequestCost
 from crowsill.routing.engine_latency import LatencyModel
 
 
@@ -24,6 +25,7 @@
         includes_silent: Whether a replica against which only its silence speaks may be chosen.
         brittle: The brittle replicas of the service; None if there are none.
         gateways: Number of gateways.
+        cost: Expected cost of the request; None if replicas are compared by counts.
     """
 
     zone: str
@@ -37,3 +39,4 @@
     includes_silent: bool = False
     brittle: BrittleReplicas | None = None
     gateways: int = 1
+    cost: RequestCost | None = None
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -17,6 +17,7 @@
 from crowsill.gateway.replica_feedback import ReplicaFeedback
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.replica_signals import ReplicaSignals
+from crowsill.gateway.replica_work import SentWork
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import is_urgent
 from crowsill.gateway.selection import Choice
@@ -94,6 +95,9 @@
         unread_tokens = max(0, request.prompt_tokens - choice.known_tokens)
         record.in_flight += 1
         prompt = PendingPrompt(record, unread_tokens, self._loop.time())
+        is_stream = bool(request.model) and route.kind is RouteKind.STREAM
+        costs = context.registry.costs
+        work = SentWork(costs, record, choice.cost, is_stream, self._loop.time())
         probe = Probe(record.availability)
         reusable = False
         connection = None
@@ -103,7 +107,7 @@
                 record.instance, deadline_at_s - self._loop.time()
             )
             attempt = self._new_attempt(route, record, connection, closes_connection)
-            attempt.on_first_data = functools.partial(self._handle_first_data, prompt)
+            attempt.on_first_data = functools.partial(self._handle_first_data, prompt, work)
             attempt.on_signals = functools.partial(self._handle_signals, record, probe, attempt)
             # Checked again after the last wait: opening the connection may have taken a second.
             if (
@@ -121,7 +125,7 @@
             reusable = end.result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
             if connection.requests == 1:
                 context.replica_watch.note_first_request(record, connection, end.is_broken)
-            self._feedback.note_attempt_end(choice, attempt, end, sent_at_s)
+            self._feedback.note_attempt_end(choice, attempt, end, sent_at_s, work)
             self._repeat_guard.note_attempt_end(record.instance, end, sent_at_s)
             self._feedback.note_overload(route, attempt, sent_at_s)
             return end
@@ -139,7 +143,8 @@
             record.in_flight -= 1
             prompt.stop_counting()
             probe.end()
-            self._end_attempt(record)
+            self._end_attempt(record, work)
+            work.stop_counting()
             if connection is not None:
                 context.pool.release(instance_id, connection, reusable)
 
@@ -237,8 +242,9 @@
             sent_at_s,
         )
 
-    def _handle_first_data(self, prompt: PendingPrompt) -> None:
+    def _handle_first_data(self, prompt: PendingPrompt, work: SentWork) -> None:
         prompt.stop_counting()
+        work.note_first_event(self._loop.time())
         self._repeat_guard.note_first_data()
 
     def _handle_signals(
@@ -256,7 +262,7 @@
             # The replica rejected the request; it may get it again after its backoff.
             self._progress.tried.discard(record.instance.instance_id)
 
-    def _end_attempt(self, record: ReplicaRecord) -> None:
+    def _end_attempt(self, record: ReplicaRecord, work: SentWork) -> None:
         """Record the end of an attempt, also of one that was cancelled."""
         attempt = self._progress.attempt
         if attempt is None:
@@ -264,6 +270,7 @@
         self._feedback.check_silence(record, attempt)
         if attempt.connection is not None and attempt.was_abandoned:
             self._repeat_guard.note_abandoned(record.instance, attempt.sent_at_s)
+            work.note_abandoned(self._loop.time())
         attempt.connection = None
 
     def _forwarding_terms(self, route: Route, replica: str, remaining_s: float) -> ForwardingTerms:
--- a/src/crowsill/routing/request_cost.py
+++ b/src/crowsill/routing/request_cost.py
@@ -20,6 +20,7 @@
 
 # Samples with which a kind has half of the weight that more specific ones leave.
 HALF_WEIGHT_SAMPLES = 10.0
+HALF_WEIGHT_SERVICE_SAMPLES = 1.0
 HALF_WEIGHT_HINTS = 20.0
 MAX_KINDS = 1500
 MAX_HINT_MODELS = 300
@@ -232,7 +233,7 @@
         if histogram is None:
             return kind.prior_ms
         count = histogram.count(now_s)
-        weight = count / (count + HALF_WEIGHT_SAMPLES)
+        weight = count / (count + HALF_WEIGHT_SERVICE_SAMPLES)
         return weight * histogram.distribution().mean_ms + (1.0 - weight) * kind.prior_ms
 
     def _add_hint(self, parts: list[MixturePart], kind: RequestKind) -> float:
--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -15,11 +15,14 @@
 from crowsill.gateway.follower import HEARTBEAT_S
 from crowsill.gateway.progress import PendingPrompt
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
+from crowsill.gateway.replica_work import SentWork, estimate_cost, request_kind
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import NoReplicaReason, choose
 from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, LoadedModel
+from crowsill.model.routes import Route, RouteKind
 from crowsill.routing.engine_latency import LatencyModel
+from crowsill.routing.request_cost import CostModel
 from crowsill.state.directory import DirectoryChange
 
 SERVICE = "engines"
@@ -33,6 +36,7 @@
 FIRST_EVENT_TARGET_S = 0.8
 EVENT_GAP_TARGET_S = 0.4
 MAX_FIRST_EVENT_MS = 1600.0
+ROUTE = Route("r", "h", "/", RouteKind.STREAM, 15_000.0, [])
 # Simulated time after the last request.
 DRAIN_S = 20.0
 
@@ -45,6 +49,7 @@
     prompt_tokens: float
     output_tokens: float
     deadline_s: float
+    tenant: str = ""
 
     def draw(self, random):
         """Return the number of tokens of a prompt and of its response."""
@@ -54,8 +59,8 @@
         return int(min(max_prompt, prompt)) + 1, int(min(max_output, output)) + 1
 
 
-DRAFTS = RequestKind(0.77, 2300.0, 22.0, 5.0)
-REPORTS = RequestKind(0.23, 1500.0, 150.0, 15.0)
+DRAFTS = RequestKind(0.77, 2300.0, 22.0, 5.0, "drafts")
+REPORTS = RequestKind(0.23, 1500.0, 150.0, 15.0, "reports")
 
 
 @dataclass
@@ -100,6 +105,7 @@
     unread_tokens: int
     remaining_tokens: int
     prompt: PendingPrompt
+    work: SentWork
     first_event_at_s: float = 0.0
     last_event_at_s: float = 0.0
     longest_gap_s: float = 0.0
@@ -124,8 +130,12 @@
         self.registry.adopt(DirectoryChange(1, instances, []), True, 0.0)
         self.idle = dict.fromkeys([item.instance_id for item in instances], 0)
 
-    def choose(self, request, now_s):
+    def choose(self, request, now_s, tenant=""):
         """Choose an engine for a request."""
+        cost = None
+        if self.registry.costs is not None:
+            kind = request_kind(request, SERVICE, ROUTE, tenant, self.latency_model)
+            cost = estimate_cost(self.registry.costs, kind, now_s)
         limits = SelectionLimits(
             self.zone,
             SLOTS,
@@ -133,6 +143,7 @@
             has_idle=lambda instance_id: self.idle[instance_id] > 0,
             latency_model=self.latency_model,
             random=self.random,
+            cost=cost,
         )
         return choose(self.registry.of_service(SERVICE), request, set(), limits, now_s)
 
@@ -177,7 +188,16 @@
     """The site; `run` simulates some seconds of requests and returns the results."""
 
     def __init__(
-        self, held, shares, gateways, rate, seed, slow=None, shares_use=True, advertised_limits=None
+        self,
+        held,
+        shares,
+        gateways,
+        rate,
+        seed,
+        slow=None,
+        shares_use=True,
+        advertised_limits=None,
+        uses_costs=False,
     ):
         """Create it.
 
@@ -190,6 +210,7 @@
             slow: Engines that are slow for some time.
             shares_use: Whether gateways report their requests at engines to one another.
             advertised_limits: Engines that advertise a rate limit for some time.
+            uses_costs: Whether gateways estimate the costs of requests.
         """
         self.advertised_limits = advertised_limits or AdvertisedLimits()
         self.limits = ReplicaLimits()
@@ -203,6 +224,8 @@
         self.gateways = [
             Gateway(number, instances, Random(seed * 1000 + number)) for number in range(gateways)
         ]
+        for gateway in self.gateways:
+            gateway.registry.costs = CostModel() if uses_costs else None
         self.waiting = [[] for _ in held]
         self.running = [[] for _ in held]
         self.is_working = [False] * len(held)
@@ -239,7 +262,7 @@
 
     def _heartbeat(self, now_s, gateway):
         """Exchange reports between a gateway and the group: use of engines and rate limits."""
-        own = gateway.registry.in_use()
+        own = gateway.registry.in_use(now_s)
         self.use.note(gateway.name, own, now_s)
         if now_s >= self._summed_at_s + REPORT_INTERVAL_S:
             self._summed_at_s, self._total = now_s, self.use.sum(now_s)
@@ -275,11 +298,11 @@
         request = CallerRequest(
             b"POST", b"/", [], b"", True, now_s, model=model, prompt_tokens=prompt_tokens
         )
-        choice = gateway.choose(request, now_s)
+        choice = gateway.choose(request, now_s, kind.tenant)
         while not isinstance(choice, NoReplicaReason) and not self._is_granted(
             choice.record, now_s
         ):
-            choice = gateway.choose(request, now_s)
+            choice = gateway.choose(request, now_s, kind.tenant)
         if isinstance(choice, NoReplicaReason):
             outcome.rejected += 1
             return
@@ -294,6 +317,7 @@
             prompt_tokens,
             output_tokens,
             PendingPrompt(choice.record, prompt_tokens, now_s),
+            SentWork(gateway.registry.costs, choice.record, choice.cost, True, now_s),
         )
         choice.record.in_flight += 1
         self.waiting[number].append(stream)
@@ -363,6 +387,7 @@
         for stream in first:
             stream.first_event_at_s = stream.last_event_at_s = now_s
             stream.prompt.stop_counting()
+            stream.work.note_first_event(now_s)
             self._receive_response_head(stream, number, now_s)
             running.append(stream)
         for stream in [item for item in self.waiting[number] if now_s > item.deadline_at_s]:
@@ -374,6 +399,11 @@
     def _end(self, now_s, stream, is_complete):
         record, gateway = stream.record, stream.gateway
         record.in_flight -= 1
+        if is_complete:
+            stream.work.note_complete(stream.sent_at_s, False, now_s)
+        else:
+            stream.work.note_abandoned(now_s)
+        stream.work.stop_counting()
         if not is_complete:
             self.outcome.timed_out += 1
             return
