--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -12,7 +12,7 @@
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.response_estimate import part_keys
 from crowsill.gateway.selection import Choice
-from crowsill.metrics import GATEWAY_ATTEMPTS, RESPONSE_ENDS
+from crowsill.metrics import GATEWAY_ATTEMPTS, REQUEST_COST_RATIO, RESPONSE_ENDS
 from crowsill.model.routes import Route
 from crowsill.routing.retry_after import REJECTION_STATUSES
 
@@ -150,7 +150,10 @@
         first_data_at_s = now_s if attempt.first_data_at_s is None else attempt.first_data_at_s
         taken_s = first_data_at_s - sent_at_s
         load = attempt.signals.load
-        work.note_complete(sent_at_s, load is not None and load.waiting > 0.0, now_s)
+        has_waiting = load is not None and load.waiting > 0.0
+        cost_ratio = work.note_complete(sent_at_s, has_waiting, now_s)
+        if cost_ratio is not None:
+            REQUEST_COST_RATIO.observe(cost_ratio)
         if request.model:
             unread = max(0, request.prompt_tokens - choice.known_tokens)
             latency_model = self._context.registry.latency_model(self._log.service)
--- a/src/crowsill/gateway/replica_work.py
+++ b/src/crowsill/gateway/replica_work.py
@@ -228,8 +228,8 @@
         if self._work is not None and self._is_stream:
             self._work.started_at_s = now_s
 
-    def note_complete(self, sent_at_s: float, has_waiting: bool, now_s: float) -> None:
-        """Learn from a complete response.
+    def note_complete(self, sent_at_s: float, has_waiting: bool, now_s: float) -> float | None:
+        """Learn from a complete response; return estimated over actual cost if that is known.
 
         The time of a stream counts from its first event on, when it has left any queue. That of
         another response is its cost only if it did not wait.
@@ -241,15 +241,18 @@
         """
         work, model = self._work, self._model
         if work is None or model is None or work.started_at_s == math.inf:
-            return
+            return None
         self.stop_counting()
+        typical_ms = work.estimate.quantile_ms(0.5)
         if self._is_stream:
-            model.observe(work.estimate.kind, (now_s - work.started_at_s) * 1000.0, now_s)
-            return
-        taken_ms = (now_s - sent_at_s) * 1000.0
-        _note_slowness(self._record, work, taken_ms, now_s)
-        if work.had_room and not has_waiting:
-            model.observe(work.estimate.kind, taken_ms, now_s)
+            cost_ms = (now_s - work.started_at_s) * 1000.0
+        else:
+            cost_ms = (now_s - sent_at_s) * 1000.0
+            _note_slowness(self._record, cost_ms / max(0.1, work.waiting_ms + typical_ms), now_s)
+            if not work.had_room or has_waiting:
+                return None
+        model.observe(work.estimate.kind, cost_ms, now_s)
+        return typical_ms / max(0.1, cost_ms)
 
     def note_abandoned(self, now_s: float) -> None:
         """Learn from a request whose caller left while it ran."""
@@ -268,12 +271,12 @@
             self._work = None
 
 
-def _note_slowness(
-    record: "ReplicaRecord", work: RunningWork, taken_ms: float, now_s: float
-) -> None:
-    """Update how slow a replica is, on a logarithmic scale: one costly request is no slowness."""
-    typical_ms = max(0.1, work.waiting_ms + work.estimate.quantile_ms(0.5))
-    ratio = min(MAX_SLOWNESS, max(1.0 / MAX_SLOWNESS, taken_ms / typical_ms))
+def _note_slowness(record: "ReplicaRecord", ratio: float, now_s: float) -> None:
+    """Update how slow a replica is from the ratio of its response time to the typical one.
+
+    The average is that of logarithms: one costly request is no slowness.
+    """
+    ratio = min(MAX_SLOWNESS, max(1.0 / MAX_SLOWNESS, ratio))
     known = max(1.0 / MAX_SLOWNESS, record.slowness_now(now_s))
     record.slowness = known * math.pow(ratio / known, SLOWNESS_WEIGHT)
     record.slowness_updated_at_s = now_s
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -55,6 +55,12 @@
     buckets=_LATENCY_BUCKETS_S,
     registry=REGISTRY,
 )
+REQUEST_COST_RATIO = Histogram(
+    "crowsill_gateway_request_cost_ratio",
+    "Estimated cost of a request over its actual one, if costs of requests are estimated.",
+    buckets=(0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 10.0),
+    registry=REGISTRY,
+)
 GATEWAY_ATTEMPTS = Counter(
     "crowsill_gateway_attempts",
     "Attempts at replicas, by result (whole, not_run, failed, cut, unreachable).",
--- a/src/crowsill/routing/cost_histogram.py
+++ b/src/crowsill/routing/cost_histogram.py
@@ -55,26 +55,22 @@
         """The mean."""
         return MIN_TIME_MS + self.tail_ms[0]
 
-    def survival_at(self, time_ms: float) -> float:
-        """Return the probability that a time is longer than this one."""
+    def beyond(self, time_ms: float) -> tuple[float, float]:
+        """Return the probability of a longer time, and its integral from this time on, in ms."""
         if time_ms <= MIN_TIME_MS:
-            return 1.0
+            return 1.0, MIN_TIME_MS - time_ms + self.tail_ms[0]
         if time_ms >= MAX_TIME_MS:
-            return 0.0
+            return 0.0, 0.0
         place = bucket_of(time_ms)
-        share = (time_ms - EDGES_MS[place]) / (EDGES_MS[place + 1] - EDGES_MS[place])
-        return self.survival[place] + share * (self.survival[place + 1] - self.survival[place])
+        start_ms, end_ms = EDGES_MS[place], EDGES_MS[place + 1]
+        before, after = self.survival[place], self.survival[place + 1]
+        survival = before + (time_ms - start_ms) / (end_ms - start_ms) * (after - before)
+        width_ms = end_ms - time_ms
+        return survival, self.tail_ms[place + 1] + width_ms * (survival + after) / 2.0
 
-    def tail_at(self, time_ms: float) -> float:
-        """Return the integral of the probability from a time on, in ms."""
-        if time_ms <= MIN_TIME_MS:
-            return MIN_TIME_MS - time_ms + self.tail_ms[0]
-        if time_ms >= MAX_TIME_MS:
-            return 0.0
-        place = bucket_of(time_ms)
-        width_ms = EDGES_MS[place + 1] - time_ms
-        mean_survival = (self.survival_at(time_ms) + self.survival[place + 1]) / 2.0
-        return self.tail_ms[place + 1] + width_ms * mean_survival
+    def survival_at(self, time_ms: float) -> float:
+        """Return the probability of a longer time."""
+        return self.beyond(time_ms)[0]
 
 
 def _distribution(weights: "array[float]") -> Distribution:
--- a/src/crowsill/routing/request_cost.py
+++ b/src/crowsill/routing/request_cost.py
@@ -37,6 +37,8 @@
 OUTRUN_SHARE = 0.5
 # Below this probability a distribution says nothing about the remaining time.
 MIN_SURVIVAL = 1e-3
+# Less than this weight is not left to more general kinds.
+MIN_PART_WEIGHT = 0.01
 MIN_QUANTILE_MS = 0.1
 # Ratio of the bounds between which a quantile is known.
 QUANTILE_PRECISION = 1.04
@@ -128,13 +130,13 @@
         """Return the expected cost that is left of a request that has run for this time."""
         if age_ms <= 0.0:
             return self.mean_ms
-        survival = self.survival_at(age_ms)
+        survival = tail_ms = 0.0
+        for part in self.parts:
+            part_survival, part_tail_ms = part.distribution.beyond(age_ms / part.scale)
+            survival += part.weight * part_survival
+            tail_ms += part.weight * part.scale * part_tail_ms
         if survival < MIN_SURVIVAL:
             return min(MAX_TIME_MS, age_ms * OUTRUN_SHARE)
-        tail_ms = sum(
-            part.weight * part.scale * part.distribution.tail_at(age_ms / part.scale)
-            for part in self.parts
-        )
         return min(MAX_TIME_MS, tail_ms / survival)
 
 
@@ -217,13 +219,19 @@
             if histogram is None:
                 continue
             self._kinds.move_to_end(key)
+            if left <= 0.0:
+                continue
             count = histogram.count(now_s)
             weight = left * count / (count + HALF_WEIGHT_SAMPLES)
-            parts.append(MixturePart(weight, histogram.distribution()))
             left -= weight
-        # The prior's mean, not its median, is the expected cost.
-        scale = max(0.01, kind.prior_ms) / _PRIOR_MEAN / REFERENCE_MS
-        parts.append(MixturePart(left, _PRIOR, scale))
+            if left < MIN_PART_WEIGHT:
+                weight += left
+                left = 0.0
+            parts.append(MixturePart(weight, histogram.distribution()))
+        if left > 0.0:
+            # The prior's mean, not its median, is the expected cost.
+            scale = max(0.01, kind.prior_ms) / _PRIOR_MEAN / REFERENCE_MS
+            parts.append(MixturePart(left, _PRIOR, scale))
         mean_ms = sum(part.weight * part.scale * part.distribution.mean_ms for part in parts)
         return CostEstimate(kind, tuple(parts), min(MAX_TIME_MS, mean_ms))
 
--- a/src/crowsill_lab/bench/commands.py
+++ b/src/crowsill_lab/bench/commands.py
@@ -178,6 +178,14 @@
         _print(figures)
 
 
+@application.command()
+def costs(seed: int = 1) -> None:
+    """Measure the CPU time and memory of estimates of what requests cost."""
+    from crowsill_lab.bench.costs import run_cost_bench
+
+    _print(run_cost_bench(seed))
+
+
 @application.command()
 def returns(seed: int = 1) -> None:
     """Simulate strategies to resume sending to replicas after a backoff."""
