--- a/src/crowsill/routing/request_cost.py
+++ b/src/crowsill/routing/request_cost.py
@@ -211,16 +211,15 @@
         return len(self._hints)
 
     def estimate(self, kind: RequestKind, now_s: float) -> CostEstimate:
-        """Estimate the cost of a request."""
+        """Estimate the cost of a request; changes nothing."""
         parts: list[MixturePart] = []
         left = self._add_hint(parts, kind)
         for key in kind.levels():
             histogram = self._kinds.get(key)
             if histogram is None:
                 continue
-            self._kinds.move_to_end(key)
             if left <= 0.0:
-                continue
+                break
             count = histogram.count(now_s)
             weight = left * count / (count + HALF_WEIGHT_SAMPLES)
             left -= weight
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -22,7 +22,7 @@
     ServiceDefinition,
     WeightedService,
 )
-from crowsill.settings import Address, GatewaySettings, Settings
+from crowsill.settings import Address, GatewaySettings, LoadControlSettings, Settings
 from crowsill.state.directory import DirectoryChange
 
 LOCAL = "127.0.0.1"
@@ -125,7 +125,8 @@
 class World:
     """A running gateway with its replicas."""
 
-    def __init__(self, replicas, configuration, models):
+    def __init__(self, replicas, configuration, models, load_control):
+        self._load_control = load_control
         self._replicas = replicas
         self._configuration = configuration
         self._models = models
@@ -138,6 +139,7 @@
             grace_s=3.0,
             readiness_lag_s=0.2,
             keep_asking_s=8.0,
+            load_control=self._load_control,
         )
         settings = Settings(node="g1", zone="z1", gateway=gateway)
         self.role = GatewayRole(settings, gateway, b"k" * 32, NAMES, JsonRouteCodec())
@@ -183,10 +185,11 @@
         return Caller(*await asyncio.open_connection(LOCAL, self.role.port()))
 
 
-def world(*scripts, configuration=None, models=("m",)):
+def world(*scripts, configuration=None, models=("m",), load_control=None):
     """Return a gateway with one replica for each script."""
     replicas = [Replica(script) for script in scripts]
-    return World(replicas, configuration or routes(), models)
+    load_control = load_control or LoadControlSettings()
+    return World(replicas, configuration or routes(), models, load_control)
 
 
 class Caller:
