--- a/src/crowsill/cli/main.py
+++ b/src/crowsill/cli/main.py
@@ -10,7 +10,7 @@
 import typer
 from returns.result import Success
 
-from crowsill.cli import quarantine, replicas
+from crowsill.cli import explain_route, quarantine, replicas
 from crowsill.cli.client import OperatorClient
 from crowsill.cli.common import (
     DEFAULT_SETTINGS,
@@ -37,6 +37,7 @@
 members_application = typer.Typer(no_args_is_help=True, help="Inspect or change the control group.")
 application.add_typer(members_application, name="members")
 application.add_typer(quarantine.application, name="quarantine")
+application.command()(explain_route.explain_route)
 application.command()(replicas.replicas)
 
 FilesArgument = Annotated[list[Path], typer.Argument(help="TOML files, or folders of them.")]
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -21,7 +21,7 @@
 from crowsill.gateway.rejection import Rejection
 from crowsill.gateway.repeat_guard import RepeatGuard
 from crowsill.gateway.replica_feedback import MIN_SERVER_ERROR_STATUS
-from crowsill.gateway.replica_work import RequestCost, estimate_cost, request_kind
+from crowsill.gateway.replica_work import cost_of_request
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.routing_table import GatewayRoutingTable, is_urgent, pick_service
 from crowsill.gateway.selection import Choice, NoReplicaReason, choose, is_running_elsewhere
@@ -314,9 +314,16 @@
         )
 
     def _choose(self, route: Route, includes_silent: bool = False) -> Choice | NoReplicaReason:
-        context = self._context
-        table = context.table
-        definition = None if table is None else table.services.get(self._service)
+        limits = self.selection_limits(route, self._service, self._log.tenant, includes_silent)
+        records = self._context.registry.of_service(self._service)
+        return choose(records, self._request, self._progress.tried, limits, self._loop.time())
+
+    def selection_limits(
+        self, route: Route, service: str, tenant: str, includes_silent: bool = False
+    ) -> SelectionLimits:
+        """Return the bounds and inputs of the choice of a replica."""
+        context, table = self._context, self._context.table
+        definition = None if table is None else table.services.get(service)
         max_connections = 100 if definition is None else definition.max_connections
         share = int(max_connections * CONNECTION_SHARE / max(1, context.gateways))
         max_expected_ms = float("inf")
@@ -324,33 +331,28 @@
             max_expected_ms = max(
                 MIN_FIRST_EVENT_LIMIT_MS, route.target_latency_ms * MAX_FIRST_EVENT_TARGETS
             )
-        brittle = context.brittle(self._service)
-        limits = SelectionLimits(
+        brittle = context.brittle(service)
+        return SelectionLimits(
             zone=context.zone,
             max_in_flight=max(MIN_CONNECTIONS, share),
             max_expected_ms=max_expected_ms,
             has_idle=context.pool.has_idle,
             has_open=context.pool.has_open,
             includes_silent=includes_silent,
-            latency_model=context.registry.latency_model(self._service),
+            latency_model=context.registry.latency_model(service),
             random=context.random,
             is_urgent=is_urgent(route),
             brittle=brittle if brittle.is_in_effect else None,
             gateways=context.gateways,
-            cost=self._estimate_cost(route),
+            cost=cost_of_request(
+                context.registry,
+                self._request,
+                route,
+                service,
+                tenant=tenant,
+                now_s=self._loop.time(),
+            ),
         )
-        records = context.registry.of_service(self._service)
-        return choose(records, self._request, self._progress.tried, limits, self._loop.time())
-
-    def _estimate_cost(self, route: Route) -> RequestCost | None:
-        """Estimate the cost of the request; None if replicas are compared by counts."""
-        registry = self._context.registry
-        if registry.costs is None:
-            return None
-        tenant = "" if self._admission.tenant is None else self._admission.tenant.name
-        latency_model = registry.latency_model(self._service)
-        kind = request_kind(self._request, self._service, route, tenant, latency_model)
-        return estimate_cost(registry.costs, kind, self._loop.time())
 
     def _spend_retry(self) -> bool:
         """Spend a retry from the budget; return False if no further attempt is allowed."""
--- a/src/crowsill/gateway/ready_server.py
+++ b/src/crowsill/gateway/ready_server.py
@@ -1,4 +1,4 @@
-"""Serves the readiness check of load balancers, and the metrics of this process.
+"""Serves the readiness check of load balancers, metrics, and explanations of choices.
 
 It uses `httptools` directly, since every load balancer sends a check each second. An application
 server would cost start time and memory on small machines.
@@ -14,11 +14,16 @@
 from crowsill.settings import Address
 
 METRICS_PATH = b"/metrics"
+EXPLAIN_PATH = b"/explain/route"
+
+# Returns the status, the reason phrase and the body for the query of a request for an explanation.
+Explain = Callable[[bytes], tuple[int, bytes, bytes]]
 
 
 class _ReadyConnection(asyncio.Protocol):
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
+    def __init__(self, is_ready: Callable[[], bool], explain: Explain) -> None:
         self._is_ready = is_ready
+        self._explain = explain
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._url = b""
@@ -43,7 +48,10 @@
     def on_message_complete(self) -> None:
         if self._transport is None:
             return
-        if self._url.partition(b"?")[0] == METRICS_PATH:
+        path, _, query = self._url.partition(b"?")
+        if path == EXPLAIN_PATH:
+            status, reason, body = self._explain(query)
+        elif path == METRICS_PATH:
             status, reason, body = 200, b"OK", render_metrics()
         elif self._is_ready():
             status, reason, body = 200, b"OK", b"ready\n"
@@ -62,18 +70,21 @@
 
 
 class ReadyServer:
-    """The listener for readiness and metrics."""
+    """The listener for readiness, metrics and explanations."""
 
-    def __init__(self, listen: Address, is_ready: Callable[[], bool]) -> None:
+    def __init__(self, listen: Address, is_ready: Callable[[], bool], explain: Explain) -> None:
         self._listen = listen
         self._is_ready = is_ready
+        self._explain = explain
         self._server: asyncio.Server | None = None
 
     async def start(self) -> int:
         """Open the listener; return its port."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _ReadyConnection(self._is_ready), self._listen.host, self._listen.port
+            lambda: _ReadyConnection(self._is_ready, self._explain),
+            self._listen.host,
+            self._listen.port,
         )
         bound: int = self._server.sockets[0].getsockname()[1]
         return bound
--- a/src/crowsill/gateway/replica_work.py
+++ b/src/crowsill/gateway/replica_work.py
@@ -16,7 +16,7 @@
 from crowsill.routing.request_cost import CostEstimate, CostModel, RequestKind
 
 if TYPE_CHECKING:
-    from crowsill.gateway.replica_registry import ReplicaRecord
+    from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 
 # Expected cost of a request of a plain service before any was seen.
 DEFAULT_COST_MS = 20.0
@@ -122,6 +122,22 @@
     return RequestCost(model.estimate(kind, now_s), model.service_mean_ms(kind, now_s))
 
 
+def cost_of_request(
+    registry: "ReplicaRegistry",
+    request: CallerRequest,
+    route: Route,
+    service: str,
+    *,
+    tenant: str,
+    now_s: float,
+) -> RequestCost | None:
+    """Estimate the cost of a caller's request; None if replicas are compared by counts."""
+    if registry.costs is None:
+        return None
+    kind = request_kind(request, service, route, tenant, registry.latency_model(service))
+    return estimate_cost(registry.costs, kind, now_s)
+
+
 def reported_work_ms(record: "ReplicaRecord", cost: RequestCost) -> float:
     """Return the work that other gateways had at a replica when they reported it."""
     use = record.peer_use
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -12,6 +12,7 @@
 from crowsill.gateway.brittle_replicas import BrittleReplicas
 from crowsill.gateway.caller_listener import CallerListener, detect_silence
 from crowsill.gateway.caller_protocol import CallerConnection
+from crowsill.gateway.choice_explanation import ExplanationService
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.crash_watch import CrashWatch
 from crowsill.gateway.demand import DemandReporter
@@ -161,7 +162,9 @@
         self._listener.start(self._settings.callers, lambda: CallerConnection(self))
         if self._settings.peers is not None:
             await self.peers.listen(self, self._settings.peers)
-        self._ready_server = ReadyServer(self._settings.ready, self.is_ready)
+        self._ready_server = ReadyServer(
+            self._settings.ready, self.is_ready, ExplanationService(self, self).respond
+        )
         await self._ready_server.start()
         self._tasks = [
             asyncio.create_task(self._follower.run()),
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -173,7 +173,7 @@
     return NoReplicaReason.ALL_CLOSED
 
 
-def _candidates(
+def find_candidates(
     records: list[ReplicaRecord],
     request: CallerRequest,
     tried: set[str],
@@ -266,7 +266,7 @@
         limits: Bounds and inputs of the choice.
         now_s: Current monotonic time.
     """
-    candidates = _candidates(records, request, tried, limits, now_s)
+    candidates = find_candidates(records, request, tried, limits, now_s)
     if isinstance(candidates, NoReplicaReason):
         return candidates
     not_failing = [
