--- a/src/crowsill/gateway/replica_feedback.py
+++ b/src/crowsill/gateway/replica_feedback.py
@@ -8,10 +8,11 @@
 from crowsill.gateway.progress import Progress
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.replica_signals import ReplicaSignals
+from crowsill.gateway.replica_work import SentWork
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.response_estimate import part_keys
 from crowsill.gateway.selection import Choice
-from crowsill.metrics import GATEWAY_ATTEMPTS, RESPONSE_ENDS
+from crowsill.metrics import GATEWAY_ATTEMPTS, REQUEST_COST_RATIO, RESPONSE_ENDS
 from crowsill.model.routes import Route
 from crowsill.routing.retry_after import REJECTION_STATUSES
 
@@ -120,7 +121,7 @@
             record.note_error_response()
 
     def note_attempt_end(
-        self, choice: Choice, attempt: Attempt, end: AttemptEnd, sent_at_s: float
+        self, choice: Choice, attempt: Attempt, end: AttemptEnd, sent_at_s: float, work: SentWork
     ) -> None:
         """Update the state of the replica from an attempt that has ended."""
         record, request = choice.record, self._request
@@ -150,6 +151,11 @@
             record.remember_part(key)
         first_data_at_s = now_s if attempt.first_data_at_s is None else attempt.first_data_at_s
         taken_s = first_data_at_s - sent_at_s
+        load = attempt.signals.load
+        has_waiting = load is not None and load.waiting > 0.0
+        cost_ratio = work.note_complete(sent_at_s, has_waiting, now_s)
+        if cost_ratio is not None:
+            REQUEST_COST_RATIO.observe(cost_ratio)
         if request.model:
             unread = max(0, request.prompt_tokens - choice.known_tokens)
             latency_model = self._context.registry.latency_model(self._log.service)
@@ -161,5 +167,7 @@
                 request.model, request.output_tokens, (now_s - first_data_at_s) * 1000.0
             )
             return
+        if choice.cost is not None:
+            return
         expected_s = choice.expected_ms / 1000.0 / max(0.2, record.slowness_now(now_s))
         record.note_response_time(taken_s, expected_s, now_s)
--- a/src/crowsill/gateway/response_estimate.py
+++ b/src/crowsill/gateway/response_estimate.py
@@ -4,6 +4,7 @@
 
 from crowsill.gateway.pace_score import idle_difference_ms, late_ms, pause_ms
 from crowsill.gateway.replica_registry import PromptPartKey, ReplicaRecord
+from crowsill.gateway.replica_work import RequestCost, service_time_ms, wait_ms
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection_limits import SelectionLimits
 
@@ -35,20 +36,23 @@
         expected_ms: Time to its first event, or to its response.
         known_tokens: Tokens of the prompt that it has read lately.
         pace_ms: What the score counts more, or less, because of the replica's pace.
+        stream_work_ms: Time by which the work of running streams makes an engine less preferable.
     """
 
     record: ReplicaRecord
     expected_ms: float
     known_tokens: int
     pace_ms: float = 0.0
+    stream_work_ms: float = 0.0
 
     def score_ms(self, now_s: float) -> float:
         """Return the expected time plus the weighted gap between the events that follow."""
         gap_ms = EVENT_GAP_WEIGHT * self.record.event_gap.current_ms(now_s)
+        score_ms = self.expected_ms + gap_ms + self.stream_work_ms
         if not self.record.pace.has_reports:
-            return self.expected_ms + gap_ms
+            return score_ms
         # Equally good replicas of different pace get equal scores, so that chance decides.
-        return round(self.expected_ms + gap_ms + self.pace_ms, SCORE_DIGITS)
+        return round(score_ms + self.pace_ms, SCORE_DIGITS)
 
 
 def part_keys(request: CallerRequest) -> list[PromptPartKey]:
@@ -73,17 +77,20 @@
     known = known_tokens(record, request) if request.model else 0
     if request.model:
         total_ms = first_event_ms(record, request, known, limits, now_s)
+    elif limits.cost is not None:
+        total_ms = _time_by_cost_ms(record, limits.cost, now_s, with_peers=False)
     else:
         total_ms = response_ms(record, record.other_requests(now_s), now_s)
     expected_ms = _weighted_ms(record, limits, total_ms)
+    work_ms = _stream_work_ms(record, request, limits, now_s, with_peers=False)
     if not record.pace.has_reports:
-        return Estimate(record, expected_ms, known)
+        return Estimate(record, expected_ms, known, stream_work_ms=work_ms)
     idle_ms = DEFAULT_SERVICE_MS
     if request.model:
         unread = max(0, request.prompt_tokens - known)
         idle_ms = limits.latency_model.idle_first_event_ms(request.model, unread)
     pace_ms = idle_difference_ms(record, idle_ms, now_s) + late_ms(expected_ms, limits)
-    return Estimate(record, expected_ms, known, pace_ms)
+    return Estimate(record, expected_ms, known, pace_ms, work_ms)
 
 
 def full_estimate(
@@ -92,20 +99,51 @@
     """Estimate the time at a replica from the requests of all gateways there."""
     record = own.record
     if not request.model:
-        others = max(record.other_requests(now_s), record.peer_requests(now_s))
-        total_ms = response_ms(record, others, now_s)
+        if limits.cost is not None:
+            total_ms = _time_by_cost_ms(record, limits.cost, now_s, with_peers=True)
+        else:
+            others = max(record.other_requests(now_s), record.peer_requests(now_s))
+            total_ms = response_ms(record, others, now_s)
         expected_ms = _weighted_ms(record, limits, total_ms)
         return Estimate(record, expected_ms, own.known_tokens, own.pace_ms)
     unread = record.peer_prompt_tokens(now_s)
     queued_ms = limits.latency_model.prefill_ms(request.model, int(unread))
     queued_ms += PEER_REQUEST_MS * record.peer_requests(now_s)
+    work_ms = _stream_work_ms(record, request, limits, now_s, with_peers=True)
     if not record.pace.has_reports:
-        return Estimate(record, own.expected_ms + queued_ms, own.known_tokens)
+        expected_ms = own.expected_ms + queued_ms
+        return Estimate(record, expected_ms, own.known_tokens, stream_work_ms=work_ms)
     expected_ms = own.expected_ms + queued_ms * record.pace.factor(now_s)
     pace_ms = own.pace_ms + late_ms(expected_ms, limits) - late_ms(own.expected_ms, limits)
     unread_tokens = max(0, request.prompt_tokens - own.known_tokens)
     pace_ms += pause_ms(record, request.model, unread_tokens, limits, now_s)
-    return Estimate(record, expected_ms, own.known_tokens, pace_ms)
+    return Estimate(record, expected_ms, own.known_tokens, pace_ms, work_ms)
+
+
+def _time_by_cost_ms(
+    record: ReplicaRecord, cost: RequestCost, now_s: float, *, with_peers: bool
+) -> float:
+    """Return the expected response time of a plain service by the work that it still has."""
+    total_ms = service_time_ms(record, cost, now_s, with_peers=with_peers)
+    return total_ms * record.pace.factor(now_s)
+
+
+def _stream_work_ms(
+    record: ReplicaRecord,
+    request: CallerRequest,
+    limits: SelectionLimits,
+    now_s: float,
+    *,
+    with_peers: bool,
+) -> float:
+    """Return by how much the work of running streams makes an engine less preferable.
+
+    It only counts in comparisons: whether a request is refused does not depend on a guess of
+    outputs.
+    """
+    if limits.cost is None or not request.model:
+        return 0.0
+    return wait_ms(record, limits.cost, now_s, with_peers) * record.pace.factor(now_s)
 
 
 def _weighted_ms(record: ReplicaRecord, limits: SelectionLimits, total_ms: float) -> float:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -13,6 +13,7 @@
 from crowsill.gateway.brittle_replicas import BrittleReplicas
 from crowsill.gateway.caller_listener import CallerListener, detect_silence
 from crowsill.gateway.caller_protocol import CallerConnection
+from crowsill.gateway.choice_explanation import ExplanationService
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.crash_watch import CrashWatch
 from crowsill.gateway.demand import DemandReporter
@@ -43,6 +44,7 @@
 from crowsill.model.route_codec import RouteCodec, decompress_document
 from crowsill.model.routes import CallerLimits
 from crowsill.model.suspects import SuspectChange
+from crowsill.routing.request_cost import CostModel
 from crowsill.routing.shared_budget import RetryBudgetLimits, RetryBudgets, SharedRetryBudget
 from crowsill.settings import GatewaySettings, Settings
 from crowsill.state.route_store import RouteDocument
@@ -84,6 +86,8 @@
         self.zone = settings.zone
         self.random = Random(secrets.randbits(64))
         self.registry = ReplicaRegistry(gateway.load_control.replica_pace)
+        if gateway.load_control.cost_estimates:
+            self.registry.costs = CostModel()
         self.fingerprints = Fingerprints(key)
         self.crash_guard = CrashGuard()
         self.turns = WaitTurns() if gateway.load_control.ordered_waiting else None
@@ -170,7 +174,9 @@
         self._listener.start(self._settings.callers, lambda: CallerConnection(self))
         if self._settings.peers is not None:
             await self.peers.listen(self, self._settings.peers)
-        self._ready_server = ReadyServer(self._settings.ready, self.is_ready)
+        self._ready_server = ReadyServer(
+            self._settings.ready, self.is_ready, ExplanationService(self, self).respond
+        )
         await self._ready_server.start()
         self._tasks = [
             asyncio.create_task(self._follower.run()),
--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -16,12 +16,15 @@
 from crowsill.gateway.follower import HEARTBEAT_S
 from crowsill.gateway.progress import PendingPrompt
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
+from crowsill.gateway.replica_work import SentWork, estimate_cost, request_kind
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import NoReplicaReason, choose
 from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, LoadedModel
 from crowsill.model.replica_use import without_paces
+from crowsill.model.routes import Route, RouteKind
 from crowsill.routing.engine_latency import LatencyModel
+from crowsill.routing.request_cost import CostModel
 from crowsill.state.directory import DirectoryChange
 
 SERVICE = "engines"
@@ -42,6 +45,7 @@
 CLUMP_PERIOD_S = 2.0
 CLUMP_S = 0.5
 CLUMP_SHARE = 0.5
+ROUTE = Route("r", "h", "/", RouteKind.STREAM, 15_000.0, [])
 # Simulated time after the last request.
 DRAIN_S = 20.0
 
@@ -54,6 +58,7 @@
     prompt_tokens: float
     output_tokens: float
     deadline_s: float
+    tenant: str = ""
 
     def draw(self, random):
         """Return the number of tokens of a prompt and of its response."""
@@ -63,8 +68,8 @@
         return int(min(max_prompt, prompt)) + 1, int(min(max_output, output)) + 1
 
 
-DRAFTS = RequestKind(0.77, 2300.0, 22.0, 5.0)
-REPORTS = RequestKind(0.23, 1500.0, 150.0, 15.0)
+DRAFTS = RequestKind(0.77, 2300.0, 22.0, 5.0, "drafts")
+REPORTS = RequestKind(0.23, 1500.0, 150.0, 15.0, "reports")
 
 
 @dataclass
@@ -131,6 +136,7 @@
     unread_tokens: int
     remaining_tokens: int
     prompt: PendingPrompt
+    work: SentWork
     first_event_at_s: float = 0.0
     last_event_at_s: float = 0.0
     longest_gap_s: float = 0.0
@@ -155,8 +161,12 @@
         self.registry.adopt(DirectoryChange(1, instances, []), True, 0.0)
         self.idle = dict.fromkeys([item.instance_id for item in instances], 0)
 
-    def choose(self, request, now_s):
+    def choose(self, request, now_s, tenant=""):
         """Choose an engine for a request."""
+        cost = None
+        if self.registry.costs is not None:
+            kind = request_kind(request, SERVICE, ROUTE, tenant, self.latency_model)
+            cost = estimate_cost(self.registry.costs, kind, now_s)
         limits = SelectionLimits(
             self.zone,
             SLOTS,
@@ -166,6 +176,7 @@
             has_idle=lambda instance_id: self.idle[instance_id] > 0,
             latency_model=self.latency_model,
             random=self.random,
+            cost=cost,
         )
         return choose(self.registry.of_service(SERVICE), request, set(), limits, now_s)
 
@@ -225,6 +236,7 @@
         advertised_limits=None,
         paces=None,
         is_clumped=False,
+        uses_costs=False,
     ):
         """Create it.
 
@@ -239,6 +251,7 @@
             advertised_limits: Engines that advertise a rate limit for some time.
             paces: Engines of unequal pace that report it.
             is_clumped: Whether half of the requests come in a quarter of the time.
+            uses_costs: Whether gateways estimate the costs of requests.
         """
         self.paces = paces
         self.is_clumped = is_clumped
@@ -261,6 +274,8 @@
             )
             for number in range(gateways)
         ]
+        for gateway in self.gateways:
+            gateway.registry.costs = CostModel() if uses_costs else None
         self.waiting = [[] for _ in held]
         self.running = [[] for _ in held]
         self.is_working = [False] * len(held)
@@ -305,7 +320,7 @@
 
     def _heartbeat(self, now_s, gateway):
         """Exchange reports between a gateway and the group: use of engines and rate limits."""
-        own = gateway.registry.in_use()
+        own = gateway.registry.in_use(now_s)
         report = gateway.registry.with_received_paces(own)
         self.gateway_paces.note_reports(report, now_s)
         self.use.note(gateway.name, without_paces(report), now_s)
@@ -344,11 +359,11 @@
         request = CallerRequest(
             b"POST", b"/", [], b"", True, now_s, model=model, prompt_tokens=prompt_tokens
         )
-        choice = gateway.choose(request, now_s)
+        choice = gateway.choose(request, now_s, kind.tenant)
         while not isinstance(choice, NoReplicaReason) and not self._is_granted(
             choice.record, now_s
         ):
-            choice = gateway.choose(request, now_s)
+            choice = gateway.choose(request, now_s, kind.tenant)
         if isinstance(choice, NoReplicaReason):
             outcome.rejected += 1
             return
@@ -367,6 +382,7 @@
             request.prompt_tokens,
             output_tokens,
             PendingPrompt(choice.record, request.prompt_tokens, now_s),
+            SentWork(gateway.registry.costs, choice.record, choice.cost, True, now_s),
         )
         choice.record.in_flight += 1
         self.waiting[number].append(stream)
@@ -444,6 +460,7 @@
         for stream in first:
             stream.first_event_at_s = stream.last_event_at_s = now_s
             stream.prompt.stop_counting()
+            stream.work.note_first_event(now_s)
             self._receive_response_head(stream, number, now_s)
             running.append(stream)
         for stream in [item for item in self.waiting[number] if now_s > item.deadline_at_s]:
@@ -455,6 +472,11 @@
     def _end(self, now_s, stream, is_complete):
         record, gateway = stream.record, stream.gateway
         record.in_flight -= 1
+        if is_complete:
+            stream.work.note_complete(stream.sent_at_s, False, now_s)
+        else:
+            stream.work.note_abandoned(now_s)
+        stream.work.stop_counting()
         if not is_complete:
             self.outcome.timed_out += 1
             return
