--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -16,6 +16,7 @@
 from crowsill.gateway.follower import HEARTBEAT_S
 from crowsill.gateway.progress import PendingPrompt
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
+from crowsill.gateway.replica_signals import MAX_PACE_PERCENT, MIN_PACE_PERCENT
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import NoReplicaReason, choose
 from crowsill.gateway.selection_limits import SelectionLimits
@@ -104,11 +105,13 @@
     Attributes:
         factors: Factors on the step time, for one engine after the other.
         noise_share: Share of the engines that are slower for `NOISE_S`.
+        absurd_share: Share of the reports that are far too low or too high.
         is_used: Whether gateways read the reports.
     """
 
     factors: tuple = (0.7, 0.7, 1.7)
     noise_share: float = 0.0
+    absurd_share: float = 0.0
     is_used: bool = True
 
     def factor_of(self, number, now_s):
@@ -118,6 +121,13 @@
         is_noisy = Random(f"{number} {period}").random() < self.noise_share
         return factor * (NOISE_FACTOR if is_noisy else 1.0)
 
+    def reported_percent(self, number, now_s):
+        """Return the pace that an engine reports now."""
+        random = Random(f"{number} {now_s}")
+        if random.random() < self.absurd_share:
+            return random.choice([MIN_PACE_PERCENT, MAX_PACE_PERCENT])
+        return 100.0 * self.factor_of(number, now_s)
+
 
 @dataclass
 class Stream:
@@ -390,7 +400,7 @@
         else:
             availability.limit.note_not_advertised(stream.sent_at_s)
         if self.paces is not None:
-            percent = 100.0 * self.paces.factor_of(number, now_s)
+            percent = self.paces.reported_percent(number, now_s)
             stream.gateway.registry.note_pace(stream.record, percent, now_s)
 
     def _count(self, gateway, record):
--- a/tests/patterns/test_engines_of_unequal_pace.py
+++ b/tests/patterns/test_engines_of_unequal_pace.py
@@ -26,9 +26,9 @@
     return max(work) * len(work) / sum(work)
 
 
-def run(seed, rate, noise_share, is_used):
-    paces = EnginePaces(noise_share=noise_share, is_used=is_used)
-    return even_site(seed, rate=rate, paces=paces).run(SECONDS)
+def run(seed, rate, noise_share, is_used, absurd_share=0.0, **more):
+    paces = EnginePaces(noise_share=noise_share, absurd_share=absurd_share, is_used=is_used)
+    return even_site(seed, rate=rate, paces=paces, **more).run(SECONDS)
 
 
 @pytest.mark.parametrize(("rate", "max_busiest"), [(120.0, 1.45), (200.0, 1.3)])
@@ -52,3 +52,19 @@
     assert outcome.paused <= before.paused / 2
     assert outcome.timed_out <= before.timed_out
     assert abs(slow_share(outcome) - SLOW_SHARE) < MAX_SHARE_DEVIATION
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_fewer_streams_are_late_while_no_member_is_reached(seed):
+    before, outcome = (
+        run(seed, 120.0, NOISE_SHARE, is_used, shares_use=False) for is_used in (False, True)
+    )
+    assert outcome.late_first + outcome.paused < (before.late_first + before.paused) * 0.7
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_fewer_streams_are_late_although_a_tenth_of_the_reports_are_absurd(seed):
+    before = run(seed, 120.0, NOISE_SHARE, False)
+    outcome = run(seed, 120.0, NOISE_SHARE, True, absurd_share=0.1)
+    assert outcome.late_first <= before.late_first / 2
+    assert outcome.paused <= before.paused / 2
--- a/tests/test_replica_pace.py
+++ b/tests/test_replica_pace.py
@@ -9,7 +9,7 @@
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.response_estimate import own_estimate, response_ms
-from crowsill.gateway.selection import choose
+from crowsill.gateway.selection import Choice, NoReplicaReason, choose
 from crowsill.gateway.selection_limits import SelectionLimits
 from crowsill.model.instances import Instance, LoadedModel
 from crowsill.model.replica_use import ReplicaUse
@@ -207,6 +207,20 @@
     assert 0.15 < share < 0.35
 
 
+def test_a_slow_replica_has_room_for_fewer_requests_of_one_gateway():
+    only = registry("slow")
+    slow = only.find("slow")
+    slow.in_flight = 5
+    limits = SelectionLimits("z", 8)
+    assert isinstance(choose([slow], request(), set(), limits, 0.0), Choice)
+    slow.pace.note_told(170, 0.0)
+    assert choose([slow], request(), set(), limits, 0.0) is NoReplicaReason.ALL_FULL
+    # A quick one may not have more connections than the service allows.
+    slow.pace.note_told(50, 0.0)
+    slow.in_flight = 8
+    assert choose([slow], request(), set(), limits, 0.0) is NoReplicaReason.ALL_FULL
+
+
 def test_a_long_prompt_goes_to_a_quick_engine_where_streams_have_targets():
     both = registry("quick", "slow")
     both.find("quick").pace.note_told(70, 0.0)
