--- a/tests/patterns/engine_site.py
+++ b/tests/patterns/engine_site.py
@@ -16,8 +16,8 @@
 from crowsill.gateway.follower import HEARTBEAT_S
 from crowsill.gateway.progress import PendingPrompt
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
-from crowsill.gateway.replica_work import SentWork, estimate_cost, request_kind
 from crowsill.gateway.replica_signals import MAX_PACE_PERCENT, MIN_PACE_PERCENT
+from crowsill.gateway.replica_work import SentWork, estimate_cost, request_kind
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import NoReplicaReason, choose
 from crowsill.gateway.selection_limits import SelectionLimits
