--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -259,7 +259,7 @@
         elif isinstance(body, DrainingInstances):
             self.draining.note(body.instance_ids)
         elif isinstance(body, SuspectInstances):
-            self.liveness.note_suspects(body.instance_ids)
+            self.liveness.note_suspects(body)
         elif isinstance(body, ReplicaLimitsNotice):
             self._note_limits(body)
 
@@ -387,6 +387,8 @@
             *versions,
             member_zones=[self._zones.get(member.member_id, "") for member in members],
             limits=self.reports.replica_grants.to_reports(),
+            suspected=self.liveness.suspected(monotonic_s()),
+            reached=self.liveness.reach.reached(monotonic_s()),
         )
         return freshness if driver.has_lease() else None
 
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -137,6 +137,17 @@
         "This gateway began or ceased to close new connections unread: its event loop lags.",
     )
 
+    SUSPICIONS_ADOPTED = EventDefinition(
+        233,
+        "INFO",
+        "The group reports that several gateways do not reach replicas; they are chosen last here.",
+    )
+    SUSPICIONS_DROPPED = EventDefinition(
+        234,
+        "INFO",
+        "The group no longer reports that several gateways do not reach replicas, or not in time.",
+    )
+
     ROLE_CHANGED = EventDefinition(300, "INFO", "This control member changed its role.")
     LOG_TAIL_CUT = EventDefinition(
         301, "WARNING", "An incomplete, unsynced record at the end of the log was truncated."
@@ -260,4 +271,10 @@
         "Too many replicas crashed under prompts with these parts; gateways reject such prompts.",
     )
 
+    SUSPECTED_REPLICAS_CHANGED = EventDefinition(
+        517,
+        "INFO",
+        "Several gateways do not reach replicas and none has reached them, or that has ended.",
+    )
+
     CLAIM_ABANDONED = EventDefinition(600, "WARNING", "The outcome of a claimed request is lost.")
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -12,6 +12,7 @@
 from crowsill.model.fleet import FleetDelta
 from crowsill.model.peers import PeerOffer
 from crowsill.model.replica_limits import LimitReport
+from crowsill.model.replica_reach import ReachedReplica, SuspectedReplica
 from crowsill.model.replica_use import UseByReplica
 from crowsill.state.commands import Command, CommandResult
 from crowsill.state.directory import DirectoryChange
@@ -200,6 +201,8 @@
         limits: Rate limits that replicas advertise, as far as the group knows them.
         peers: Gateways that accept requests of others; a random part of them, and only where
             `in_use` is set.
+        suspected: Replicas that several gateways fail to reach.
+        reached: Replicas that some gateway has reached lately after others had failed to.
     """
 
     revision: int
@@ -212,6 +215,8 @@
     member_zones: list[str] = []
     limits: list[LimitReport] = []
     peers: list[PeerOffer] = []
+    suspected: list[SuspectedReplica] = []
+    reached: list[ReachedReplica] = []
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration-update"):
--- a/src/crowsill/transport/replica_messages.py
+++ b/src/crowsill/transport/replica_messages.py
@@ -142,9 +142,22 @@
 
 
 class SuspectInstances(msgspec.Struct, frozen=True, tag="suspect-instances"):
-    """Incarnations to which a gateway has just failed to connect."""
+    """Incarnations to which a gateway has just failed to connect.
+
+    A follower forwards it to the leader.
+
+    Attributes:
+        instance_ids: Their ids.
+        gateway: Identity of the gateway; empty if it takes no part in what gateways know together,
+            or may have lost its own links.
+        reached_ids: Ids of incarnations that the gateway reached or heard from.
+        reached_ago_s: Seconds since then until this message was sent, in the same order.
+    """
 
     instance_ids: list[str]
+    gateway: str = ""
+    reached_ids: list[str] = []
+    reached_ago_s: list[float] = []
 
 
 class ReplicaLimitsNotice(msgspec.Struct, frozen=True, tag="replica-limits"):
