--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -336,6 +336,7 @@
             is_urgent=is_urgent(route),
             brittle=brittle if brittle.is_in_effect else None,
             gateways=context.gateways,
+            is_suspected=context.replica_watch.sharing.avoidance(self._service, self._loop.time()),
         )
         records = context.registry.of_service(self._service)
         return choose(records, self._request, self._progress.tried, limits, self._loop.time())
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -22,6 +22,7 @@
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.logs import log_event
 from crowsill.model.peers import PeerOffer
+from crowsill.model.replica_reach import ReachedReplica, SuspectedReplica
 from crowsill.model.suspects import SuspectChange
 from crowsill.settings import Address
 from crowsill.state.route_store import RouteDocument
@@ -77,6 +78,8 @@
         on_suspects: Receives a change of the crash record, and whether it is the full record.
         peer_offer: Returns what this gateway offers to others; None for nothing.
         on_peers: Receives what other gateways offer, as far as the group reports it.
+        on_reach: Receives the replicas that gateways fail to reach and those that were reached
+            again, and the time (`clock.monotonic_s`) just before the heartbeat was sent.
     """
 
     on_routes: Callable[[RouteDocument], None]
@@ -85,6 +88,9 @@
     on_suspects: Callable[[SuspectChange, bool], None]
     peer_offer: Callable[[], PeerOffer | None] = lambda: None
     on_peers: Callable[[list[PeerOffer]], None] = lambda _offers: None
+    on_reach: Callable[[list[SuspectedReplica], list[ReachedReplica], float], None] = (
+        lambda _suspected, _reached, _sent_at_s: None
+    )
 
 
 class GatewayFollower:
@@ -255,6 +261,7 @@
             return False
         self.registry.note_limit_reports(reply.limits, monotonic_s())
         self._hooks.on_peers(reply.peers)
+        self._hooks.on_reach(reply.suspected, reply.reached, sent_at_s)
         if reply.in_use is not None:
             self.registry.note_total_use(reply.in_use, in_use, monotonic_s())
         if reply.members:
--- a/src/crowsill/gateway/link_state.py
+++ b/src/crowsill/gateway/link_state.py
@@ -81,6 +81,13 @@
         ]
         return sorted(weak)[:MAX_REPORTED_SERVICES]
 
+    def is_weak(self, service: str) -> bool:
+        """Whether under half of the listed replicas of a service is reached from here."""
+        records = [
+            item for item in self._registry.of_service(service) if item.instance.accepts_work
+        ]
+        return 2 * sum(self.is_reachable(record) for record in records) < len(records)
+
     def has_lost_links(self, service: str) -> bool:
         """Whether several replicas of a service are listed and none is reached from here."""
         return self._unreachable.get(service, 0) > 1
--- a/src/crowsill/gateway/recent_failures.py
+++ b/src/crowsill/gateway/recent_failures.py
@@ -5,6 +5,8 @@
 
 # Failures within this time are related: this gateway may have lost its own links.
 RELATED_FAILURES_S = 2.0
+# A replica that sent anything within this time needs no check.
+RECENT_S = 0.5
 # While replicas of a service fail, all others are checked at most so often.
 MIN_CHECK_INTERVAL_S = 1.0
 
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -52,6 +52,7 @@
         unanswered_sent_at_s: Times when own streams without a first event were sent, by stream.
         model_ready_at_s: Times when the models that it is loading should be ready, by model.
         parts: Parts of prompts that it has read lately, in order of last use.
+        has_reported_pace: Whether its last load report told its pace.
     """
 
     instance: Instance
@@ -72,6 +73,7 @@
     unanswered_sent_at_s: dict[int, float] = field(default_factory=dict)
     model_ready_at_s: dict[str, float] = field(default_factory=dict)
     parts: OrderedDict[PromptPartKey, None] = field(default_factory=OrderedDict)
+    has_reported_pace: bool = False
 
     def __post_init__(self) -> None:
         """Apply the state in the directory."""
@@ -126,6 +128,7 @@
         # one.
         self.reported_other_requests = max(0.0, load.running + load.waiting - self.in_flight)
         self.load_reported_at_s = now_s
+        self.has_reported_pace = load.pace_percent is not None
 
     def note_peer_use(self, use: ReplicaUse, now_s: float) -> None:
         """Record what other gateways have there."""
@@ -212,6 +215,10 @@
         """Return the instances of a service."""
         return self._by_service.get(service, [])
 
+    def reports_pace(self, service: str) -> bool:
+        """Whether any instance of a service reports its pace: it shares its machine with others."""
+        return any(record.has_reported_pace for record in self.of_service(service))
+
     def listed(self) -> list[ReplicaRecord]:
         """Return the instances of all services that don't drain."""
         return [record for record in self._records.values() if not record.availability.is_draining]
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -11,9 +11,10 @@
 from random import Random
 
 from crowsill.events import Event
+from crowsill.gateway.failure_sharing import FailureSharing
 from crowsill.gateway.link_state import LinkState
 from crowsill.gateway.pool import ConnectError, ConnectionPool
-from crowsill.gateway.recent_failures import RecentFailures
+from crowsill.gateway.recent_failures import RECENT_S, RecentFailures
 from crowsill.gateway.replica_check import (
     LONG_MIN_OPEN_S,
     MIN_OPEN_S,
@@ -24,8 +25,10 @@
 from crowsill.gateway.replica_connection import ReplicaConnection
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.logs import log_event
-from crowsill.model.instances import Instance, InstanceState
-from crowsill.transport.replica_messages import DrainingInstances, SuspectInstances
+from crowsill.model.instances import Instance
+from crowsill.model.replica_reach import ReachedReplica, SuspectedReplica
+from crowsill.settings import LoadControlSettings
+from crowsill.transport.replica_messages import SuspectInstances
 
 RECONNECT_INTERVAL_S = 0.5
 # While many replicas are unreachable, this gateway tries at most so many of them in a second. The
@@ -44,13 +47,9 @@
 LATE_RESPONSE_S = 0.2
 # Connections that are lost within this time are lost at the same moment.
 SIMULTANEOUS_S = 0.3
-# A replica that sent anything within this time needs no check.
-RECENT_S = 0.5
-# The same for one that refuses new connections: each failure of another one would be a reason to
-# check its open ones again.
+# A replica that refuses new connections needs no check if it sent anything within this time: each
+# failure of another one would be a reason to check its open ones again.
 RECENT_OPEN_ONLY_S = 2.0
-# The control group records that a replica drains and informs all gateways within half this time.
-DRAIN_REPORT_INTERVAL_S = 0.5
 
 
 class ReplicaWatch:
@@ -63,9 +62,11 @@
         links: LinkState,
         checker: ReplicaChecker,
         *,
-        notify: Callable[[SuspectInstances | DrainingInstances], bool],
+        notify: Callable[[SuspectInstances], bool],
         on_change: Callable[[], None],
         random: Random,
+        load_control: LoadControlSettings | None = None,
+        identity: str = "",
     ) -> None:
         """Create a watch.
 
@@ -77,20 +78,30 @@
             notify: Sends a notice to the control group; returns whether it could be sent.
             on_change: Called when a replica may be sent requests again, or no longer.
             random: Source of the replicas that are checked.
+            load_control: Decisions under load that are switched on; None for none.
+            identity: Identity of this gateway.
         """
+        self.sharing = FailureSharing(
+            registry,
+            pool,
+            links,
+            notify=notify,
+            settings=load_control or LoadControlSettings(),
+            identity=identity,
+            random=random,
+        )
         self._registry = registry
         self._pool = pool
         self._links = links
         self._checker = checker
-        self._notify = notify
         self._on_change = on_change
         self._random = random
         self._tasks: set[asyncio.Task[None]] = set()
         self._checked: set[str] = set()
-        self._watched: set[str] = set()
+        # Set for an excluded replica that may be reached again.
+        self._watched: dict[str, asyncio.Event] = {}
         self._failures = RecentFailures()
         self._early_resets: Counter[str] = Counter()
-        self._restored = asyncio.Event()
 
     # Failures.
 
@@ -171,7 +182,7 @@
     def _report_suspect(self, record: ReplicaRecord) -> None:
         """Report a replica to the group, unless the failure shows nothing about the replica."""
         if not self._links.has_lost_links(record.instance.service):
-            self._notify(SuspectInstances([record.instance.instance_id]))
+            self.sharing.report_failed(record, asyncio.get_running_loop().time())
 
     # Checks.
 
@@ -183,6 +194,10 @@
         """
         now_s = asyncio.get_running_loop().time()
         service = failed.instance.service
+        if self.sharing.is_on(service):
+            others = self.sharing.others_to_check(failed, self._failures, self._unproven, now_s)
+            self._start_checks(others)
+            return
         if self._failures.is_second(failed.instance.instance_id, service, now_s):
             if self._failures.begin_check_of(service, now_s):
                 # What was received before the first failure may have come before the links failed.
@@ -295,7 +310,7 @@
     def _watch(self, record: ReplicaRecord) -> None:
         instance_id = record.instance.instance_id
         if instance_id not in self._watched:
-            self._watched.add(instance_id)
+            self._watched[instance_id] = asyncio.Event()
             self._start_task(self._reconnect(record))
 
     async def _reconnect(self, record: ReplicaRecord) -> None:
@@ -303,7 +318,8 @@
         instance_id = record.instance.instance_id
         try:
             while self._registry.find(instance_id) is record and record.instance.accepts_work:
-                await self._wait_to_reconnect()
+                if not await self._wait_to_reconnect(record):
+                    continue
                 result = await self._run_check(record, CheckReason.EXCLUDED)
                 if result is CheckResult.REACHED:
                     break
@@ -313,27 +329,43 @@
             else:
                 return
         finally:
-            self._watched.discard(instance_id)
+            del self._watched[instance_id]
         record.availability.note_reachable()
         self._links.note_reached(record)
-        self._restored.set()
-        self._restored = asyncio.Event()
+        self.sharing.report_reached({instance_id: 0.0})
+        for is_back in self._watched.values():
+            is_back.set()
         self._on_change()
 
-    async def _wait_to_reconnect(self) -> None:
-        """Wait for the next check of an excluded replica, or until another one is reached."""
+    def note_group_word(
+        self, suspected: list[SuspectedReplica], reached: list[ReachedReplica], sent_at_s: float
+    ) -> None:
+        """Apply what the group says about failed replicas; see `FailureSharing.adopt`."""
+        now_s = asyncio.get_running_loop().time()
+        for instance_id in self.sharing.adopt(suspected, reached, sent_at_s, now_s):
+            if instance_id in self._watched:
+                self._watched[instance_id].set()
+
+    async def _wait_to_reconnect(self, record: ReplicaRecord) -> bool:
+        """Wait for the next check, or until any is reached; return whether to make the check."""
+        instance_id = record.instance.instance_id
+        # Moved to the end: those that have waited longest are woken first.
+        is_back = self._watched[instance_id] = self._watched.pop(instance_id)
+        is_back.clear()
         mean_s = max(RECONNECT_INTERVAL_S, len(self._watched) / MAX_RECONNECTS_PER_S)
         # Replicas that were excluded at the same moment are not all checked at the same moment.
         spread_s = 2.0 * (mean_s - RECONNECT_INTERVAL_S)
         try:
             async with asyncio.timeout(RECONNECT_INTERVAL_S + self._random.random() * spread_s):
-                await self._restored.wait()
+                await is_back.wait()
         except TimeoutError:
-            return
-        restore_s = max(RESTORE_SPREAD_S, len(self._watched) / MAX_RESTORED_PER_S)
-        await asyncio.sleep(self._random.random() * restore_s)
+            pass
+        else:
+            restore_s = max(RESTORE_SPREAD_S, len(self._watched) / MAX_RESTORED_PER_S)
+            await asyncio.sleep(self._random.random() * restore_s)
+        return not self.sharing.skips_check(record, mean_s, asyncio.get_running_loop().time())
 
-    # Backoffs and drains.
+    # Backoffs.
 
     def watch_backoff(self, record: ReplicaRecord) -> None:
         """Schedule a check for the end of a replica's backoff."""
@@ -354,20 +386,6 @@
         )
         self._on_change()
 
-    def report_draining(self, record: ReplicaRecord) -> None:
-        """Report to the control group that a replica drains."""
-        self._start_task(self._repeat_drain_report(record))
-
-    async def _repeat_drain_report(self, record: ReplicaRecord) -> None:
-        """Repeat the report until the directory lists the replica as draining or it is removed."""
-        instance_id = record.instance.instance_id
-        while (
-            self._registry.find(instance_id) is record
-            and record.listed_state is InstanceState.READY
-        ):
-            self._notify(DrainingInstances([instance_id]))
-            await asyncio.sleep(DRAIN_REPORT_INTERVAL_S)
-
     def _start_task(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -15,6 +15,7 @@
 from crowsill.gateway.crash_guard import CrashGuard
 from crowsill.gateway.crash_watch import CrashWatch
 from crowsill.gateway.demand import DemandReporter
+from crowsill.gateway.drain_reports import DrainReports
 from crowsill.gateway.exchange import Exchange
 from crowsill.gateway.fingerprint import Fingerprints
 from crowsill.gateway.follower import GatewayFollower, GatewayHooks
@@ -37,6 +38,7 @@
 from crowsill.logs import log_event
 from crowsill.metrics import READY, REQUESTS_FROM_PEERS, ROUTES_VERSION
 from crowsill.model.peers import PeerOffer
+from crowsill.model.replica_reach import ReachedReplica, SuspectedReplica
 from crowsill.model.route_codec import RouteCodec, decompress_document
 from crowsill.model.routes import CallerLimits
 from crowsill.model.suspects import SuspectChange
@@ -105,6 +107,7 @@
         self._ready_server: ReadyServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
         identity = f"{settings.node}.{secrets.token_hex(4)}"
+        self._identity = identity
         local = LocalIdentity(settings.node, identity, settings.zone, key)
         hooks = GatewayHooks(
             self._on_routes,
@@ -113,6 +116,7 @@
             self._on_suspects,
             peer_offer=self._peer_offer,
             on_peers=self._on_peers,
+            on_reach=self._on_reach,
         )
         self._follower = GatewayFollower(
             local,
@@ -139,7 +143,10 @@
             notify=self._follower.send_notice,
             on_change=self._notify_change,
             random=self.random,
+            load_control=self._settings.load_control,
+            identity=self._identity,
         )
+        self._drain_reports = DrainReports(self.registry, self._follower.send_notice)
         self.pool.on_idle_lost = self.replica_watch.check_lost_connection
         self.crash_watch = CrashWatch(
             self.pool,
@@ -220,6 +227,7 @@
     def _peer_offer(self) -> PeerOffer | None:
         """Return what this gateway offers to others now."""
         self._links.update()
+        self.replica_watch.sharing.expire(asyncio.get_running_loop().time())
         if self._stopping or self.table is None:
             return None
         links = self._links
@@ -227,6 +235,11 @@
             self._running.exchanges, links.unreachable_services(), links.weak_services()
         )
 
+    def _on_reach(
+        self, suspected: list[SuspectedReplica], reached: list[ReachedReplica], sent_at_s: float
+    ) -> None:
+        self.replica_watch.note_group_word(suspected, reached, sent_at_s)
+
     def _on_peers(self, offers: list[PeerOffer]) -> None:
         self.peers.registry.note_offers(offers, asyncio.get_running_loop().time())
 
@@ -279,7 +292,7 @@
     def on_draining(self, record: ReplicaRecord) -> None:
         """Treat a replica that reported that it drains as draining, and report it to the group."""
         self._on_directory([record.instance.instance_id])
-        self.replica_watch.report_draining(record)
+        self._drain_reports.start(record)
 
     def on_limit_changed(self, record: ReplicaRecord) -> None:
         """Report a replica's rate limit to the group at once; heartbeats report it again."""
@@ -400,6 +413,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.crash_watch.stop()
         await self.replica_watch.stop()
+        await self._drain_reports.stop()
         self._listener.close()
         self.peers.close()
         self._running.abort_all()
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -266,6 +266,8 @@
     candidates = _candidates(records, request, tried, limits, now_s)
     if isinstance(candidates, NoReplicaReason):
         return candidates
+    if limits.is_suspected is not None:
+        candidates = [item for item in candidates if not limits.is_suspected(item)] or candidates
     not_failing = [
         record for record in candidates if record.availability.failure_pause_ends_at_s <= now_s
     ]
--- a/src/crowsill/gateway/selection_limits.py
+++ b/src/crowsill/gateway/selection_limits.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from crowsill.gateway.brittle_replicas import BrittleReplicas
+from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.routing.engine_latency import LatencyModel
 
 
@@ -24,6 +25,8 @@
         includes_silent: Whether a replica against which only its silence speaks may be chosen.
         brittle: The brittle replicas of the service; None if there are none.
         gateways: Number of gateways.
+        is_suspected: Returns whether a replica is to be chosen only if no other can take the
+            request, because other gateways fail to reach it; None if none is.
     """
 
     zone: str
@@ -37,3 +40,4 @@
     includes_silent: bool = False
     brittle: BrittleReplicas | None = None
     gateways: int = 1
+    is_suspected: Callable[[ReplicaRecord], bool] | None = None
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -159,6 +159,11 @@
     ["result"],
     registry=REGISTRY,
 )
+SUSPECTED_REPLICAS = Gauge(
+    "crowsill_gateway_suspected_replicas",
+    "Replicas that several gateways do not reach, by the last word of the group here.",
+    registry=REGISTRY,
+)
 EVENT_LOOP_LAG_S = Histogram(
     "crowsill_event_loop_lag_seconds",
     "Time for which the event loop of the process kept a timer waiting.",
--- a/src/crowsill/settings.py
+++ b/src/crowsill/settings.py
@@ -157,6 +157,9 @@
             effect.
         cost_estimates: Whether replicas are compared by the work that they still have to do, with
             the cost of each request estimated from what was observed.
+        shared_failures: Whether gateways tell one another which replicas they fail to reach, so
+            that each checks fewer of them. Where replicas report their pace and it is used, they
+            do in any case.
     """
 
     ordered_waiting: bool = False
@@ -164,6 +167,7 @@
     engine_memory: bool = False
     replica_pace: bool = True
     cost_estimates: bool = False
+    shared_failures: bool = False
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -88,6 +88,7 @@
     assert (off.ordered_waiting, off.shared_admission, off.engine_memory) == (False,) * 3
     assert (on.ordered_waiting, on.shared_admission, on.engine_memory) == (True,) * 3
     assert on.cost_estimates and not off.cost_estimates
+    assert on.shared_failures and not off.shared_failures
 
 
 @pytest.mark.parametrize(
