--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -172,6 +172,16 @@
         "INFO",
         "A request was rejected: its tenant asks for more than its share of an overloaded service.",
     )
+    SUSPICIONS_ADOPTED = EventDefinition(
+        233,
+        "INFO",
+        "The group reports that several gateways do not reach replicas; they are chosen last here.",
+    )
+    SUSPICIONS_DROPPED = EventDefinition(
+        234,
+        "INFO",
+        "The group no longer reports that several gateways do not reach replicas, or not in time.",
+    )
 
     ROLE_CHANGED = EventDefinition(300, "INFO", "This control member changed its role.")
     LOG_TAIL_CUT = EventDefinition(
@@ -310,5 +320,10 @@
     SERVICE_RELIEVED = EventDefinition(
         516, "INFO", "A service is no longer overloaded; everything is admitted again."
     )
+    SUSPECTED_REPLICAS_CHANGED = EventDefinition(
+        517,
+        "INFO",
+        "Several gateways do not reach replicas and none has reached them, or that has ended.",
+    )
 
     CLAIM_ABANDONED = EventDefinition(600, "WARNING", "The outcome of a claimed request is lost.")
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -382,6 +382,7 @@
                 tenant=tenant,
                 now_s=self._loop.time(),
             ),
+            is_suspected=context.replica_watch.sharing.avoidance(service, self._loop.time()),
         )
 
     def _spend_retry(self) -> bool:
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -23,6 +23,7 @@
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.logs import log_event
 from crowsill.model.peers import PeerOffer
+from crowsill.model.replica_reach import ReachedReplica, SuspectedReplica
 from crowsill.model.service_pressure import AdmissionLevel, PressureReport
 from crowsill.model.suspects import SuspectChange
 from crowsill.settings import Address
@@ -81,6 +82,8 @@
         on_peers: Receives what other gateways offer, as far as the group reports it.
         pressure: Returns the demand since the last heartbeat; None if it is not reported.
         on_level: Receives what is admitted now, as far as the group reports it.
+        on_reach: Receives the replicas that gateways fail to reach and those that were reached
+            again, and the time (`clock.monotonic_s`) just before the heartbeat was sent.
     """
 
     on_routes: Callable[[RouteDocument], None]
@@ -91,6 +94,9 @@
     on_peers: Callable[[list[PeerOffer]], None] = lambda _offers: None
     pressure: Callable[[], PressureReport | None] = lambda: None
     on_level: Callable[[AdmissionLevel], None] = lambda _level: None
+    on_reach: Callable[[list[SuspectedReplica], list[ReachedReplica], float], None] = (
+        lambda _suspected, _reached, _sent_at_s: None
+    )
 
 
 class GatewayFollower:
@@ -265,6 +271,7 @@
         self._hooks.on_peers(reply.peers)
         if reply.level is not None:
             self._hooks.on_level(reply.level)
+        self._hooks.on_reach(reply.suspected, reply.reached, sent_at_s)
         if reply.in_use is not None:
             self.registry.note_total_use(reply.in_use, in_use, monotonic_s())
         self._pace_log.update(self.registry.paces(monotonic_s()))
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -224,6 +224,10 @@
         """Return the instances of a service."""
         return self._by_service.get(service, [])
 
+    def reports_pace(self, service: str) -> bool:
+        """Whether any instance of a service reports its pace: it shares its machine with others."""
+        return any(record.pace.has_reports for record in self.of_service(service))
+
     def listed(self) -> list[ReplicaRecord]:
         """Return the instances of all services that don't drain."""
         return [record for record in self._records.values() if not record.availability.is_draining]
@@ -317,7 +321,6 @@
             others = ReplicaUse(
                 max(0, use.requests - own_use.requests),
                 max(0, use.prompt_tokens - own_use.prompt_tokens),
-                max(0, use.memory_tokens - own_use.memory_tokens),
                 max(0, use.work_ms - own_use.work_ms),
                 use.pace_percent,
             )
--- a/src/crowsill/gateway/selection_limits.py
+++ b/src/crowsill/gateway/selection_limits.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from crowsill.gateway.brittle_replicas import BrittleReplicas
+from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.replica_work import RequestCost
 from crowsill.routing.engine_latency import LatencyModel
 
@@ -28,6 +29,8 @@
         brittle: The brittle replicas of the service; None if there are none.
         gateways: Number of gateways.
         cost: Expected cost of the request; None if replicas are compared by counts.
+        is_suspected: Returns whether a replica is to be chosen only if no other can take the
+            request, because other gateways fail to reach it; None if none is.
     """
 
     zone: str
@@ -44,3 +47,4 @@
     brittle: BrittleReplicas | None = None
     gateways: int = 1
     cost: RequestCost | None = None
+    is_suspected: Callable[[ReplicaRecord], bool] | None = None
--- a/src/crowsill/settings.py
+++ b/src/crowsill/settings.py
@@ -152,18 +152,20 @@
             and tenant, instead of at once whenever something changes.
         shared_admission: Whether all gateways together admit requests by rank and tenant while a
             service is overloaded, from sums that the control group keeps.
-        engine_memory: Whether a request is sent only to an engine whose memory has room for it.
         replica_pace: Whether the pace that replicas report is used; without reports it has no
             effect.
         cost_estimates: Whether replicas are compared by the work that they still have to do, with
             the cost of each request estimated from what was observed.
+        shared_failures: Whether gateways tell one another which replicas they fail to reach, so
+            that each checks fewer of them. Where replicas report their pace and it is used, they
+            do in any case.
     """
 
     ordered_waiting: bool = False
     shared_admission: bool = False
-    engine_memory: bool = False
     replica_pace: bool = True
     cost_estimates: bool = False
+    shared_failures: bool = False
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -12,6 +12,7 @@
 from crowsill.model.fleet import FleetDelta
 from crowsill.model.peers import PeerOffer
 from crowsill.model.replica_limits import LimitReport
+from crowsill.model.replica_reach import ReachedReplica, SuspectedReplica
 from crowsill.model.replica_use import UseByReplica
 from crowsill.model.service_pressure import AdmissionLevel, PressureReport
 from crowsill.state.commands import Command, CommandResult
@@ -205,6 +206,8 @@
         peers: Gateways that accept requests of others; a random part of them, and only where
             `in_use` is set.
         level: What is admitted now; None if it was not requested or is unknown.
+        suspected: Replicas that several gateways fail to reach.
+        reached: Replicas that some gateway has reached lately after others had failed to.
     """
 
     revision: int
@@ -218,6 +221,8 @@
     limits: list[LimitReport] = []
     peers: list[PeerOffer] = []
     level: AdmissionLevel | None = None
+    suspected: list[SuspectedReplica] = []
+    reached: list[ReachedReplica] = []
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration-update"):
