--- a/src/crowsill/gateway/failure_sharing.py
+++ b/src/crowsill/gateway/failure_sharing.py
@@ -20,6 +20,8 @@
 # After a sample has shown that this gateway may have lost its links, its failures do not count for
 # the group for this time: all replicas are checked meanwhile.
 DOUBT_S = 1.5
+# While a replica is suspected, so many gateways check it with each word, all together.
+CHECKS_PER_WORD = 1.0
 # Replicas that a log line names.
 MAX_LOGGED = 16
 
@@ -34,8 +36,8 @@
         registry: ReplicaRegistry,
         pool: ConnectionPool,
         links: LinkState,
-        *,
         notify: Callable[[SuspectInstances], bool],
+        *,
         settings: LoadControlSettings,
         identity: str,
         random: Random,
@@ -180,6 +182,17 @@
         probability = self._suspicions.check_probability(instance_id, heard_at_s, interval_s, now_s)
         return self._random.random() >= probability
 
+    def to_verify(self, gateways: int, now_s: float) -> list[ReplicaRecord]:
+        """Return suspected replicas to check once now, as one of all gateways.
+
+        Who avoids a replica never hears from it, and could not say that only others lost links.
+        """
+        if not self._suspicions.count():
+            return []
+        suspects = [item for item in self._registry.listed() if self.is_suspected(item, now_s)]
+        probability = CHECKS_PER_WORD / max(1, gateways)
+        return [item for item in suspects if self._random.random() < probability]
+
     def others_to_check(
         self,
         failed: ReplicaRecord,
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -81,14 +81,9 @@
             load_control: Decisions under load that are switched on; None for none.
             identity: Identity of this gateway.
         """
+        settings = load_control or LoadControlSettings()
         self.sharing = FailureSharing(
-            registry,
-            pool,
-            links,
-            notify=notify,
-            settings=load_control or LoadControlSettings(),
-            identity=identity,
-            random=random,
+            registry, pool, links, notify, settings=settings, identity=identity, random=random
         )
         self._registry = registry
         self._pool = pool
@@ -338,13 +333,18 @@
         self._on_change()
 
     def note_group_word(
-        self, suspected: list[SuspectedReplica], reached: list[ReachedReplica], sent_at_s: float
+        self,
+        suspected: list[SuspectedReplica],
+        reached: list[ReachedReplica],
+        sent_at_s: float,
+        gateways: int,
     ) -> None:
         """Apply what the group says about failed replicas; see `FailureSharing.adopt`."""
         now_s = asyncio.get_running_loop().time()
         for instance_id in self.sharing.adopt(suspected, reached, sent_at_s, now_s):
             if instance_id in self._watched:
                 self._watched[instance_id].set()
+        self._start_checks(self.sharing.to_verify(gateways, now_s))
 
     async def _wait_to_reconnect(self, record: ReplicaRecord) -> bool:
         """Wait for the next check, or until any is reached; return whether to make the check."""
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -238,7 +238,7 @@
     def _on_reach(
         self, suspected: list[SuspectedReplica], reached: list[ReachedReplica], sent_at_s: float
     ) -> None:
-        self.replica_watch.note_group_word(suspected, reached, sent_at_s)
+        self.replica_watch.note_group_word(suspected, reached, sent_at_s, self.gateways)
 
     def _on_peers(self, offers: list[PeerOffer]) -> None:
         self.peers.registry.note_offers(offers, asyncio.get_running_loop().time())
--- a/tests/patterns/failing_site.py
+++ b/tests/patterns/failing_site.py
@@ -102,6 +102,7 @@
             identity=self.name,
         )
         self.is_cut = False
+        self.cut_from = set()
 
     def _notify(self, notice):
         loop = asyncio.get_running_loop()
@@ -111,7 +112,11 @@
 
     def _fails(self, instance_id):
         """Return how a replica fails from here; empty if it does not."""
-        return "dark" if self.is_cut else self.site.failed.get(instance_id, "")
+        return (
+            "dark"
+            if self.is_cut or instance_id in self.cut_from
+            else self.site.failed.get(instance_id, "")
+        )
 
     async def check(self, record, reason, _min_open_s):
         loop = asyncio.get_running_loop()
@@ -133,7 +138,7 @@
             if self.site.has_leader:
                 word = self.site.word(sent_at_s)
                 await asyncio.sleep(2 * MESSAGE_S)
-                self.watch.note_group_word(*word, sent_at_s)
+                self.watch.note_group_word(*word, sent_at_s, len(self.site.gateways))
             await asyncio.sleep(HEARTBEAT_S)
 
     async def requests(self):
--- a/tests/patterns/test_failed_engines.py
+++ b/tests/patterns/test_failed_engines.py
@@ -112,6 +112,26 @@
     play(FailingSite(load_control=SHARED), scenario)
 
 
+def test_others_use_the_replicas_that_some_gateways_lost():
+    async def scenario(site):
+        await asyncio.sleep(3.0)
+        for gateway in site.gateways[:15]:
+            gateway.cut_from = set(site.ids[:15])
+        avoided = 0
+        for _ in range(10):
+            await asyncio.sleep(1.0)
+            now_s = asyncio.get_running_loop().time()
+            avoided += sum(
+                gateway.watch.sharing.is_suspected(record, now_s)
+                for gateway in site.gateways[15:]
+                for record in gateway.registry.listed()
+            )
+        # 4.25 of the 15 on the mean while only gateways that excluded a replica checked it.
+        assert avoided / 10 / 45 < 4.0
+
+    play(FailingSite(load_control=SHARED), scenario)
+
+
 def test_while_no_leader_is_known_each_gateway_checks_for_itself():
     async def scenario(site):
         await asyncio.sleep(3.0)
