--- a/src/crowsill/control/engine_jobs.py
+++ b/src/crowsill/control/engine_jobs.py
@@ -13,7 +13,7 @@
 from crowsill.backends.engine_calls import EngineCalls, EngineOrder, EngineReport, OrderResponse
 from crowsill.clock import monotonic_s
 from crowsill.control.engine_state import EngineState
-from crowsill.control.store_loads import RECORDED_LOAD_LIFETIME_S
+from crowsill.control.store_loads import RECORD_RENEWAL_S
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.metrics import ORDERS
@@ -210,9 +210,9 @@
         has_lost_response = False
         recorded_at_s = float("-inf")
         for _ in range(MAX_ORDER_ATTEMPTS):
-            if from_store and monotonic_s() - recorded_at_s > RECORDED_LOAD_LIFETIME_S:
-                await self._record_store_load(instance)
+            if from_store and monotonic_s() - recorded_at_s > RECORD_RENEWAL_S:
                 recorded_at_s = monotonic_s()
+                await self._record_store_load(instance)
             if engine.sequence is None or not self._ports.has_lease():
                 raise JobFailedError("this member has no lease or no known state of the engine")
             # An engine that restarted under its name would execute an order meant for its former
--- a/src/crowsill/control/store_loads.py
+++ b/src/crowsill/control/store_loads.py
@@ -11,9 +11,11 @@
 
 from crowsill.state.commands import RecordStoreLoad
 
-# Time after its record in which a load may begin, in seconds: longer than an order is on its way to
-# an engine that responds.
-RECORDED_LOAD_LIFETIME_S = 1.0
+# Time after its record in which a load may begin, in seconds.
+RECORDED_LOAD_LIFETIME_S = 2.0
+# Age at which a record is renewed before the order is sent again: an order, and the response to it,
+# take less than the rest of the lifetime.
+RECORD_RENEWAL_S = 1.0
 # More than the store starts in any window.
 MAX_RECORDED_LOADS = 4000
 
@@ -23,8 +25,8 @@
 
     >>> log = StoreLoadLog(now_s=0.0)
     >>> log.note(RecordStoreLoad("s"), now_s=3.0)
-    >>> log.since("s", 1.0), log.since("s", 4.5), log.since("s", 0.5)
-    ([4.0], [], None)
+    >>> log.since("s", 2.0), log.since("s", 5.5), log.since("s", 1.5)
+    ([5.0], [], None)
     """
 
     def __init__(self, now_s: float) -> None:
--- a/src/crowsill/gateway/admission_level.py
+++ b/src/crowsill/gateway/admission_level.py
@@ -92,6 +92,9 @@
             return None
         delay_s = cut.retry_after_ds / 10.0
         delay_s += draws[1] * max(MIN_RETRY_SPREAD_S, delay_s * RETRY_SPREAD_SHARE)
+        if remaining_s * LATEST_RETURN_SHARE < MIN_RETRY_AFTER_S:
+            # It could not come back in time.
+            return None
         latest_s = remaining_s * (LATEST_RETURN_SHARE - LATEST_RETURN_SPREAD * draws[1])
         return max(MIN_RETRY_AFTER_S, min(delay_s, latest_s))
 
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -154,6 +154,8 @@
         try:
             rejection = self._pressure.admit(route, self._service, self._admission, self._choose)
             if rejection is not None:
+                if self._request.model:
+                    self._context.demand.note_overloaded(self._service, self._request.model)
                 self._reject(rejection)
                 return
             async with asyncio.timeout_at(deadline_at_s):
@@ -231,7 +233,8 @@
                 continue
             if not isinstance(choice, Choice) and self._may_use_silent():
                 choice = self._choose(route, includes_silent=True)
-            if isinstance(choice, Choice) and waiting.goes_after_others():
+            may_wait = self._may_wait(NoReplicaReason.ALL_FULL)
+            if isinstance(choice, Choice) and may_wait and waiting.goes_after_others():
                 await waiting.wait_for_turn()
                 continue
             if isinstance(choice, Choice):
@@ -259,9 +262,7 @@
             return True
         waiting.note_sent()
         self._pressure.note_sent()
-        end = await self._sender.send(
-            route, choice, deadline_at_s, self._outcome.closes_connection()
-        )
+        end = await self._send(route, choice, deadline_at_s)
         waiting.note_end(end)
         self._pressure.note_end(end)
         if end is None:
@@ -272,6 +273,17 @@
         self._outcome.respond(end)
         return True
 
+    async def _send(self, route: Route, choice: Choice, deadline_at_s: float) -> AttemptEnd | None:
+        """Send the request; one that is cancelled before that does not count as started."""
+        try:
+            return await self._sender.send(
+                route, choice, deadline_at_s, self._outcome.closes_connection()
+            )
+        except BaseException:
+            if not self._progress.may_have_run:
+                self._pressure.note_end(None)
+            raise
+
     async def _charge_repetition(self, deadline_at_s: float) -> bool:
         """Charge another run if a replica may have run the request; return False if rejected."""
         if not self._progress.may_have_run:
--- a/src/crowsill/gateway/failure_sharing.py
+++ b/src/crowsill/gateway/failure_sharing.py
@@ -67,10 +67,10 @@
         # Services of which the group suspects half or more: then rather gateways lost their links.
         self._doubted_services: set[str] = set()
 
-    def is_on(self, service: str) -> bool:
-        """Whether gateways share their failures to reach replicas of a service."""
-        uses_pace = self._settings.replica_pace and self._registry.reports_pace(service)
-        return self._settings.shared_failures or uses_pace
+    @property
+    def is_on(self) -> bool:
+        """Whether gateways share their failures to reach replicas."""
+        return self._settings.shared_failures
 
     # Reports.
 
@@ -78,7 +78,7 @@
         """Report to the group that this gateway failed to reach a replica."""
         service = record.instance.service
         is_doubted = now_s < self._doubt_ends_at_s.get(service, now_s)
-        takes_part = self.is_on(service) and not is_doubted and not self._links.is_weak(service)
+        takes_part = self.is_on and not is_doubted and not self._links.is_weak(service)
         gateway = self._identity if takes_part else ""
         self._notify(SuspectInstances([record.instance.instance_id], gateway))
 
@@ -94,7 +94,7 @@
 
     def _is_shared(self, instance_id: str) -> bool:
         record = self._registry.find(instance_id)
-        return record is not None and self.is_on(record.instance.service)
+        return record is not None and self.is_on
 
     # The group's word.
 
@@ -161,7 +161,7 @@
 
     def avoidance(self, service: str, now_s: float) -> Callable[[ReplicaRecord], bool] | None:
         """Return what tells whether to choose a replica of a service last; None if none is."""
-        if not self._suspicions.count() or not self.is_on(service):
+        if not self._suspicions.count() or not self.is_on:
             return None
         return lambda record: self.is_suspected(record, now_s)
 
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -224,10 +224,6 @@
         """Return the instances of a service."""
         return self._by_service.get(service, [])
 
-    def reports_pace(self, service: str) -> bool:
-        """Whether any instance of a service reports its pace: it shares its machine with others."""
-        return any(record.pace.has_reports for record in self.of_service(service))
-
     def listed(self) -> list[ReplicaRecord]:
         """Return the instances of all services that don't drain."""
         return [record for record in self._records.values() if not record.availability.is_draining]
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -189,7 +189,7 @@
         """
         now_s = asyncio.get_running_loop().time()
         service = failed.instance.service
-        if self.sharing.is_on(service):
+        if self.sharing.is_on:
             others = self.sharing.others_to_check(failed, self._failures, self._unproven, now_s)
             self._start_checks(others)
             return
--- a/src/crowsill/gateway/request_pressure.py
+++ b/src/crowsill/gateway/request_pressure.py
@@ -82,7 +82,13 @@
             draws=(shared.random.random(), shared.random.random()),
             now_s=now_s,
         )
-        if delay_s is None or self._has_free_room(choose(route)):
+        if delay_s is None:
+            return None
+        choice = choose(route)
+        if not isinstance(choice, Choice) and choice is not NoReplicaReason.ALL_FULL:
+            # A model that is missing, or replicas that are lost, are no lack of room.
+            return None
+        if self._has_free_room(choice):
             return None
         return self._refuse(rank, delay_s)
 
--- a/src/crowsill/gateway/response_estimate.py
+++ b/src/crowsill/gateway/response_estimate.py
@@ -85,7 +85,8 @@
     work_ms = _stream_work_ms(record, request, limits, now_s, with_peers=False)
     if not record.pace.has_reports:
         return Estimate(record, expected_ms, known, stream_work_ms=work_ms)
-    idle_ms = DEFAULT_SERVICE_MS
+    idle_ms = DEFAULT_SERVICE_MS if limits.cost is None else limits.cost.estimate.mean_ms
+    idle_ms *= record.slowness_now(now_s)
     if request.model:
         unread = max(0, request.prompt_tokens - known)
         idle_ms = limits.latency_model.idle_first_event_ms(request.model, unread)
--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -30,9 +30,6 @@
 # or crosses zones.
 ENGINE_MARGIN_MS = 100.0
 SERVICE_MARGIN_MS = DEFAULT_SERVICE_MS
-# Factor on the chance with which a replica that is not the quickest takes part in a choice. Quick
-# replicas have more idle connections, and would otherwise win more choices than their share.
-DRAW_FACTOR = 1.25
 
 
 class NoReplicaReason(StrEnum):
@@ -214,17 +211,20 @@
     with_capacity = [
         record
         for record in open_replicas
-        if (
-            record.in_flight < max_in_flight
-            if not record.pace.has_reports
-            else record.in_flight * max(1.0, record.pace.slow_factor(now_s)) < max_in_flight
-        )
+        if record.in_flight < max_in_flight
         and (
             not record.availability.has_backed_off
             or record.availability.has_capacity(record.in_flight, now_s)
         )
     ]
-    return with_capacity or NoReplicaReason.ALL_FULL
+    # A slow replica is sent its share of the connections only if no other has room.
+    with_room = [
+        record
+        for record in with_capacity
+        if not record.pace.has_reports
+        or record.in_flight * max(1.0, record.pace.slow_factor(now_s)) < max_in_flight
+    ]
+    return with_room or with_capacity or NoReplicaReason.ALL_FULL
 
 
 def _lowest_score(estimates: list[Estimate], random: Random, now_s: float) -> Estimate:
@@ -235,45 +235,57 @@
     return lowest[0] if len(lowest) == 1 else random.choice(lowest)
 
 
-def _by_speed(estimates: list[Estimate], random: Random, now_s: float) -> list[Estimate]:
-    """Return a random part, in which each replica is with a chance in proportion to its speed.
+def _preferred(
+    estimates: list[Estimate], margin_ms: float, random: Random, now_s: float
+) -> Estimate:
+    """Return the replica that is preferred by the gateway's own knowledge.
 
-    The quickest ones are always in it, and all are where no pace is known.
+    Where paces are known, it is drawn among those near the lowest score, in proportion to their
+    speed: what others send to the quickest one is not known yet.
     """
     if not any(item.record.pace.has_reports for item in estimates):
-        return estimates
-    paces = [item.record.pace.factor(now_s) for item in estimates]
-    quickest = min(paces)
-    return [
-        item
-        for item, pace in zip(estimates, paces, strict=True)
-        if pace == quickest or random.random() * pace < quickest * DRAW_FACTOR
-    ]
+        return _lowest_score(estimates, random, now_s)
+    scores = [item.score_ms(now_s) for item in estimates]
+    highest_ms = min(scores) + margin_ms
+    near = [item for item, score in zip(estimates, scores, strict=True) if score <= highest_ms]
+    speeds = [1.0 / item.record.pace.factor(now_s) for item in near]
+    return random.choices(near, speeds)[0]
 
 
 def _best(
     records: list[ReplicaRecord], request: CallerRequest, limits: SelectionLimits, now_s: float
 ) -> Choice:
     """Return the better of two replicas by the requests of all gateways there."""
+    margin_ms = ENGINE_MARGIN_MS if request.model else SERVICE_MARGIN_MS
     own_estimates = [own_estimate(record, request, limits, now_s) for record in records]
-    drawn = _by_speed(own_estimates, limits.random, now_s)
-    preferred = _lowest_score(drawn, limits.random, now_s)
+    preferred = _preferred(own_estimates, margin_ms, limits.random, now_s)
     best = full_estimate(preferred, request, limits, now_s)
-    if len(drawn) == 1:
-        drawn = own_estimates
-    if len(drawn) > 1:
-        alternative = limits.random.choice([item for item in drawn if item is not preferred])
+    if len(own_estimates) > 1:
+        alternative = limits.random.choice(
+            [item for item in own_estimates if item is not preferred]
+        )
         alternative = full_estimate(alternative, request, limits, now_s)
-        margin_ms = ENGINE_MARGIN_MS if request.model else SERVICE_MARGIN_MS
         if alternative.score_ms(now_s) + margin_ms < best.score_ms(now_s):
             best = alternative
     if best.expected_ms > limits.max_expected_ms:
         # Compare all replicas before the request is rejected.
         full_estimates = [full_estimate(item, request, limits, now_s) for item in own_estimates]
-        best = _lowest_score(full_estimates, limits.random, now_s)
+        best = _lowest_score(_within_limit(full_estimates, limits), limits.random, now_s)
     return Choice(best.record, best.expected_ms, best.known_tokens, len(records), limits.cost)
 
 
+def _within_limit(estimates: list[Estimate], limits: SelectionLimits) -> list[Estimate]:
+    """Return the replicas that are expected to respond in time; all if none is.
+
+    The score of a replica also depends on its pace and on the work of its streams, so that the
+    lowest one may belong to a replica beyond the limit.
+    """
+    if limits.cost is None and not any(item.record.pace.has_reports for item in estimates):
+        return estimates
+    within = [item for item in estimates if item.expected_ms <= limits.max_expected_ms]
+    return within or estimates
+
+
 def choose(
     records: list[ReplicaRecord],
     request: CallerRequest,
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -77,6 +77,7 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._turn = self._new_turn(admission)
+        self._has_let_others_go = False
 
     def _new_turn(self, admission: Admission) -> Turn | None:
         """Return the place of the request in the queue; None if requests wait in no order."""
@@ -97,12 +98,16 @@
         """Whether a request that a replica could take lets others go first."""
         if self._turn is None or self._loop.time() >= self._context.wait_limit_at_s():
             return False
+        if self._has_let_others_go:
+            # Those that go first had their turns. They are still here since they need more room.
+            return False
         # Where the queue is full, it is not refused for that: a replica can take it.
         return self._turn.goes_after_others() and self._turn.join(bool(self._progress.tried))
 
     async def wait_for_turn(self) -> None:
         """Wait, as `goes_after_others` said, until the others have had their turns."""
         await self._wait_for_change(CAPACITY_POLL_S)
+        self._has_let_others_go = True
 
     def note_sent(self) -> None:
         """Record that the request is sent to a replica."""
--- a/src/crowsill/overload/level_keeper.py
+++ b/src/crowsill/overload/level_keeper.py
@@ -59,7 +59,7 @@
         reports = self._sums.live(now_s)
         if not reports:
             return None
-        level = self.level(None, now_s)
+        level = self._recent_level(now_s)
         limited = set() if level is None else {item.service for item in level.services}
         total = total_pressure(reports)
         for service, found in total.services.items():
@@ -81,8 +81,7 @@
         """
         if leader_term is None:
             self._end_term()
-            is_recent = now_s - self._received_at_s <= LEVEL_LIFETIME_S
-            return self._received if is_recent else None
+            return self._recent_level(now_s)
         if leader_term != self._term:
             self._begin_term(leader_term, now_s)
         elapsed_s = now_s - self._decided_at_s
@@ -90,6 +89,11 @@
             self._decide(min(elapsed_s, MAX_PAUSE_S), now_s)
         return self._decided
 
+    def _recent_level(self, now_s: float) -> AdmissionLevel | None:
+        """Return the level that the leader told last, unless it is too old."""
+        is_recent = now_s - self._received_at_s <= LEVEL_LIFETIME_S
+        return self._received if is_recent else None
+
     def _end_term(self) -> None:
         """Forget what this member decided as the leader."""
         if self._decided is not None:
--- a/src/crowsill/routing/request_cost.py
+++ b/src/crowsill/routing/request_cost.py
@@ -166,7 +166,8 @@
         """Return the typical cost of a request with this hint."""
         slope = self.covariance / max(MIN_HINT_VARIANCE, self.hint_variance)
         offset = slope * (math.log(min(hint, MAX_HINT)) - self.mean_hint)
-        return math.exp(min(math.log(MAX_TIME_MS), self.mean_cost + offset))
+        predicted_log = min(math.log(MAX_TIME_MS), self.mean_cost + offset)
+        return math.exp(max(math.log(MIN_QUANTILE_MS), predicted_log))
 
     def weight(self) -> float:
         """Return the weight of a hint: the share of the variance that hints explain."""
