--- a/src/crowsill/gateway/selection.py
+++ b/src/crowsill/gateway/selection.py
@@ -30,6 +30,9 @@
 # or crosses zones.
 ENGINE_MARGIN_MS = 100.0
 SERVICE_MARGIN_MS = DEFAULT_SERVICE_MS
+# Factor on the chance with which a replica that is not the quickest takes part in a choice. Quick
+# replicas have more idle connections, and would otherwise win more choices than their share.
+DRAW_FACTOR = 1.25
 
 
 class NoReplicaReason(StrEnum):
@@ -235,36 +238,36 @@
     return lowest[0] if len(lowest) == 1 else random.choice(lowest)
 
 
-def _preferred(
-    estimates: list[Estimate], margin_ms: float, random: Random, now_s: float
-) -> Estimate:
-    """Return the replica that is preferred by the gateway's own knowledge.
+def _by_speed(estimates: list[Estimate], random: Random, now_s: float) -> list[Estimate]:
+    """Return a random part, in which each replica is with a chance in proportion to its speed.
 
-    Where paces are known, it is drawn among those near the lowest score, in proportion to their
-    speed: what others send to the quickest one is not known yet.
+    The quickest ones are always in it, and all are where no pace is known.
     """
     if not any(item.record.pace.has_reports for item in estimates):
-        return _lowest_score(estimates, random, now_s)
-    scores = [item.score_ms(now_s) for item in estimates]
-    highest_ms = min(scores) + margin_ms
-    near = [item for item, score in zip(estimates, scores, strict=True) if score <= highest_ms]
-    speeds = [1.0 / item.record.pace.factor(now_s) for item in near]
-    return random.choices(near, speeds)[0]
+        return estimates
+    paces = [item.record.pace.factor(now_s) for item in estimates]
+    quickest = min(paces)
+    return [
+        item
+        for item, pace in zip(estimates, paces, strict=True)
+        if pace == quickest or random.random() * pace < quickest * DRAW_FACTOR
+    ]
 
 
 def _best(
     records: list[ReplicaRecord], request: CallerRequest, limits: SelectionLimits, now_s: float
 ) -> Choice:
     """Return the better of two replicas by the requests of all gateways there."""
-    margin_ms = ENGINE_MARGIN_MS if request.model else SERVICE_MARGIN_MS
     own_estimates = [own_estimate(record, request, limits, now_s) for record in records]
-    preferred = _preferred(own_estimates, margin_ms, limits.random, now_s)
+    drawn = _by_speed(own_estimates, limits.random, now_s)
+    preferred = _lowest_score(drawn, limits.random, now_s)
     best = full_estimate(preferred, request, limits, now_s)
-    if len(own_estimates) > 1:
-        alternative = limits.random.choice(
-            [item for item in own_estimates if item is not preferred]
-        )
+    if len(drawn) == 1:
+        drawn = own_estimates
+    if len(drawn) > 1:
+        alternative = limits.random.choice([item for item in drawn if item is not preferred])
         alternative = full_estimate(alternative, request, limits, now_s)
+        margin_ms = ENGINE_MARGIN_MS if request.model else SERVICE_MARGIN_MS
         if alternative.score_ms(now_s) + margin_ms < best.score_ms(now_s):
             best = alternative
     if best.expected_ms > limits.max_expected_ms:
