--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -120,6 +120,7 @@
     cuts: bool = True,
     silent_cuts: bool = False,
     parts: bool = False,
+    load_control: bool = False,
     folder: Path = Path("soak-run"),
 ) -> None:
     """Run the real programs under external faults and check all guarantees, for each seed."""
@@ -143,6 +144,7 @@
             has_cuts=cuts,
             has_silent_cuts=silent_cuts,
             has_parts=parts,
+            has_load_control=load_control,
         )
         report = run_soak(plan)
         typer.echo(report.text())
--- a/src/crowsill_lab/soak/runner.py
+++ b/src/crowsill_lab/soak/runner.py
@@ -51,6 +51,8 @@
         has_cuts: Whether gateways also lose their links to all replicas.
         has_silent_cuts: Whether such links may also accept connections and stay silent.
         has_parts: Whether requests have prompts, and one part of prompts crashes replicas.
+        has_load_control: Whether gateways have all decisions under load switched on; only without
+            redirectors.
     """
 
     seed: int
@@ -64,6 +66,7 @@
     has_cuts: bool = False
     has_silent_cuts: bool = False
     has_parts: bool = False
+    has_load_control: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -305,7 +308,7 @@
 def _site_of(plan: SoakPlan) -> SoakSite | SeededSite:
     if plan.redirectors:
         return SeededSite(plan.folder, plan.members, plan.gateways, plan.redirectors)
-    return SoakSite(plan.folder, plan.members, plan.gateways)
+    return SoakSite(plan.folder, plan.members, plan.gateways, plan.has_load_control)
 
 
 def run_soak(plan: SoakPlan) -> SoakReport:
--- a/src/crowsill_lab/soak/site.py
+++ b/src/crowsill_lab/soak/site.py
@@ -16,6 +16,9 @@
 READINESS_LAG_S = 0.5
 START_TIMEOUT_S = 10.0
 
+# Switches of `[gateway.load_control]` that are off by default.
+LOAD_CONTROL_SWITCHES = ("ordered_waiting", "shared_admission", "shared_failures", "cost_estimates")
+
 
 def _address(port: int) -> str:
     return f'{{ host = "{HOST}", port = {port} }}'
@@ -103,8 +106,13 @@
         """Return the current uninterrupted run."""
         return GatewayRun(self.name, self.starts, self.interruptions)
 
-    def settings(self, members: list[Member]) -> str:
-        """Return the settings file's text."""
+    def settings(self, members: list[Member], has_load_control: bool = False) -> str:
+        """Return the settings file's text.
+
+        Args:
+            members: The control members.
+            has_load_control: Whether all decisions under load are switched on.
+        """
         seeds = ", ".join(_address(member.peer_port) for member in members)
         lines = [
             f'node = "{self.name}"',
@@ -117,14 +125,20 @@
             f"grace_s = {DRAIN_GRACE_S}",
             f"readiness_lag_s = {READINESS_LAG_S}",
         ]
+        if has_load_control:
+            lines.append("[gateway.load_control]")
+            lines.extend(f"{name} = true" for name in LOAD_CONTROL_SWITCHES)
         return "\n".join(lines) + "\n"
 
 
 class SoakSite:
     """All processes of a soak whose control members are listed in the settings."""
 
-    def __init__(self, folder: Path, members: int, gateways: int) -> None:
+    def __init__(
+        self, folder: Path, members: int, gateways: int, has_load_control: bool = False
+    ) -> None:
         self._folder = folder
+        self._has_load_control = has_load_control
         self.members = [Member(number) for number in range(members)]
         self.gateways = [Gateway(number) for number in range(gateways)]
 
@@ -137,7 +151,9 @@
             text = member.settings(self.members, self._folder)
             member.process = self._start(member.name, text)
         for gateway in self.gateways:
-            gateway.process = self._start(gateway.name, gateway.settings(self.members))
+            gateway.process = self._start(
+                gateway.name, gateway.settings(self.members, self._has_load_control)
+            )
             gateway.starts = 1
         for member in self.members:
             wait_for_port(member.registration_port, START_TIMEOUT_S)
