Review case 5: a half answer appears complete after a crash beside a slow client

An answer without a length ends with its connection, and the gateway asks whether the replica still runs. It takes a connection that it does not read, because its client is slow, for one that the replica keeps open, although the replica was killed: the half of the body goes out as a whole 200.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -17,6 +17,7 @@
 import time
 import tomllib
 from pathlib import Path
+from types import SimpleNamespace
 
 ROOT = Path(__file__).resolve().parents[2]
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -51,12 +52,14 @@
 class Record:
     """The record of a run: one line an event, with the seconds since the start."""
 
-    def __init__(self, folder):
-        self._file = (Path(folder) / "record.txt").open("w", encoding="utf-8", buffering=1)
-        self._start_s = time.monotonic()
+    def __init__(self, folder, start_s=None):
+        """Begin a record, or go on with that of another process that began at `start_s`."""
+        mode = "w" if start_s is None else "a"
+        self._file = (Path(folder) / "record.txt").open(mode, encoding="utf-8", buffering=1)
+        self.start_s = time.monotonic() if start_s is None else start_s
 
     def __call__(self, *words):
-        line = f"{time.monotonic() - self._start_s:8.3f}  " + " ".join(str(word) for word in words)
+        line = f"{time.monotonic() - self.start_s:8.3f}  " + " ".join(str(word) for word in words)
         self._file.write(line + "\n")
 
 
@@ -181,6 +184,8 @@
 
     def __init__(self, case_folder, core=5, fronts=2):
         self.record = Record(case_folder)
+        # Processes of replicas.
+        self.processes = []
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.zones = ["hobart-hall", "kingston-hall", "glenorchy-hall"]
         ports = free_ports(4)
@@ -229,6 +234,10 @@
 
     def stop(self):
         """End all processes that were started, and remove the temporary folder."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         for node in self.nodes:
             if node.process is not None and node.process.poll() is None:
                 node.process.send_signal(signal.SIGCONT)
@@ -359,14 +368,9 @@
         return self
 
     def crash(self):
-        """End at once: the port is closed, and all connections are reset."""
+        """End at once, as by a kill: the port and all connections are closed."""
         self.site.record("replica", self.id, "crashes")
-        self._server.close()
-        self._beats.cancel()
-        for writer in list(self._writers):
-            writer.transport.abort()
-        for task in list(self._running):
-            task.cancel()
+        self.stop()
 
     def stop(self):
         self._server.close()
@@ -504,6 +508,59 @@
         return 202
 
 
+class RemoteSite:
+    """What a replica in a process of its own knows of the site."""
+
+    def __init__(self, folder, start_s, zones, addresses):
+        self.record = Record(folder, start_s)
+        self.zones = zones
+        self.core = [SimpleNamespace(control=address) for address in addresses]
+
+
+class ReplicaProcess:
+    """A replica in a process of its own, so that it can be killed."""
+
+    def __init__(self, site, script, number):
+        self.site = site
+        told = {
+            "start_s": site.record.start_s,
+            "zones": site.zones,
+            "addresses": [node.control for node in site.core],
+            "number": number,
+        }
+        self.number = number
+        self._process = subprocess.Popen(
+            [sys.executable, str(script), "replica", json.dumps(told)], stdin=subprocess.DEVNULL
+        )
+        site.processes.append(self._process)
+
+    def kill(self):
+        """Kill the process and wait for its end."""
+        self.site.record("replica", self.number, "is killed (SIGKILL)")
+        self._process.kill()
+        self._process.wait()
+
+
+def run_replica(make, case_folder, told):
+    """Run a replica in this process until it is killed.
+
+    Args:
+        make: Makes the replica, from a site and its number.
+        case_folder: Folder of the case.
+        told: What the process that started this one tells it.
+    """
+    known = json.loads(told)
+    addresses = [tuple(address) for address in known["addresses"]]
+    site = RemoteSite(case_folder, known["start_s"], known["zones"], addresses)
+
+    async def serve():
+        await make(site, known["number"]).start()
+        # Not for ever, should the case end without its replicas.
+        await asyncio.sleep(130.0)
+
+    asyncio.run(serve())
+
+
 def finish(site, status, text):
     """Record the result, print it, and return the exit code."""
     site.record("RESULT", status, text)
