--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 REPLICAS, MODELS_EACH = 6, 3
 REQUESTS_PER_S = 40.0
 # Both disruptions strike one replica of six for 5 s, then another one, and so on.
-WINDOWS, WINDOW_S, PAUSE_S = 12, 5.0, 3.0
+WINDOWS, WINDOW_S, PAUSE_S = 11, 5.0, 3.0
 SHED_SHARE = 0.45
 COPIED_SHARE = 0.03
 RETRY_AFTER_S = 0.15
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -47,6 +47,8 @@
     "ceilingOver": 1.1,
 }
 HELD, BROKEN, UNUSABLE = 0, 1, 2
+# Core machines have 127.0.1.x, front machines 127.0.2.x, replicas 127.0.3.x.
+FIRST_IP = "127.0.1.1"
 
 
 class Record:
@@ -64,10 +66,10 @@
 
 
 def free_ports(number):
-    """Return ports that are free on all addresses."""
+    """Return ports that are free on a loopback address that only these stand-ins use."""
     sockets = [socket.socket() for _ in range(number)]
     for item in sockets:
-        item.bind(("", 0))
+        item.bind((FIRST_IP, 0))
     ports = [item.getsockname()[1] for item in sockets]
     for item in sockets:
         item.close()
@@ -210,7 +212,7 @@
                 try:
                     for port in range(first, first + 8):
                         with socket.socket() as item:
-                            item.bind(("", port))
+                            item.bind((FIRST_IP, port))
                 except OSError:
                     continue
                 return [first, first + 7]
@@ -272,7 +274,7 @@
         """Make one call of the operator to one machine; return status and body, 0 for silence."""
         body = b"" if document is None else json.dumps(document).encode()
         try:
-            status, headers, answer = await http(
+            status, _, answer = await http(
                 node.control, method, path, {"Content-Type": "application/json"}, body, timeout_s
             )
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
