--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,14 +8,14 @@
 from collections import Counter
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from configuration import HOST, document, engine_service, stream_route
 from standins import BROKEN, HELD, UNUSABLE, Replica, encode, finish, http, run_case
 
-REPLICAS, MODELS_EACH = 6, 3
-REQUESTS_PER_S = 40.0
-# Both disruptions strike one replica of six for 5 s, then another one, and so on.
+REPLICAS, MODELS_EACH = 8, 3
+REQUESTS_PER_S = 54.0
+# Both disruptions strike one replica of eight (0.125, where the site has 0.14) for 5 s, then another one, and so on.
 WINDOWS, WINDOW_S, PAUSE_S = 11, 5.0, 3.0
 SHED_SHARE = 0.45
 COPIED_SHARE = 0.03
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from configuration import HOST, document, engine_service, stream_route
 from standins import BROKEN, HELD, UNUSABLE, Replica, encode, finish, read_head, run_case
--- a/review/common/standins.py
+++ b/review/standins.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 HEARTBEAT_S = 1.2
 BOUNDS = {
@@ -532,7 +532,7 @@
         }
         self.number = number
         self._process = subprocess.Popen(
-            [sys.executable, str(script), "replica", json.dumps(told)], stdin=subprocess.DEVNULL
+            [sys.executable, "-B", str(script), "replica", json.dumps(told)], stdin=subprocess.DEVNULL
         )
         site.processes.append(self._process)
 
