Gateway: a request id is sent once on a connection, so a late copy answers nothing

Cause: responses are matched by request id, which does not tell two sends of one request apart. A request that was sent again after a rejection went out on the connection of the rejection, where a late copy of it was taken for the second response. Change: a connection that carried an id is not used for it again, to replicas and to other gateways; after 512 requests it is not used again, which bounds what it remembers without forgetting any.

--- a/src/crowsill/gateway/peers/sender.py
+++ b/src/crowsill/gateway/peers/sender.py
@@ -130,7 +130,7 @@
     async def _connect(self, peer: PeerOffer, deadline_at_s: float) -> ReplicaConnection:
         instance = Instance(peer.address, "", peer.address, peer.zone, 1)
         timeout_s = min(CONNECT_TIMEOUT_S, deadline_at_s - self._loop.time())
-        return await self._context.peers.pool.acquire(instance, timeout_s)
+        return await self._context.peers.pool.acquire(instance, timeout_s, self._request.request_id)
 
     async def _run(
         self,
--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -85,36 +85,53 @@
         times = [connection.received_at_s for connection in pool.busy]
         return max([pool.received_at_s, *times])
 
-    def _take_idle(self, pool: _InstancePool, now_s: float) -> ReplicaConnection | None:
-        while pool.idle:
-            connection = pool.idle.pop()
+    def _take_idle(
+        self, pool: _InstancePool, request_id: bytes, now_s: float
+    ) -> ReplicaConnection | None:
+        """Take the connection that was released last of those that may carry a request."""
+        for connection in reversed(pool.idle):
             if (
-                connection.is_open
-                and connection.is_reusable
-                and now_s < connection.idle_expires_at_s
+                not connection.is_open
+                or not connection.is_reusable
+                or now_s >= connection.idle_expires_at_s
             ):
+                pool.idle.remove(connection)
+                connection.discard()
+            elif connection.may_carry(request_id):
+                pool.idle.remove(connection)
                 return connection
-            connection.discard()
         return None
 
-    def acquire_idle(self, instance_id: str) -> ReplicaConnection | None:
-        """Return an idle connection for exclusive use, or None if there is none."""
+    def acquire_idle(self, instance_id: str, request_id: bytes = b"") -> ReplicaConnection | None:
+        """Return an idle connection for exclusive use, or None if there is none.
+
+        Args:
+            instance_id: The instance.
+            request_id: Id of the request to be sent; empty for one without an id.
+        """
         pool = self._pools.get(instance_id)
         if pool is None:
             return None
-        connection = self._take_idle(pool, self._loop.time())
+        connection = self._take_idle(pool, request_id, self._loop.time())
         if connection is not None:
             pool.in_use += 1
             pool.busy.add(connection)
         return connection
 
-    async def acquire(self, instance: Instance, timeout_s: float) -> ReplicaConnection:
+    async def acquire(
+        self, instance: Instance, timeout_s: float, request_id: bytes = b""
+    ) -> ReplicaConnection:
         """Return an idle connection, or open a new one, for exclusive use.
 
+        Args:
+            instance: The instance.
+            timeout_s: Time to open a connection.
+            request_id: Id of the request to be sent; empty for one without an id.
+
         Raises:
             ConnectError: No connection could be opened in time; nothing was sent.
         """
-        connection = self.acquire_idle(instance.instance_id)
+        connection = self.acquire_idle(instance.instance_id, request_id)
         if connection is None:
             return await self.open_connection(instance, timeout_s)
         return connection
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -17,6 +17,8 @@
 from crowsill.gateway.message_bounds import MessageBounds
 from crowsill.metrics import UNUSABLE_RESPONSE_BYTES, UNUSABLE_RESPONSES
 
+# Bounds the ids that a connection remembers.
+MAX_REQUESTS_PER_CONNECTION = 512
 # A replica that sends no `Keep-Alive: timeout` is assumed to keep idle connections this long.
 DEFAULT_IDLE_S = 60.0
 IDLE_MARGIN_S = 1.0
@@ -91,6 +93,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._sink: ResponseSink | None = None
         self._request_id = b""
+        # Hashes of the ids of requests that were sent on this connection.
+        self._carried_ids: set[int] = set()
         self._is_head_request = False
         self._framing = Framing.UNKNOWN
         self._received_eof = False
@@ -108,6 +112,14 @@
         self._incomplete_timer: asyncio.TimerHandle | None = None
         self._reset_message()
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Whether a request with this id may be sent.
+
+        An id is sent once on a connection: a late copy of the first response to it could not be
+        told from the second response. Requests without an id may always be sent.
+        """
+        return not request_id or hash(request_id) not in self._carried_ids
+
     @property
     def response_bytes(self) -> int:
         """Bytes received since the last request was sent."""
@@ -202,6 +214,10 @@
             sink: Receives the response.
         """
         self.requests += 1
+        if request_id:
+            self._carried_ids.add(hash(request_id))
+        if self.requests >= MAX_REQUESTS_PER_CONNECTION:
+            self.is_reusable = False
         self._sink = sink
         self._request_id = request_id
         self._is_head_request = is_head_request
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -106,7 +106,7 @@
         silence_check: asyncio.TimerHandle | None = None
         try:
             connection = await context.pool.acquire(
-                record.instance, deadline_at_s - self._loop.time()
+                record.instance, deadline_at_s - self._loop.time(), request.request_id
             )
             attempt = self._new_attempt(route, record, connection, closes_connection)
             origin = StreamOrigin(record.instance.service, record.instance.software_version)
