Control: values that can't be recorded are rejected where they enter, and end no member

Cause: whole numbers of any size were accepted, and an exception while one command was encoded ended the loop that drives the group. Change: versions have 64 bits and other whole numbers at most 2^53, checked as documents are decoded at every entry, with a 4xx that names field and bound; nesting that is too deep is a 4xx, too. A command is encoded and decoded before it is proposed, and rejected alone if that fails; one that fails as it is applied does not end the member. The wrapper of one test passes the new argument of ConnectionPool.acquire on.

--- a/src/crowsill/api/operators.py
+++ b/src/crowsill/api/operators.py
@@ -18,6 +18,7 @@
 from crowsill.constants import MAX_BODY_BYTES
 from crowsill.control.operations import LiftRequest, OperatorService
 from crowsill.errors import ErrorKind, Problem
+from crowsill.json_input import decode_json
 from crowsill.model.configuration import ConfigurationChange, ConfigurationContent
 from crowsill.tokens import bearer_digest
 from crowsill.transport.membership_messages import MemberAction, MembersRequest
@@ -91,10 +92,8 @@
     body = await read_body(request, MAX_BODY_BYTES)
     if not isinstance(body, Success):
         return body
-    try:
-        return Success(decoder.decode(body.unwrap()))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(Problem(ErrorKind.INVALID_REQUEST, str(error)))
+    decoded = decode_json(body.unwrap(), decoder)
+    return decoded.alt(lambda fault: Problem(ErrorKind.INVALID_REQUEST, fault))
 
 
 class PlanResource(_Resource):
--- a/src/crowsill/api/registrations.py
+++ b/src/crowsill/api/registrations.py
@@ -17,8 +17,11 @@
 from crowsill.constants import MAX_BODY_BYTES
 from crowsill.control.registrations import Registrations
 from crowsill.errors import ErrorKind, Problem
+from crowsill.json_input import decode_json
 from crowsill.model.instances import ReplicaHeartbeat, instance_fault
 
+_heartbeat_decoder = msgspec.json.Decoder(ReplicaHeartbeat)
+
 
 class HeartbeatResponse(msgspec.Struct, frozen=True):
     """The response to a heartbeat.
@@ -83,12 +86,12 @@
         if not isinstance(body, Success):
             write_problem(response, body.failure(), request_id_of(request))
             return
-        try:
-            heartbeat = msgspec.json.decode(body.unwrap(), type=ReplicaHeartbeat)
-        except msgspec.DecodeError as error:
-            problem = Problem(ErrorKind.INVALID_REQUEST, f"heartbeat: {error}")
+        decoded = decode_json(body.unwrap(), _heartbeat_decoder)
+        if not isinstance(decoded, Success):
+            problem = Problem(ErrorKind.INVALID_REQUEST, f"heartbeat: {decoded.failure()}")
             write_problem(response, problem, request_id_of(request))
             return
+        heartbeat = decoded.unwrap()
         if heartbeat.instance.instance_id != instance_id:
             problem = Problem(
                 ErrorKind.INVALID_REQUEST, "the instance id differs from that in the path"
--- a/src/crowsill/backends/http_control.py
+++ b/src/crowsill/backends/http_control.py
@@ -26,6 +26,15 @@
 }
 
 
+_CALL_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    TimeoutError,
+    msgspec.DecodeError,
+    RecursionError,
+)
+
+
 class HttpControl:
     """Implements `EnginePort` and `PlatformPort`."""
 
@@ -51,7 +60,7 @@
         try:
             content = await self._get(f"http://{replica.address}{PATH_REPORT}")
             return Success(msgspec.json.decode(content, type=ReplicaReport))
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError) as error:
+        except _CALL_ERRORS as error:
             failure = CallFailure(Outcome.NOT_RUN, FailureReason.UNREACHABLE, repr(error))
             return Failure(failure)
 
@@ -79,7 +88,7 @@
         try:
             content = await self._get(f"http://{self._platform_list}{PATH_MACHINES}")
             return Success(msgspec.json.decode(content, type=MachineList).machines)
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError) as error:
+        except _CALL_ERRORS as error:
             return Failure(repr(error))
 
     async def close(self) -> None:
--- a/src/crowsill/control/driver.py
+++ b/src/crowsill/control/driver.py
@@ -18,15 +18,17 @@
 from crowsill.logs import log_event
 from crowsill.metrics import COMMIT_S, COMMITS, INVARIANT_FAILURES
 from crowsill.state.commands import (
+    Acknowledged,
     Command,
     CommandResult,
+    command_fault,
     decode_batch,
     encode_batch,
     stops_attempts,
 )
 from crowsill.state.machine import StateMachine
 from crowsill.storage.journal import Journal
-from crowsill.transport.messages import NotLeader, OutcomeUnknown, Submitted
+from crowsill.transport.messages import CommandRejected, NotLeader, OutcomeUnknown, Submitted
 
 SNAPSHOT_JOURNAL_BYTES = 16 * 1024 * 1024
 SNAPSHOT_RETAINED_ENTRIES = 500
@@ -37,7 +39,7 @@
 SLOW_SAVE_THRESHOLD_S = 0.3
 STALL_THRESHOLD_S = 0.3
 
-SubmitResult = Submitted | NotLeader | OutcomeUnknown
+SubmitResult = Submitted | NotLeader | OutcomeUnknown | CommandRejected
 
 
 @dataclass(slots=True)
@@ -142,8 +144,13 @@
     async def submit(self, command: Command) -> SubmitResult:
         """Commit and apply a command.
 
-        The leader stamps it with its own wall clock.
+        The leader stamps it with its own wall clock. A command that can't be encoded is rejected by
+        itself: in a batch it would fail the others, and end this member.
         """
+        fault = command_fault(command)
+        if fault is not None:
+            log_event(Event.COMMAND_REJECTED, detail=fault)
+            return CommandRejected(fault)
         if not self.is_leader or self._stopping:
             return NotLeader(self.leader_address())
         stamped = msgspec.structs.replace(command, at_s=wall_s())
@@ -272,15 +279,31 @@
             return []
         results: list[CommandResult] = []
         for command in decode_batch(entry.data):
-            result = self.machine.apply(command)
+            result = self._apply_command(command)
             results.append(result)
-            self._on_applied(command, result)
             # Followers apply this with the leader's next message, and gateways keep sending
             # requests until the followers have applied it.
             self._must_announce_commit = self._must_announce_commit or stops_attempts(command)
         COMMITS.inc(len(results))
         return results
 
+    def _apply_command(self, command: Command) -> CommandResult:
+        """Apply a command and publish its effect.
+
+        A command that fails has failed in the same way at all members, which hold the same state,
+        and would fail again after each restart.
+        """
+        try:
+            result = self.machine.apply(command)
+            self._on_applied(command, result)
+        except (InvariantError, MemoryError, RecursionError):
+            raise
+        except Exception as error:
+            where = f"apply {type(command).__name__} at {self.applied_index}"
+            log_event(Event.INTERNAL_ERROR, where=where, error=repr(error))
+            return Acknowledged(False)
+        return result
+
     def _resolve_batch(self, entry: LogEntry, results: list[CommandResult]) -> None:
         batch = self._proposed.pop(entry.index, None)
         if batch is None:
--- a/src/crowsill/control/operations.py
+++ b/src/crowsill/control/operations.py
@@ -25,6 +25,7 @@
     ClearSuspects,
     ConfigurationDecision,
     ConfigurationResult,
+    command_fault,
 )
 from crowsill.state.configuration_store import AcceptedChange
 from crowsill.state.machine import StateMachine
@@ -178,8 +179,11 @@
 
     async def submit(self, change: ConfigurationChange) -> Result[ConfigurationResult, Problem]:
         """Submit a change, here or through the leader."""
-        command = SubmitCommand(ChangeConfiguration(change, 0.0))
-        reply = await self._query_leader(command)
+        command = ChangeConfiguration(change, 0.0)
+        fault = command_fault(command)
+        if fault is not None:
+            return Failure(Problem(ErrorKind.CONFIGURATION_INVALID, fault))
+        reply = await self._query_leader(SubmitCommand(command))
         if not isinstance(reply, Submitted) or not isinstance(reply.result, ConfigurationResult):
             detail = "no leader responded; the change may or may not be accepted: send it again"
             return Failure(Problem(ErrorKind.NO_LEADER, detail))
--- a/src/crowsill/control/registrations.py
+++ b/src/crowsill/control/registrations.py
@@ -24,7 +24,7 @@
 from crowsill.state.commands import Command, PublishRoutes, RecordHeartbeat, RemoveInstance
 from crowsill.state.machine import StateMachine
 from crowsill.transport.connection import ConnectionLostError
-from crowsill.transport.messages import SubmitCommand, Submitted
+from crowsill.transport.messages import CommandRejected, SubmitCommand, Submitted
 
 HEARTBEAT_TIMEOUT_S = 0.9
 PUBLISH_TIMEOUT_S = 3.0
@@ -67,8 +67,12 @@
         self._routed_services: frozenset[str] = frozenset()
         self._routed_services_version = 0
 
-    async def _commit(self, command: Command, timeout_s: float) -> bool:
-        """Commit a command through the leader; return whether the commit is confirmed."""
+    async def _commit(self, command: Command, timeout_s: float) -> Result[None, Problem]:
+        """Commit a command through the leader.
+
+        Returns:
+            A problem if the command is invalid, or if its commit is not confirmed in time.
+        """
         deadline_at_s = monotonic_s() + timeout_s
         while monotonic_s() < deadline_at_s:
             try:
@@ -77,9 +81,11 @@
             except (ConnectionLostError, TimeoutError):
                 reply = None
             if isinstance(reply, Submitted):
-                return True
+                return Success(None)
+            if isinstance(reply, CommandRejected):
+                return Failure(Problem(ErrorKind.INVALID_REQUEST, reply.detail))
             await asyncio.sleep(RETRY_INTERVAL_S)
-        return False
+        return Failure(Problem(ErrorKind.NO_LEADER, "no majority confirmed it; it may be recorded"))
 
     async def record_heartbeat(self, heartbeat: ReplicaHeartbeat) -> Result[str, Problem]:
         """Record a heartbeat.
@@ -104,9 +110,8 @@
             self._newest_sequence[instance_id] = heartbeat.sequence
         if is_late or not directory.would_change(heartbeat):
             return Success(self._service.leader_host())
-        if not await self._commit(RecordHeartbeat(heartbeat), HEARTBEAT_TIMEOUT_S):
-            return Failure(Problem(ErrorKind.NO_LEADER, "no majority recorded the heartbeat"))
-        return Success(self._service.leader_host())
+        recorded = await self._commit(RecordHeartbeat(heartbeat), HEARTBEAT_TIMEOUT_S)
+        return recorded.map(lambda _: self._service.leader_host())
 
     async def deregister(self, replica: str) -> Result[None, Problem]:
         """Record that a replica is gone, by its name: the incarnations known to this member.
@@ -115,8 +120,9 @@
         """
         instance_ids = self._machine.directory.instances_of(replica) or [replica]
         for instance_id in instance_ids:
-            if not await self._commit(RemoveInstance(instance_id), HEARTBEAT_TIMEOUT_S):
-                return Failure(Problem(ErrorKind.NO_LEADER, "no majority recorded the removal"))
+            removed = await self._commit(RemoveInstance(instance_id), HEARTBEAT_TIMEOUT_S)
+            if not isinstance(removed, Success):
+                return removed
             self._newest_sequence.pop(instance_id, None)
             self._service.liveness.forget(instance_id)
         return Success(None)
@@ -146,10 +152,11 @@
             return Failure(Problem(ErrorKind.CONFIGURATION_INVALID, decoded.failure()))
         version = decoded.unwrap().version
         command = PublishRoutes(compress_document(version, content))
-        if not await self._commit(command, PUBLISH_TIMEOUT_S):
-            detail = f"version {version}: no majority confirmed it; it may be active"
-            log_event(Event.ROUTES_REFUSED, version=version, detail=detail)
-            return Failure(Problem(ErrorKind.NO_LEADER, detail))
+        published = await self._commit(command, PUBLISH_TIMEOUT_S)
+        if not isinstance(published, Success):
+            problem = published.failure()
+            log_event(Event.ROUTES_REFUSED, version=version, detail=problem.detail)
+            return Failure(Problem(problem.kind, f"version {version}: {problem.detail}"))
         return Success(version)
 
     async def current_routes(self) -> Result[PublishedRoutes, Problem]:
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -19,7 +19,7 @@
 from crowsill.events import Event
 from crowsill.logs import log_event
 from crowsill.settings import Address
-from crowsill.state.commands import PublishRoutes
+from crowsill.state.commands import PublishRoutes, command_fault
 from crowsill.transport.connection import Connection, ConnectionLostError
 from crowsill.transport.group_contacts import GroupContacts
 from crowsill.transport.leader_client import format_address
@@ -35,6 +35,7 @@
 )
 from crowsill.transport.messages import (
     Body,
+    CommandRejected,
     ConsensusTraffic,
     Freshness,
     GrantRequest,
@@ -231,6 +232,9 @@
         driver = self.driver
         if driver is None:
             return NotLeader(None)
+        fault = command_fault(request.command)
+        if fault is not None:
+            return CommandRejected(fault)
         if driver.is_leader:
             return await self.handle_as_leader(request, driver)
         stream = self.leader_stream
--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -240,6 +240,9 @@
         "INFO",
         "A leader reported the location of the control group to this process without a request.",
     )
+    COMMAND_REJECTED = EventDefinition(
+        319, "WARNING", "A command can't be a log entry and was not proposed; the line says why."
+    )
 
     CONFIGURATION_ACCEPTED = EventDefinition(400, "INFO", "A configuration change was committed.")
     CONFIGURATION_REFUSED = EventDefinition(401, "INFO", "A configuration change was rejected.")
--- a/src/crowsill/model/configuration.py
+++ b/src/crowsill/model/configuration.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from crowsill.json_input import WholeNumber
+
 from crowsill.constants import MAX_IDENTIFIER_LENGTH
 
 Name = Annotated[
@@ -158,7 +160,7 @@
     """
 
     change_id: str
-    base_revision: int
+    base_revision: WholeNumber
     content: ConfigurationContent
     author: str = ""
 
--- a/src/crowsill/model/instances.py
+++ b/src/crowsill/model/instances.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from crowsill.json_input import WholeNumber
+
 # Each request carries the replica's name in a header, which restricts its characters.
 _REPLICA_NAME = re.compile(r"[A-Za-z0-9._:@-]+")
 MAX_PORT = 65535
@@ -29,7 +31,7 @@
     """A model that an engine has loaded, with its loaded adapters."""
 
     name: str
-    version: int = 1
+    version: WholeNumber = 1
     adapters: list[str] = []
 
 
@@ -72,14 +74,14 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: WholeNumber
     state: InstanceState = InstanceState.READY
     models: list[LoadedModel] = []
     in_memory: list[str] = []
     on_disk: list[str] = []
     loading: list[LoadingModel] = []
     replica: str = ""
-    started_ms: int = 0
+    started_ms: WholeNumber = 0
     software_version: str = ""
 
     @property
@@ -161,4 +163,4 @@
     """A heartbeat of a replica: its description and the sequence number of the heartbeat."""
 
     instance: Instance
-    sequence: int
+    sequence: WholeNumber
--- a/src/crowsill/model/route_codec.py
+++ b/src/crowsill/model/route_codec.py
@@ -11,12 +11,16 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from crowsill.json_input import decode_json
 from crowsill.model.routes import RouteConfiguration, route_faults
 from crowsill.state.route_store import RouteDocument
 
 COMPRESSION_LEVEL = 1
 
 
+_decoder = msgspec.json.Decoder(RouteConfiguration)
+
+
 class RouteCodec(Protocol):
     """Decodes route documents of one format."""
 
@@ -33,10 +37,7 @@
 
     def decode(self, content: bytes) -> Result[RouteConfiguration, str]:
         """Decode a document."""
-        try:
-            return Success(msgspec.json.decode(content, type=RouteConfiguration))
-        except msgspec.DecodeError as error:
-            return Failure(str(error))
+        return decode_json(content, _decoder)
 
 
 def decode_and_check(codec: RouteCodec, content: bytes) -> Result[RouteConfiguration, str]:
--- a/src/crowsill/model/routes.py
+++ b/src/crowsill/model/routes.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from crowsill.json_input import Version, WholeNumber
 from crowsill.model.tenants import Tenant, tenant_faults
 
 
@@ -54,8 +55,8 @@
     services: list[WeightedService]
     target_latency_ms: float = 1000.0
     target_gap_ms: float = 0.0
-    rank: int = 5
-    max_attempts: int = 1
+    rank: WholeNumber = 5
+    max_attempts: WholeNumber = 1
     sticky: bool = False
     resumable: bool = False
     public: bool = False
@@ -84,7 +85,7 @@
     load_s: float = 10.0
     host_load_s: float = 10.0
     disk_load_s: float = 10.0
-    adapters: int = 0
+    adapters: WholeNumber = 0
     adapter_memory_mb: float = 0.0
 
 
@@ -101,9 +102,9 @@
     """
 
     memory_mb: float
-    adapter_slots: int
-    batch_slots: int
-    cache_tokens: int
+    adapter_slots: WholeNumber
+    batch_slots: WholeNumber
+    cache_tokens: WholeNumber
     store_loads_per_s: float
     models: list[ModelWeights]
 
@@ -124,7 +125,7 @@
     """
 
     name: str
-    max_connections: int
+    max_connections: WholeNumber
     engine: EngineLimits | None = None
     probe_path: str = ""
 
@@ -132,8 +133,8 @@
 class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on the size of a caller's request and on the time to send it."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: WholeNumber = 16384
+    max_body_bytes: WholeNumber = 4 * 1024 * 1024
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
@@ -141,7 +142,7 @@
 class RouteConfiguration(msgspec.Struct, frozen=True):
     """All routes, services and tenants of one version; without tenants, callers need no key."""
 
-    version: int = 0
+    version: Version = 0
     routes: list[Route] = []
     services: list[ServiceDefinition] = []
     limits: CallerLimits = CallerLimits()
--- a/src/crowsill/model/tenants.py
+++ b/src/crowsill/model/tenants.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from crowsill.json_input import WholeNumber
 from crowsill.model.configuration import Sha256Hex
 
 
@@ -34,7 +35,7 @@
 
     name: str
     key_sha256: list[Sha256Hex] = []
-    rank: int | None = None
+    rank: WholeNumber | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
     unit: RateUnit = RateUnit.REQUESTS
--- a/src/crowsill/pipeline/classify.py
+++ b/src/crowsill/pipeline/classify.py
@@ -15,6 +15,7 @@
     MAX_IDENTIFIER_LENGTH,
 )
 from crowsill.errors import ErrorKind, Problem
+from crowsill.json_input import decode_json
 from crowsill.model.configuration import Urgency
 from crowsill.model.request import ClassifiedRequest, RequestTarget
 from crowsill.pipeline.incoming import IncomingRequest
@@ -84,10 +85,10 @@
 def _parse_completion(request: IncomingRequest) -> Result[_CompletionBody, Problem]:
     if request.method != "POST":
         return _invalid("completions require the method POST")
-    try:
-        body = _completion_decoder.decode(request.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return _invalid(f"body: {error}")
+    decoded = decode_json(request.body, _completion_decoder)
+    if not isinstance(decoded, Success):
+        return _invalid(f"body: {decoded.failure()}")
+    body = decoded.unwrap()
     if not body.messages and not body.prompt:
         return _invalid("one of prompt and messages is required")
     return Success(body)
--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -420,6 +420,21 @@
     return msgspec.msgpack.encode(commands)
 
 
+def command_fault(command: Command) -> str | None:
+    """Return why a command can't be a log entry; None if all members can decode it.
+
+    >>> command_fault(RemoveInstance("i-1")) is None
+    True
+    >>> command_fault(PublishRoutes(RouteDocument(2**64, b""))).split(":")[:2]
+    ['publish-routes', ' OverflowError']
+    """
+    try:
+        decode_batch(encode_batch([command]))
+    except (OverflowError, TypeError, ValueError, RecursionError, msgspec.MsgspecError) as error:
+        return f"{type(command).__struct_config__.tag}: {type(error).__name__}: {error}"
+    return None
+
+
 def decode_batch(data: bytes) -> list[Command]:
     """Decode the commands of one log entry."""
     return _batch_decoder.decode(data)
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -195,6 +195,16 @@
     """The command may or may not be committed: the member lost leadership while it was pending."""
 
 
+class CommandRejected(msgspec.Struct, frozen=True, tag="command-rejected"):
+    """The command can't be a log entry and was not proposed.
+
+    Attributes:
+        detail: What is wrong with it.
+    """
+
+    detail: str
+
+
 class Freshness(msgspec.Struct, frozen=True, tag="currency"):
     """The current versions, confirmed under the leader's lease.
 
@@ -315,6 +325,7 @@
     | NotLeader
     | MemberBehind
     | OutcomeUnknown
+    | CommandRejected
     | Freshness
     | ConfigurationUpdate
     | FleetUpdate
--- a/tests/test_replica_signals.py
+++ b/tests/test_replica_signals.py
@@ -221,8 +221,8 @@
             await asyncio.sleep(0)
             opened = here.role.pool.acquire
 
-            async def acquire_and_back_off(instance, timeout_s):
-                connection = await opened(instance, timeout_s)
+            async def acquire_and_back_off(instance, timeout_s, request_id):
+                connection = await opened(instance, timeout_s, request_id)
                 if instance.instance_id == "i-1":
                     here.role.registry.find("i-1").availability.note_backoff(
                         5.0, asyncio.get_running_loop().time()
