--- a/src/crowsill/model/configuration.py
+++ b/src/crowsill/model/configuration.py
@@ -10,9 +10,8 @@
 
 import msgspec
 
-from crowsill.json_input import WholeNumber
-
 from crowsill.constants import MAX_IDENTIFIER_LENGTH
+from crowsill.json_input import WholeNumber
 
 Name = Annotated[
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]*$", max_length=MAX_IDENTIFIER_LENGTH)
