Requests that offer an upgrade are served with their body

Cause: the parser reports such a request as complete without its body, and then raises. Change: the head is parsed again without the offer (RFC 9110, 7.8), at gateways and control members; CONNECT is rejected without being passed on. One test of silent connections used one request id for two requests and met the rule that an id is sent once on a connection; it has an id for each request now and expects what it expected.

--- a/src/crowsill/api/guarded_protocol.py
+++ b/src/crowsill/api/guarded_protocol.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
-from typing import Any, ClassVar
+from typing import Any, ClassVar, cast
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from crowsill.transport.request_parser import RequestParser
+
 HEADERS_TIMEOUT_S = 10.0
 MAX_HEADER_BYTES = 32 * 1024
 # Maximum number of connections that have not sent complete headers; further ones are refused.
@@ -26,6 +28,8 @@
 
     def __init__(self, *arguments: Any, **options: Any) -> None:  # noqa: ANN401
         super().__init__(*arguments, **options)
+        self._request_parser = RequestParser(self, lambda: (self.url, self.headers))
+        self.parser = cast(Any, self._request_parser)
         self._headers_timer: asyncio.TimerHandle | None = None
         self._header_bytes = 0
         self._is_reading_headers = True
@@ -73,9 +77,16 @@
 
     def on_headers_complete(self) -> None:
         """Stop the timeout for the headers."""
+        if self._request_parser.offers_upgrade():
+            return
         self._end_headers_wait()
         super().on_headers_complete()
 
+    def on_message_complete(self) -> None:
+        """End a complete request."""
+        if not self._request_parser.offers_upgrade():
+            super().on_message_complete()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timeout of a closed connection."""
         self._end_headers_wait()
--- a/src/crowsill/gateway/caller_protocol.py
+++ b/src/crowsill/gateway/caller_protocol.py
@@ -17,6 +17,7 @@
 from crowsill.gateway.request import CallerRequest, read_headers
 from crowsill.gateway.response import encode_problem
 from crowsill.model.routes import CallerLimits
+from crowsill.transport.request_parser import RequestParser
 
 # Bytes of a head that its limit does not count: method, version, white space, empty line.
 MAX_UNCOUNTED_HEAD_BYTES = 4096
@@ -60,7 +61,7 @@
         self._handler = handler
         self._loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self, lambda: (self._target, self._headers))
         self._pending_requests: list[CallerRequest] = []
         self._timer: asyncio.TimerHandle | None = None
         self._reset_message()
@@ -110,7 +111,7 @@
             self._parser.feed_data(data)
             self._check_bounds()
         except httptools.HttpParserUpgrade:
-            self._reject(ErrorKind.INVALID_REQUEST, "upgrades are not supported")
+            self._reject(ErrorKind.INVALID_REQUEST, "the method CONNECT is not supported")
         except httptools.HttpParserError as error:
             if not self.is_closed:
                 self._reject(ErrorKind.INVALID_REQUEST, f"not an HTTP request: {error}")
@@ -153,6 +154,8 @@
 
     def on_headers_complete(self) -> None:
         """Answer `Expect: 100-continue` and start the timer for the body."""
+        if self._parser.offers_upgrade():
+            return
         expect = find_header(self._headers, b"expect")
         if expect is not None and expect.lower() == b"100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -170,7 +173,7 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
-        if self.is_closed:
+        if self.is_closed or self._parser.offers_upgrade():
             return
         request = CallerRequest(
             method=self._parser.get_method(),
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -66,17 +66,18 @@
             await relay.listen(port, here._replicas[0].port)
             here.adopt([Instance("i-2", "plain", f"{LOCAL}:{port}", "z1", 8)])
             callers = [await here.caller() for _ in range(4)]
-            for caller in callers:
-                caller.send("once")
+            for number, caller in enumerate(callers):
+                caller.send("once", f"r{number}")
             for caller in callers:
                 _, headers = await caller.head()
                 await caller.body(headers)
             assert here.role.pool.has_idle("i-2")
             relay.silence(to_target=True, to_caller=True)
-            status, _, _ = await callers[0].request("once", headers=["crowsill-deadline-ms: 1800"])
+            deadline = ["crowsill-deadline-ms: 1800"]
+            status, _, _ = await callers[0].request("once", "late", headers=deadline)
             assert status == 504
             await until(lambda: not here.role.registry.find("i-2").availability.is_unreachable)
-            status, _, _ = await callers[1].request("once", headers=["crowsill-deadline-ms: 1800"])
+            status, _, _ = await callers[1].request("once", "later", headers=deadline)
             assert status == 200
             relay.close()
 
