Gateway: a connection that is not read does not show that its replica runs

Cause: a replica counts as running while it keeps a used connection; one that is not read, because its caller is slow, never shows its end. One that fell behind with its last bytes went back to the pool unread. Change: unread connections prove nothing, and a released one is read again.

--- a/src/crowsill/gateway/pool.py
+++ b/src/crowsill/gateway/pool.py
@@ -64,9 +64,14 @@
         return any(connection.is_open for connection in self._established(instance_id))
 
     def has_used(self, instance_id: str) -> bool:
-        """Whether a connection is open on which the instance has sent anything."""
+        """Whether a connection is open on which the instance has sent anything.
+
+        A connection that is not read, because its caller does not read, may have ended.
+        """
         connections = self._established(instance_id)
-        return any(connection.is_open and connection.has_received for connection in connections)
+        return any(
+            item.is_open and item.has_received and not item.is_paused for item in connections
+        )
 
     def _established(self, instance_id: str) -> list[ReplicaConnection]:
         """Return the connections to an instance, without those that are being opened."""
@@ -187,6 +192,8 @@
         pool.busy.discard(connection)
         pool.received_at_s = max(pool.received_at_s, connection.received_at_s)
         if reusable and connection.is_open and connection.is_reusable:
+            # Its caller may have fallen behind with the last bytes.
+            connection.pause_reading(False)
             pool.idle.append(connection)
         else:
             connection.discard()
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -82,6 +82,7 @@
         idle_expires_at_s: Monotonic time until which it may be reused while idle.
         received_at_s: Monotonic time at which bytes were last received; minus infinity before.
         has_received: Whether any bytes were received on it.
+        is_paused: Whether nothing is read from it, so that its end is not noticed.
         requests: Number of requests that were sent on it.
         on_lost: Called when it is lost with an error, or during a response.
     """
@@ -104,6 +105,7 @@
         self.idle_expires_at_s = 0.0
         self.received_at_s = float("-inf")
         self.has_received = False
+        self.is_paused = False
         self.requests = 0
         self.on_lost: Callable[[], None] = lambda: None
         self._is_discarded = False
@@ -232,6 +234,7 @@
         """Pause reading while the caller does not read, or resume it."""
         if self._transport is None or not self.is_open or self._transport.is_closing():
             return
+        self.is_paused = paused
         if paused:
             self._stop_timer()
             self._transport.pause_reading()
