Streams: the record of what began a stream is renewed as the stream is resumed

Callers would be rejected: a stream that broke off again and again could outlive its record, which was kept for twice the longest time that one try may take, while each further try names the first request. Change: a try that brings events renews the record of that request, at the gateway and at the members.

--- a/src/crowsill/gateway/stream_origins.py
+++ b/src/crowsill/gateway/stream_origins.py
@@ -106,12 +106,21 @@
     def record(
         self, request: CallerRequest, route: Route, tenant: str, origin: StreamOrigin
     ) -> None:
-        """Record what begins the stream of a request; called before its first event is sent."""
+        """Record what begins the stream of a request; called before its first event is sent.
+
+        The record of a stream that the request resumes is renewed: each further try names the same
+        first request.
+        """
         longest_s = max(route.timeout_ms, request.wait_ms or 0.0) / 1000.0
-        key = stream_key(request.request_id, tenant, request.host, request.path)
-        record = StreamOriginRecord(key, origin, math.ceil(longest_s * LIFETIME_FACTOR))
-        if self._own.note(record, monotonic_s()):
-            self._notify(StreamOriginsNotice([record]))
+        lifetime_s = math.ceil(longest_s * LIFETIME_FACTOR)
+        ids = [request.request_id]
+        if request.last_event_id and request.resumed_request_id:
+            ids.append(request.resumed_request_id)
+        keys = [stream_key(request_id, tenant, request.host, request.path) for request_id in ids]
+        records = [StreamOriginRecord(key, origin, lifetime_s) for key in keys]
+        new = [record for record in records if self._own.note(record, monotonic_s())]
+        if new:
+            self._notify(StreamOriginsNotice(new))
 
     def send_all(self) -> None:
         """Send all records to a member that this gateway has begun to follow."""
--- a/src/crowsill/model/stream_origins.py
+++ b/src/crowsill/model/stream_origins.py
@@ -16,6 +16,8 @@
 # may resume it within that time, and the resumed stream may be resumed again.
 LIFETIME_FACTOR = 2.0
 MAX_RECORDS = 65536
+# A record that would be kept longer by less than this is not renewed: lifetimes are whole seconds.
+MIN_RENEWAL_S = 2.0
 # Longer names of versions are replaced by a digest.
 MAX_VERSION_LENGTH = 64
 
@@ -95,18 +97,22 @@
         return len(self._records)
 
     def note(self, record: StreamOriginRecord, now_s: float) -> bool:
-        """Add a record; return whether anything new is known.
+        """Add or renew a record; return whether anything new is known.
 
         A second origin of the same key makes the origin unknown, since either stream may be
         resumed.
         """
         known = self.find(record.key, now_s)
-        if known is not None and known.origin == record.origin:
-            return False
-        if known is not None and known.origin is None:
-            return False
-        origin = record.origin if known is None else None
+        origin = record.origin
+        if known is not None:
+            if known.origin is None:
+                return False
+            if known.origin != origin:
+                origin = None
+            elif record.lifetime_s < known.lifetime_s + MIN_RENEWAL_S:
+                return False
         self._records[record.key] = (origin, now_s + record.lifetime_s)
+        self._records.move_to_end(record.key)
         self._remove_oldest(now_s)
         return True
 
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -253,9 +253,36 @@
     run(scenario())
 
 
+def test_the_record_of_a_stream_is_renewed_as_the_stream_is_resumed():
+    async def scenario():
+        async with world(streaming(b"v1")) as here:
+            adopt_versions(here, ("v1",), {"plain": None})
+            await begin(here, "r1")
+            sent = []
+            here.role.stream_origins._notify = lambda notice: sent.append(notice.records) or True
+            caller = await here.caller()
+            headers = [*resuming("r1"), f"{NAMES.deadline.decode()}: 60000"]
+            status, _, _ = await caller.request("resumable", "s1", headers=headers)
+            assert status == 200
+            ((own, renewed),) = sent
+            assert own.lifetime_s == renewed.lifetime_s
+            assert own.key != renewed.key
+
+    run(scenario())
+
+
 # Pure: records and their keeping.
 
 
+def test_a_record_is_renewed_if_that_keeps_it_notably_longer():
+    origins = StreamOrigins()
+    assert origins.note(StreamOriginRecord(b"k", ONE, 10), 0.0)
+    assert not origins.note(StreamOriginRecord(b"k", ONE, 10), 1.0)
+    assert origins.note(StreamOriginRecord(b"k", ONE, 10), 5.0)
+    assert origins.find(b"k", 14.0).origin == ONE
+    assert origins.find(b"k", 15.0) is None
+
+
 def test_a_request_id_of_streams_of_two_versions_has_no_origin():
     origins = StreamOrigins()
     assert origins.note(StreamOriginRecord(b"k", ONE, 10), 0.0)
