Configurations with very large figures end no leader and fail no request

Operators would have seen: a configuration that was accepted takes the leader's memory, and each next leader's (a model with 2^31 adapters and more); with loadsPerS of 1e308 nothing is placed any more, with weights or a timeout of 1e308 each request of the route fails. Cause: the plan listed the names of all adapters that a model may have, and quantities had no bound, so that sums and products became infinite. Change: the plan compares as many names as can matter; quantities of route configurations and tenants are at most 1e15, checked as documents are decoded.

--- a/src/crowsill/model/routes.py
+++ b/src/crowsill/model/routes.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from crowsill.json_input import Version, WholeNumber
+from crowsill.json_input import Quantity, Version, WholeNumber
 from crowsill.model.tenants import Tenant, tenant_faults
 
 
@@ -25,7 +25,7 @@
     """A service and its share of a route's requests."""
 
     service: str
-    weight: float
+    weight: Quantity
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -51,10 +51,10 @@
     host: str
     path_prefix: str
     kind: RouteKind
-    timeout_ms: float
+    timeout_ms: Quantity
     services: list[WeightedService]
-    target_latency_ms: float = 1000.0
-    target_gap_ms: float = 0.0
+    target_latency_ms: Quantity = 1000.0
+    target_gap_ms: Quantity = 0.0
     rank: WholeNumber = 5
     max_attempts: WholeNumber = 1
     sticky: bool = False
@@ -81,12 +81,12 @@
     """
 
     name: str
-    memory_mb: float
-    load_s: float = 10.0
-    host_load_s: float = 10.0
-    disk_load_s: float = 10.0
+    memory_mb: Quantity
+    load_s: Quantity = 10.0
+    host_load_s: Quantity = 10.0
+    disk_load_s: Quantity = 10.0
     adapters: WholeNumber = 0
-    adapter_memory_mb: float = 0.0
+    adapter_memory_mb: Quantity = 0.0
 
 
 class EngineLimits(msgspec.Struct, frozen=True):
@@ -101,11 +101,11 @@
         models: Models that the engines may load.
     """
 
-    memory_mb: float
+    memory_mb: Quantity
     adapter_slots: WholeNumber
     batch_slots: WholeNumber
     cache_tokens: WholeNumber
-    store_loads_per_s: float
+    store_loads_per_s: Quantity
     models: list[ModelWeights]
 
     def model(self, name: str) -> ModelWeights | None:
@@ -135,8 +135,8 @@
 
     max_header_bytes: WholeNumber = 16384
     max_body_bytes: WholeNumber = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    header_timeout_ms: Quantity = 3000.0
+    idle_timeout_ms: Quantity = 15000.0
 
 
 class RouteConfiguration(msgspec.Struct, frozen=True):
--- a/src/crowsill/model/tenants.py
+++ b/src/crowsill/model/tenants.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from crowsill.json_input import WholeNumber
+from crowsill.json_input import Quantity, WholeNumber
 from crowsill.model.configuration import Sha256Hex
 
 
@@ -36,10 +36,10 @@
     name: str
     key_sha256: list[Sha256Hex] = []
     rank: WholeNumber | None = None
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: Quantity = 0.0
+    burst: Quantity = 0.0
     unit: RateUnit = RateUnit.REQUESTS
-    plain_tokens: float = 0.0
+    plain_tokens: Quantity = 0.0
 
     @property
     def is_limited(self) -> bool:
--- a/src/crowsill/placement/adapter_jobs.py
+++ b/src/crowsill/placement/adapter_jobs.py
@@ -1,5 +1,7 @@
 """Adapter loads: first the adapters that requests wait for, then others for free slots. Pure."""
 
+from collections.abc import Iterator
+
 from crowsill.model.routes import ModelWeights
 from crowsill.placement.copy_views import EngineView, Job, JobReason, ServiceView
 
@@ -7,6 +9,8 @@
 ADAPTER_LOAD_S = 0.02
 # A model without a request for this time counts as idle, in seconds.
 IDLE_AFTER_S = 8.0
+# Callers choose the names of adapters that they ask for; longer numbers name none.
+MAX_NUMBER_DIGITS = 16
 
 
 class AdapterJobs:
@@ -90,8 +94,6 @@
         model = self._models.get(name)
         if model is None:
             return ""
-        adapters = [f"a{number}" for number in range(1, model.adapters + 1)]
-        missing = [adapter for adapter in adapters if adapter not in engine.held[name]]
         elsewhere = {
             adapter
             for other in self._view.engines
@@ -99,12 +101,37 @@
             if other is not engine
         }
         demand = self._view.demand
+        missing = (
+            adapter
+            for adapter in self._adapters_to_compare(model, elsewhere | engine.held[name])
+            if adapter not in engine.held[name]
+        )
         return max(
             missing,
             key=lambda item: (item not in elsewhere, demand.get(f"{name}/{item}", 0.0)),
             default="",
         )
 
+    def _adapters_to_compare(self, model: ModelWeights, held: set[str]) -> Iterator[str]:
+        """Yield the adapters of a model in order, those in demand and enough of the others.
+
+        A configuration may name any number of adapters; one that is neither held nor in demand is
+        as good as the next.
+        """
+        prefix = f"{model.name}/a"
+        in_demand = {
+            int(number)
+            for resource in self._view.demand
+            if resource.startswith(prefix)
+            and (number := resource.removeprefix(prefix)).isdecimal()
+            and len(number) <= MAX_NUMBER_DIGITS
+            and f"{int(number)}" == number
+        }
+        first = min(model.adapters, len(held) + len(in_demand) + 1)
+        yield from (f"a{number}" for number in range(1, first + 1))
+        later = (number for number in in_demand if first < number <= model.adapters)
+        yield from (f"a{number}" for number in sorted(later))
+
     def _is_idle(self, model: str) -> bool:
         return self._view.now_s - self._view.last_request_at_s(model) > IDLE_AFTER_S
 
