Tests: a report is made without garbage collection

Cause: a report parses source; garbage collected meanwhile held a StreamWriter of a closed loop, whose finalizer fails; pytest formats that traceback, which parses source within the parse. Python 3.11 takes that for corruption. Change: no garbage is collected while a report is made.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,6 +22,20 @@
     gc.freeze()
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport():
+    """Make reports without garbage collection.
+
+    A report parses source. If a finalizer fails meanwhile, its traceback parses source as well, and
+    Python 3.11 ends the outer parse, and so the test run, with a `SystemError`.
+    """
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
