--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -109,6 +109,14 @@
         self.process.send_signal(signal.SIGKILL)
         self.process.wait()
 
+    def pause(self):
+        """Stop the process where it is."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Let the process run on."""
+        self.process.send_signal(signal.SIGCONT)
+
     def wipe(self):
         """Delete the data folder, as if the disk was lost."""
         shutil.rmtree(self.data)
--- a/tests/stream_site.py
+++ b/tests/stream_site.py
@@ -88,9 +88,18 @@
 class StreamCaller:
     """A caller of one stream, which it resumes as long as its tries last."""
 
-    def __init__(self, number, model=MODEL):
+    def __init__(self, number, model=MODEL, breaks_after=0):
+        """Create it.
+
+        Args:
+            number: Its number.
+            model: Model of its stream.
+            breaks_after: Events after which it breaks off its first try; 0 for never.
+        """
         self.number = number
         self.model = model
+        self._breaks_after = breaks_after
+        self._tries = 0
         self.events = []
         self.statuses = []
         self.is_complete = False
@@ -110,17 +119,19 @@
 
     async def follow(self, fronts, until_at_s):
         """Read the stream to its end; resume it at the next gateway after each break."""
-        tries = 0
         while not self.is_complete and time.monotonic() < until_at_s:
-            front = fronts[(self.number + tries) % len(fronts)]
-            tries += 1
-            status = await self._ask(front, f"{self.number:08x}{tries:08x}")
-            if status:
-                self.statuses.append(status)
+            await self.try_at(fronts[(self.number + self._tries) % len(fronts)])
             if not self.is_complete:
                 await asyncio.sleep(RETRY_PAUSE_S)
         return self
 
+    async def try_at(self, front):
+        """Begin the stream at a gateway, or resume it there."""
+        self._tries += 1
+        status = await self._ask(front, f"{self.number:08x}{self._tries:08x}")
+        if status:
+            self.statuses.append(status)
+
     async def _ask(self, front, attempt):
         """Send one try; return its status, or 0 if no gateway responded."""
         host, _, port = front.front.rpartition(":")
@@ -166,6 +177,8 @@
                     number, version = (line.partition(b": ")[2] for line in event.split(b"\n"))
                     self._began = self._began or attempt
                     self.events.append((int(number), version.decode()))
+                    if self._tries == 1 and len(self.events) == self._breaks_after:
+                        return
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -9,15 +9,16 @@
 from crowsill.control.stream_origins import MemberStreamOrigins
 from crowsill.gateway.peers.wire import PeerTerms, encode_peer_request, take_peer_terms
 from crowsill.gateway.request import CallerRequest
-from crowsill.model.instances import Instance, LoadedModel, ReplicaHeartbeat
+from crowsill.model.instances import Instance, ReplicaHeartbeat
 from crowsill.model.stream_origins import StreamOrigin, StreamOriginRecord, StreamOrigins
-from crowsill.state.directory import Directory, DirectoryChange
+from crowsill.state.directory import Directory
 from crowsill.transport.stream_messages import (
     FindStreamOrigin,
     FoundStreamOrigin,
     StreamOriginsNotice,
 )
-from tests.gateway_world import ID, NAMES, STAMP, instance, run, world
+from tests.gateway_world import NAMES, run, world
+from tests.resumed_streams import adopt_versions, events_of, resuming, streaming
 from tests.stream_site import StreamCaller, StreamingReplica, stream_site
 
 VERSIONS = ("v1", "v1", "v2", "v2")
@@ -131,48 +132,6 @@
 # In the test process: a gateway with scripted replicas.
 
 
-def events_of(version, first, last):
-    return b"".join(b"id: %d\ndata: %s\n\n" % (n, version) for n in range(first, last + 1))
-
-
-def streaming(version, own_requests=None):
-    """Return a script that writes two events after the last one, and breaks off a new stream."""
-
-    async def script(headers, writer, _number):
-        last_id = int(headers.get("last-event-id", 0))
-        if own_requests is not None:
-            own_requests.append(headers[ID])
-        head = f"HTTP/1.1 200 OK\r\n{ID}: {headers[ID]}\r\n{STAMP}: s1\r\n"
-        head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        body = events_of(version, last_id + 1, last_id + 2)
-        writer.write(head.encode() + b"%x\r\n%s\r\n" % (len(body), body))
-        if last_id:
-            writer.write(b"0\r\n\r\n")
-        return bool(last_id)
-
-    return script
-
-
-def adopt_versions(here, versions, sole_versions=None):
-    """List the first replicas of a world with these software versions."""
-    listed = [
-        msgspec.structs.replace(
-            instance(replica, number, models=[LoadedModel("m")]), software_version=version
-        )
-        for number, (replica, version) in enumerate(
-            zip(here._replicas, versions, strict=False), start=1
-        )
-    ]
-    if sole_versions is None:
-        sole_versions = {"plain": versions[0] if len(set(versions)) == 1 else None}
-    change = DirectoryChange(here.role.registry.version + 1, listed, [], sole_versions)
-    here.role._on_directory(here.role.registry.adopt(change, True, time.monotonic()))
-
-
-def resuming(began, last_id=2):
-    return [f"Last-Event-Id: {last_id}", f"{NAMES.resumed_request.decode()}: {began}"]
-
-
 async def begin(here, request_id):
     """Begin a stream that breaks off; return the version that began it."""
     caller = await here.caller()
