Logs: a stream's line names its software version, its events and the age of what it was decided by

E202 and E208 name the version that wrote a stream and its first and last event, E237 and E238 the version and age of the directory. So a stream of two versions, one with events missing or twice and one that was bound by old knowledge can be told apart by their gateways' logs.

--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -89,6 +89,8 @@
         relayed_bytes: Bytes of the body that were sent to the caller.
         framing: What ends the body of the response.
         position: Position in the event stream that the body is; None if it is none.
+        first_piece: First piece of an event stream.
+        last_piece: Last piece of an event stream so far.
         signals: What the replica reports about itself in the head of the response.
         on_signals: Called with the status and the signals when the head arrives.
         ended: Resolves to the end of the attempt.
@@ -129,6 +131,8 @@
         self._last_data_at_s = 0.0
         self.framing = Framing.UNKNOWN
         self.position: EventPosition | None = None
+        self.first_piece = b""
+        self.last_piece = b""
         self.signals = ReplicaSignals()
         self.relayed_bytes = 0
         self.connection: ReplicaConnection | None = None
@@ -240,6 +244,8 @@
         self._last_data_at_s = now_s
         if self.position is not None:
             self.position.feed(data)
+            self.first_piece = self.first_piece or data
+            self.last_piece = data
         if self._relaying:
             self._relay(data)
             return
--- a/src/crowsill/gateway/event_position.py
+++ b/src/crowsill/gateway/event_position.py
@@ -4,9 +4,14 @@
 section 9.2 "Server-sent events".
 """
 
+import re
+
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 _COMMENT = ord(":")
 _LINE_ENDS = (b"\r\n", b"\n", b"\r")
+_EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)\r?$", re.MULTILINE)
+# Event ids in log lines are cut off after this many bytes.
+_MAX_LOGGED_ID_BYTES = 24
 
 
 class EventPosition:
@@ -89,3 +94,23 @@
     def _start_block(self) -> None:
         self._has_fields = False
         self._is_line_empty = True
+
+
+def first_event_id(data: bytes) -> str:
+    r"""Return the first event id in a piece of an event stream, for the log; empty without one.
+
+    >>> first_event_id(b"id: 3\ndata: x\n\nid: 4\ndata: y\n\n"), first_event_id(b"data: x\n\n")
+    ('3', '')
+    """
+    match = _EVENT_ID.search(data)
+    return "" if match is None else match[1][:_MAX_LOGGED_ID_BYTES].decode("latin-1")
+
+
+def last_event_id(data: bytes) -> str:
+    r"""Return the last event id in a piece of an event stream, for the log; empty without one.
+
+    >>> last_event_id(b"id: 3\r\ndata: x\r\n\r\nid:4\r\ndata: y\r\n\r\n")
+    '4'
+    """
+    found = _EVENT_ID.findall(data)
+    return found[-1][:_MAX_LOGGED_ID_BYTES].decode("latin-1") if found else ""
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -4,6 +4,7 @@
 
 from crowsill.events import Event
 from crowsill.gateway.attempt import Attempt
+from crowsill.gateway.event_position import first_event_id, last_event_id
 from crowsill.gateway.fingerprint import Fingerprints
 from crowsill.gateway.framing import Framing
 from crowsill.gateway.peers.wire import PeerTerms
@@ -27,6 +28,7 @@
         route: Route of the request; None until it is known.
         tenant: Tenant of the caller; empty until it is known, and where no API key is needed.
         units: Units charged to the tenant's rate limit; 0 without a rate limit.
+        software_version: Software version of the replica that was chosen last; empty until then.
     """
 
     def __init__(self, request: CallerRequest, fingerprints: Fingerprints) -> None:
@@ -34,6 +36,7 @@
         self.route: Route | None = None
         self.tenant = ""
         self.units = 0.0
+        self.software_version = ""
         self._request = request
         self._fingerprints = fingerprints
         self._loop = asyncio.get_running_loop()
@@ -91,6 +94,7 @@
             directory_version: Version of the directory.
         """
         record = choice.record
+        self.software_version = record.instance.software_version
         now_s = self._loop.time()
         log_event(
             Event.REQUEST_ROUTED,
@@ -179,6 +183,8 @@
             detail=detail,
             framing=Framing.UNKNOWN if attempt is None else attempt.framing,
             inside_event=attempt is not None and attempt.is_inside_event,
+            software_version=record.instance.software_version,
+            events=_event_range(attempt),
             connection_requests=0 if attempt is None else attempt.connection_requests,
             received_bytes=0 if attempt is None else attempt.response_bytes,
             failures=record.availability.failures,
@@ -286,6 +292,9 @@
             gap_ms=round(gap_ms, 1),
             framing=Framing.UNKNOWN if attempt is None else attempt.framing,
             inside_event=attempt is not None and attempt.is_inside_event,
+            software_version=self.software_version,
+            last_event=self._request.last_event_id.decode("latin-1"),
+            events=_event_range(attempt),
             late=self._is_late(first_ms, gap_ms),
             returned=self._has_returned(),
             route=self._route_name,
@@ -323,3 +332,10 @@
         first_s = None if attempt is None else attempt.first_data_at_s
         if first_s is not None:
             GATEWAY_FIRST_BYTE_S.labels(self._kind).observe(first_s - self._request.arrived_at_s)
+
+
+def _event_range(attempt: Attempt | None) -> str:
+    """Return the first and the last event id that an attempt received, as in `3..9`."""
+    if attempt is None or attempt.position is None:
+        return ""
+    return f"{first_event_id(attempt.first_piece)}..{last_event_id(attempt.last_piece)}"
--- a/src/crowsill/gateway/stream_origins.py
+++ b/src/crowsill/gateway/stream_origins.py
@@ -90,6 +90,7 @@
         registry: ReplicaRegistry,
         notify: Callable[[StreamOriginsNotice], bool],
         query: Callable[[FindStreamOrigin, float], Awaitable[Body | None]],
+        proof_age_s: Callable[[], float],
     ) -> None:
         """Create it.
 
@@ -97,10 +98,12 @@
             registry: The replicas.
             notify: Sends a notice to the member that this gateway follows.
             query: Sends a request to that member; receives the time to wait in seconds.
+            proof_age_s: Returns the seconds since the group last confirmed the directory.
         """
         self._registry = registry
         self._notify = notify
         self._query = query
+        self._proof_age_s = proof_age_s
         self._own = StreamOrigins(MAX_OWN_RECORDS)
 
     def record(
@@ -220,6 +223,8 @@
             service="" if origin is None else origin.service,
             version="" if origin is None else origin.software_version,
             why=how,
+            directory=self._registry.version,
+            proof_age_s=round(self._proof_age_s(), 3),
         )
         RESUMED_STREAMS.labels(how).inc()
         if origin is not None and not is_rejected:
--- a/tests/test_odd_configurations.py
+++ b/tests/test_odd_configurations.py
@@ -162,7 +162,7 @@
 
     share = [WeightedService("s", 1.0)]
     route = Route("r", "h", "/", RouteKind.STREAM, MAX_QUANTITY, share, resumable=True)
-    origins = GatewayStreamOrigins(ReplicaRegistry(), notify, None)
+    origins = GatewayStreamOrigins(ReplicaRegistry(), notify, None, lambda: 0.0)
     request = CallerRequest(b"POST", b"/", [], b"", True, 0.0, request_id=b"r1")
     origins.record(request, route, "", StreamOrigin("s", "v1"))
     assert sent
