Streams: what began an unrecorded stream is inferred only from what a leader confirms after it comes back

Callers held streams of two versions.

Cause: that no other version exists was concluded from a copy of unknown age. A replica is recorded in the group before any gateway sends to it, so a confirmation by the leader's lease that is requested after the stream has come back covers every replica that can have begun it; nothing older does. FoundStreamOrigin carries that confirmation; gateways no longer receive sole_versions. Without it the request waits up to 2 s for a member and a leader, and is then rejected as not run.

--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -147,7 +147,7 @@
             self.submit_or_forward,
         )
         self.crash_reports = CrashReports(self.submit_or_forward)
-        self._stream_origins = MemberStreamOrigins(links)
+        self._stream_origins = MemberStreamOrigins(links, self.infer_stream_origin)
         self._relay = FreshnessRelay(self._query_leader)
         # Zones of members by identity, as reported by their streams.
         self._zones = {local.identity: local.zone}
@@ -250,6 +250,20 @@
         freshness = self.own_freshness()
         return freshness if freshness is not None else await self._relay.confirm()
 
+    async def infer_stream_origin(self, service: str) -> FoundStreamOrigin:
+        """Return what is known of a stream of a service that has no record.
+
+        A replica is recorded before any gateway sends to it. So what the leader confirms after this
+        call covers every replica that can have begun the stream.
+        """
+        freshness = await self.confirmed_freshness()
+        if freshness is None or self.driver is None:
+            return FoundStreamOrigin(None)
+        if not await self.has_applied(freshness, monotonic_s() + MAX_APPLY_WAIT_S):
+            return FoundStreamOrigin(None)
+        version = self.driver.machine.directory.sole_versions.get(service)
+        return FoundStreamOrigin(None, version, has_several_versions=version is None)
+
     def leader_host(self) -> str:
         """Return the leader's IP address, or an empty string."""
         driver = self.driver
--- a/src/crowsill/control/stream_origins.py
+++ b/src/crowsill/control/stream_origins.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Coroutine, Iterable
 
 from crowsill.clock import monotonic_s
 from crowsill.model.stream_origins import StreamOriginRecord, StreamOrigins
@@ -27,9 +27,18 @@
 class MemberStreamOrigins:
     """The records of one member."""
 
-    def __init__(self, links: MemberLinks) -> None:
-        """Create it; `links` are the streams to the other members."""
+    def __init__(
+        self, links: MemberLinks, infer: Callable[[str], Coroutine[None, None, FoundStreamOrigin]]
+    ) -> None:
+        """Create it.
+
+        Args:
+            links: The streams to the other members.
+            infer: Returns what the versions that replicas of a service ever had, as confirmed after
+                the call, tell about a stream without a record.
+        """
         self._links = links
+        self._infer = infer
         self._origins = StreamOrigins()
         self._to_forward: list[StreamOriginRecord] = []
 
@@ -52,14 +61,32 @@
         found = self._origins.find(request.key, monotonic_s())
         if found is not None or request.is_forwarded:
             return FoundStreamOrigin(found)
-        question = FindStreamOrigin(request.key, is_forwarded=True)
+        if not request.service:
+            return await self._find_at_others(request.key)
+        inferring = asyncio.create_task(self._infer(request.service))
+        asking = asyncio.create_task(self._find_at_others(request.key))
+        try:
+            for answer in asyncio.as_completed((inferring, asking)):
+                origin = await answer
+                if origin.is_known:
+                    return origin
+            return inferring.result()
+        finally:
+            inferring.cancel()
+            asking.cancel()
+
+    async def _find_at_others(self, key: bytes) -> FoundStreamOrigin:
+        """Return the record that other members have of a stream."""
+        if not key:
+            return FoundStreamOrigin(None)
+        question = FindStreamOrigin(key, is_forwarded=True)
         replies = await self._links.request_all(question, MEMBER_REPLY_TIMEOUT_S)
         # A record may have arrived meanwhile.
-        known = [self._origins.find(request.key, monotonic_s()), *_records_of(replies)]
+        known = [self._origins.find(key, monotonic_s()), *_records_of(replies)]
         for record in known:
             if record is not None:
                 self._origins.note(record, monotonic_s())
-        return FoundStreamOrigin(self._origins.find(request.key, monotonic_s()))
+        return FoundStreamOrigin(self._origins.find(key, monotonic_s()))
 
 
 def _records_of(replies: Iterable[Body]) -> list[StreamOriginRecord | None]:
--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -207,14 +207,12 @@
             whether they are urgent.
         uses_pace: Whether the pace of replicas is used; if not, it is neither recorded nor told.
         costs: What requests cost; None if the choice of a replica does not depend on it.
-        sole_versions: See `Directory.sole_versions`.
     """
 
     def __init__(self, uses_pace: bool = True) -> None:
         self.version = 0
         self.uses_pace = uses_pace
         self.costs: CostModel | None = None
-        self.sole_versions: dict[str, str | None] = {}
         self.waiting_to_open: Counter[tuple[str, bool]] = Counter()
         self._records: dict[str, ReplicaRecord] = {}
         self._by_service: dict[str, list[ReplicaRecord]] = {}
@@ -347,13 +345,11 @@
         self.version = change.version
         removed = set(change.removed)
         if is_full:
-            self.sole_versions.clear()
             removed |= set(self._records) - {item.instance_id for item in change.changed}
         closed_ids = [instance_id for instance_id in removed if self._remove(instance_id)]
         for instance in change.changed:
             if self._put(instance, now_s):
                 closed_ids.append(instance.instance_id)
-        self.sole_versions |= change.sole_versions
         self._index()
         return closed_ids
 
--- a/src/crowsill/gateway/stream_origins.py
+++ b/src/crowsill/gateway/stream_origins.py
@@ -3,8 +3,10 @@
 A gateway records what begins each resumable stream, and sends the record to the control members
 before the first event leaves for the caller. So any gateway can find it, also after this one was
 killed. Where there is no record, the origin of a stream is known only if its service never had
-replicas of more than one version; otherwise the request is rejected, because a wrong version would
-be joined to the first one without a trace.
+replicas of more than one version. The gateway's own directory can't tell: it may lack a version
+that joined while the gateway was cut off. So a member must confirm it after the request arrived;
+otherwise the request is rejected, because a wrong version would be joined to the first one without
+a trace.
 """
 
 import asyncio
@@ -39,8 +41,11 @@
 MAX_RECORDS_PER_NOTICE = 500
 # Time in which a record that another gateway has sent reaches this gateway's member.
 RECORD_DELAY_S = 0.3
-# Time in which a gateway that has lost its member, or has just started, finds another one.
-MEMBER_DELAY_S = 1.0
+# Time in which a gateway that has lost its member, or has just started, finds another one, or
+# members elect a leader.
+MEMBER_DELAY_S = 2.0
+# A member that does not answer for this long is asked again, or another one is.
+QUERY_TIMEOUT_S = 1.0
 POLL_S = 0.05
 UNKNOWN_RETRY_AFTER_S = 1.0
 
@@ -51,7 +56,8 @@
     Attributes:
         OWN_RECORD: This gateway began the stream.
         GROUP_RECORD: The control members had a record.
-        SOLE_VERSION: There is no record, and the service never had another version.
+        SOLE_VERSION: There is no record, and the group confirmed that the service never had another
+            version.
         UNKNOWN: There is no record, and replicas of several versions may have begun it.
         AMBIGUOUS: Streams of several origins had the same request id.
         OTHER_SERVICE: Its route no longer leads to the service that began it.
@@ -68,8 +74,8 @@
 
 
 _DETAILS = {
-    Resumption.UNKNOWN: "it is not known which software version began the stream, and the service "
-    "had several",
+    Resumption.UNKNOWN: "it is not known which software version began the stream: no control "
+    "member has a record, or has confirmed that the service had only one version",
     Resumption.AMBIGUOUS: "streams of several software versions began under the request id that is "
     "resumed",
     Resumption.OTHER_SERVICE: "the route no longer leads to the service that began the stream",
@@ -77,6 +83,12 @@
 }
 
 
+def _only_service(route: Route) -> str:
+    """Return the only service of a route; empty if there are several."""
+    services = [share.service for share in route.services if share.weight > 0]
+    return services[0] if len(services) == 1 else ""
+
+
 def is_resumable(route: Route) -> bool:
     """Whether callers may resume streams of a route."""
     return route.kind is RouteKind.STREAM and route.resumable
@@ -152,49 +164,45 @@
     async def _find_origin(
         self, request: CallerRequest, route: Route, tenant: str, deadline_at_s: float
     ) -> tuple[StreamOrigin | None, Resumption]:
+        key = b""
         record, how = None, Resumption.OWN_RECORD
-        sole = self._sole_origin(route)
         if request.resumed_request_id:
             key = stream_key(request.resumed_request_id, tenant, request.host, request.path)
             record = self._own.find(key, monotonic_s())
-            if record is None:
-                how = Resumption.GROUP_RECORD
-                wait_s = MEMBER_DELAY_S if sole is None else RECORD_DELAY_S
-                end_at_s = min(deadline_at_s, monotonic_s() + wait_s)
-                record = await self._find_at_group(key, end_at_s, repeats=sole is None)
+        service = _only_service(route)
+        if record is None and (key or service):
+            how = Resumption.GROUP_RECORD
+            end_at_s = min(deadline_at_s, monotonic_s() + MEMBER_DELAY_S)
+            found = await self._find_at_group(FindStreamOrigin(key, service=service), end_at_s)
+            record = found.record
+            if record is None and found.sole_version is not None:
+                return StreamOrigin(service, found.sole_version), Resumption.SOLE_VERSION
         if record is None:
-            return sole, Resumption.UNKNOWN if sole is None else Resumption.SOLE_VERSION
+            return None, Resumption.UNKNOWN
         return record.origin, Resumption.AMBIGUOUS if record.origin is None else how
 
     async def _find_at_group(
-        self, key: bytes, end_at_s: float, *, repeats: bool
-    ) -> StreamOriginRecord | None:
-        """Ask the control members for a record.
+        self, question: FindStreamOrigin, end_at_s: float
+    ) -> FoundStreamOrigin:
+        """Ask the control members what began a stream.
+
+        They are asked again while a record may be on its way, or a leader being elected.
 
         Args:
-            key: Key of the record.
+            question: What to ask.
             end_at_s: Monotonic time after which nothing is asked.
-            repeats: Whether to ask again while the record may still be on its way.
         """
-        is_answered = False
+        needs_record = False
         while (remaining_s := end_at_s - monotonic_s()) > 0.0:
-            reply = await self._query(FindStreamOrigin(key), remaining_s)
+            reply = await self._query(question, min(remaining_s, QUERY_TIMEOUT_S))
             if isinstance(reply, FoundStreamOrigin):
-                if reply.record is not None or not repeats:
-                    return reply.record
-                if not is_answered:
-                    is_answered = True
+                if reply.is_known or (reply.has_several_versions and not question.key):
+                    return reply
+                if not needs_record and (reply.has_several_versions or not question.service):
+                    needs_record = True
                     end_at_s = min(end_at_s, monotonic_s() + RECORD_DELAY_S)
             await asyncio.sleep(POLL_S)
-        return None
-
-    def _sole_origin(self, route: Route) -> StreamOrigin | None:
-        """Return the only origin that a stream of a route can have; None if there are several."""
-        services = [share.service for share in route.services if share.weight > 0]
-        if len(services) != 1:
-            return None
-        version = self._registry.sole_versions.get(services[0])
-        return None if version is None else StreamOrigin(services[0], version)
+        return FoundStreamOrigin(None)
 
     def _reason_against(self, origin: StreamOrigin, route: Route) -> Resumption | None:
         """Return why a stream can't be resumed at its origin; None if it may be."""
--- a/src/crowsill/state/directory.py
+++ b/src/crowsill/state/directory.py
@@ -60,13 +60,11 @@
         version: The version.
         changed: Instances that are new or have changed.
         removed: Ids of instances that are gone.
-        sole_versions: Changed entries of `Directory.sole_versions`.
     """
 
     version: int
     changed: list[Instance]
     removed: list[str]
-    sole_versions: dict[str, str | None] = {}
 
 
 class Directory:
@@ -172,18 +170,14 @@
             ReplicaHeartbeat(instance, heartbeat.sequence), offered_models, loading
         )
         self._entries[instance.instance_id] = entry
-        return self._changed([entry.instance], removed, self._note_version(instance))
-
-    def _note_version(self, instance: Instance) -> dict[str, str | None]:
-        """Record the software version of an instance; return what changed of `sole_versions`."""
-        service, version = instance.service, instance.software_version
-        if service not in self.sole_versions:
-            self.sole_versions[service] = version
-        elif self.sole_versions[service] in (None, version):
-            return {}
-        else:
-            self.sole_versions[service] = None
-        return {service: self.sole_versions[service]}
+        self._note_version(instance)
+        return self._changed([entry.instance], removed)
+
+    def _note_version(self, instance: Instance) -> None:
+        """Record the software version of an instance."""
+        version = instance.software_version
+        if self.sole_versions.setdefault(instance.service, version) != version:
+            self.sole_versions[instance.service] = None
 
     def offer(
         self, instance_id: str, models: list[LoadedModel], loading: list[LoadingModel]
@@ -203,14 +197,9 @@
         self._entries[instance_id] = entry
         return None if entry.instance == before else self._changed([entry.instance], [])
 
-    def _changed(
-        self,
-        changed: list[Instance],
-        removed: list[str],
-        sole_versions: dict[str, str | None] | None = None,
-    ) -> DirectoryChange:
+    def _changed(self, changed: list[Instance], removed: list[str]) -> DirectoryChange:
         self.version += 1
-        self.last_change = DirectoryChange(self.version, changed, removed, sole_versions or {})
+        self.last_change = DirectoryChange(self.version, changed, removed)
         return self.last_change
 
     def _remove_replaced(self, instance: Instance) -> list[str]:
@@ -257,7 +246,7 @@
 
     def full_change(self) -> DirectoryChange:
         """Return the full directory as one change."""
-        return DirectoryChange(self.version, self.instances, [], self.sole_versions)
+        return DirectoryChange(self.version, self.instances, [])
 
     def dump(self) -> DirectorySnapshot:
         """Return the state for a snapshot."""
--- a/src/crowsill/transport/stream_messages.py
+++ b/src/crowsill/transport/stream_messages.py
@@ -21,15 +21,32 @@
     """Asks for what began a stream; answered by `FoundStreamOrigin`.
 
     Attributes:
-        key: See `stream_key`.
+        key: See `stream_key`; empty if the caller named no request.
         is_forwarded: Whether a member asks, so that no further one is asked.
+        service: Service that must have begun the stream if there is no record; empty if there are
+            several.
     """
 
     key: bytes
     is_forwarded: bool = False
+    service: str = ""
 
 
 class FoundStreamOrigin(msgspec.Struct, frozen=True, tag="found-stream-origin"):
-    """The response to `FindStreamOrigin`; the record is None if no member that was asked has it."""
+    """The response to `FindStreamOrigin`.
+
+    Attributes:
+        record: The record; None if no member that was asked has it.
+        sole_version: The only software version that replicas of the service ever had; None if there
+            were several, or if no leader confirmed it after the question arrived.
+        has_several_versions: Whether a leader confirmed that there were several, or none.
+    """
 
     record: StreamOriginRecord | None
+    sole_version: str | None = None
+    has_several_versions: bool = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether it tells what began the stream."""
+        return self.record is not None or self.sole_version is not None
--- a/tests/resumed_streams.py
+++ b/tests/resumed_streams.py
@@ -31,7 +31,16 @@
     return script
 
 
-def adopt_versions(here, versions, sole_versions=None):
+def answer_by_member(here, answer):
+    """Have each question about the origin of a stream answered by a member."""
+
+    async def query(_question, _timeout_s):
+        return answer
+
+    here.role.stream_origins._query = query
+
+
+def adopt_versions(here, versions):
     """List the first replicas of a world with these software versions."""
     listed = [
         msgspec.structs.replace(
@@ -41,9 +50,7 @@
             zip(here._replicas, versions, strict=False), start=1
         )
     ]
-    if sole_versions is None:
-        sole_versions = {"plain": versions[0] if len(set(versions)) == 1 else None}
-    change = DirectoryChange(here.role.registry.version + 1, listed, [], sole_versions)
+    change = DirectoryChange(here.role.registry.version + 1, listed, [])
     here.role._on_directory(here.role.registry.adopt(change, True, time.monotonic()))
 
 
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -18,7 +18,7 @@
     StreamOriginsNotice,
 )
 from tests.gateway_world import NAMES, run, world
-from tests.resumed_streams import adopt_versions, events_of, resuming, streaming
+from tests.resumed_streams import adopt_versions, answer_by_member, events_of, resuming, streaming
 from tests.stream_site import StreamCaller, StreamingReplica, stream_site
 
 VERSIONS = ("v1", "v1", "v2", "v2")
@@ -164,7 +164,8 @@
         scripts = [streaming(b"v1", ran), streaming(b"v2", ran)]
         async with world(*scripts) as here:
             # Only one version is left, but another one may have begun the stream.
-            adopt_versions(here, ("v2", "v2"), {"plain": None})
+            adopt_versions(here, ("v2", "v2"))
+            answer_by_member(here, FoundStreamOrigin(None, has_several_versions=True))
             caller = await here.caller()
             status, found, body = await caller.request("resumable", headers=headers)
             assert (status, msgspec.json.decode(body)["kind"]) == (503, "stream_unknown")
@@ -174,10 +175,11 @@
     run(scenario())
 
 
-def test_a_stream_of_unknown_origin_continues_where_there_was_only_one_version():
+def test_a_stream_of_unknown_origin_continues_where_a_member_confirms_the_only_version():
     async def scenario():
         async with world(streaming(b"v1")) as here:
             adopt_versions(here, ("v1",))
+            answer_by_member(here, FoundStreamOrigin(None, "v1"))
             caller = await here.caller()
             headers = resuming("began-at-a-gateway-that-is-gone")
             status, _, body = await caller.request("resumable", "s", headers=headers)
@@ -232,7 +234,7 @@
 def test_the_record_of_a_stream_is_renewed_as_the_stream_is_resumed():
     async def scenario():
         async with world(streaming(b"v1")) as here:
-            adopt_versions(here, ("v1",), {"plain": None})
+            adopt_versions(here, ("v1",))
             await begin(here, "r1")
             sent = []
             here.role.stream_origins._notify = lambda notice: sent.append(notice.records) or True
@@ -281,6 +283,10 @@
     assert len(origins) == 2
 
 
+async def infer_nothing(_service):
+    return FoundStreamOrigin(None)
+
+
 class Links:
     """Streams of a member to others that are in the test process."""
 
@@ -298,7 +304,7 @@
 def test_every_member_knows_a_record_and_one_that_restarted_asks_the_others():
     async def scenario():
         links = [Links() for _ in range(3)]
-        members = [MemberStreamOrigins(own) for own in links]
+        members = [MemberStreamOrigins(own, infer_nothing) for own in links]
         for own, member in zip(links, members, strict=True):
             own.others = [other for other in members if other is not member]
         record = StreamOriginRecord(b"k", ONE, 10)
@@ -308,7 +314,7 @@
         for member in members:
             found = await member.find(FindStreamOrigin(b"k", is_forwarded=True))
             assert found.record.origin == ONE
-        restarted = MemberStreamOrigins(links[1])
+        restarted = MemberStreamOrigins(links[1], infer_nothing)
         assert await restarted.find(FindStreamOrigin(b"k", is_forwarded=True)) == FoundStreamOrigin(
             None
         )
@@ -330,13 +336,14 @@
     directory.record(heartbeat(1, "v1"))
     directory.record(heartbeat(2, "v1"))
     assert directory.sole_versions == {"engines": "v1"}
-    change = directory.record(heartbeat(3, "v2"))
-    assert change.sole_versions == {"engines": None}
+    directory.record(heartbeat(3, "v2"))
+    assert directory.sole_versions == {"engines": None}
     directory.remove("i-1")
     directory.remove("i-2")
     assert directory.sole_versions == {"engines": None}
     restored = Directory()
     restored.load(directory.dump())
+    assert restored.sole_versions == {"engines": None}
     assert restored.full_change() == directory.full_change()
 
 
@@ -374,3 +381,52 @@
     headers = [tuple(line.split(b": ", 1)) for line in lines]
     received = CallerRequest(b"POST", b"/x", headers, b"", True, 0.0, request_id=b"r1")
     assert take_peer_terms(received, b"k" * 32, "a:1") is None
+
+
+class SilentLinks(Links):
+    """Streams to members that do not answer."""
+
+    async def request_all(self, _body, timeout_s):
+        await asyncio.sleep(timeout_s)
+        return []
+
+
+@pytest.mark.parametrize(
+    ("inferred", "within_s"),
+    [
+        (FoundStreamOrigin(None, "v1"), 0.2),
+        (FoundStreamOrigin(None, has_several_versions=True), 1.0),
+        (FoundStreamOrigin(None), 1.0),
+    ],
+)
+def test_a_member_tells_what_a_leader_confirmed_though_others_do_not_answer(inferred, within_s):
+    async def scenario():
+        asked = []
+
+        async def infer(service):
+            asked.append(service)
+            return inferred
+
+        member = MemberStreamOrigins(SilentLinks(), infer)
+        async with asyncio.timeout(within_s):
+            assert await member.find(FindStreamOrigin(b"k", service="engines")) == inferred
+        assert asked == ["engines"]
+
+    asyncio.run(scenario())
+
+
+# A caller was rejected while members elected a leader, though its service had only one version.
+def test_a_stream_of_unknown_origin_waits_for_a_leader_that_confirms_its_version():
+    async def scenario():
+        async with world(streaming(b"v1")) as here:
+            adopt_versions(here, ("v1",))
+            answer_by_member(here, FoundStreamOrigin(None))
+            asyncio.get_running_loop().call_later(
+                1.0, answer_by_member, here, FoundStreamOrigin(None, "v1")
+            )
+            caller = await here.caller()
+            headers = resuming("began-elsewhere")
+            status, _, body = await caller.request("resumable", "s", headers=headers)
+            assert (status, body) == (200, events_of(b"v1", 3, 4))
+
+    run(scenario())
