Streams: a gateway that is out of step does not call a version gone

Callers whose stream was resumed at a gateway that had stood still were rejected at once and for good (stream_lost), since its old directory lists no replica of the version that began it. Where the directory was last confirmed more than 1.5 s ago, the request now waits up to 2 s for it to be confirmed. The test failed before (503).

--- a/src/crowsill/gateway/stream_origins.py
+++ b/src/crowsill/gateway/stream_origins.py
@@ -47,6 +47,10 @@
 # A member that does not answer for this long is asked again, or another one is.
 QUERY_TIMEOUT_S = 1.0
 POLL_S = 0.05
+# A directory that was confirmed longer ago may lack replicas that serve.
+MAX_DIRECTORY_AGE_S = 1.5
+# Time in which a gateway that is out of step has its directory confirmed again.
+DIRECTORY_DELAY_S = 2.0
 UNKNOWN_RETRY_AFTER_S = 1.0
 
 
@@ -158,6 +162,7 @@
             return None
         found, how = await self._find_origin(request, route, tenant, deadline_at_s)
         if found is not None:
+            await self._await_replica(found, min(deadline_at_s, monotonic_s() + DIRECTORY_DELAY_S))
             how = self._reason_against(found, route) or how
         return self.note_decision(request, found, how)
 
@@ -204,6 +209,15 @@
             await asyncio.sleep(POLL_S)
         return FoundStreamOrigin(None)
 
+    async def _await_replica(self, origin: StreamOrigin, end_at_s: float) -> None:
+        """Wait while an old directory lists no replica that may continue a stream."""
+        while (
+            not self.is_served(origin)
+            and self._proof_age_s() > MAX_DIRECTORY_AGE_S
+            and monotonic_s() < end_at_s
+        ):
+            await asyncio.sleep(POLL_S)
+
     def _reason_against(self, origin: StreamOrigin, route: Route) -> Resumption | None:
         """Return why a stream can't be resumed at its origin; None if it may be."""
         if all(share.service != origin.service for share in route.services):
--- a/tests/test_streams_at_stale_gateways.py
+++ b/tests/test_streams_at_stale_gateways.py
@@ -8,8 +8,10 @@
 import msgspec
 import pytest
 
+from crowsill.model.stream_origins import StreamOrigin, StreamOriginRecord
+from crowsill.transport.stream_messages import FoundStreamOrigin
 from tests.gateway_world import run, world
-from tests.resumed_streams import adopt_versions, resuming, streaming
+from tests.resumed_streams import adopt_versions, answer_by_member, events_of, resuming, streaming
 from tests.stream_site import StreamCaller, StreamingReplica, stream_site
 
 STREAMS = 60
@@ -117,6 +119,23 @@
     asyncio.run(scenario())
 
 
+# A caller was told that no replica of its version is left by a gateway that did not know them yet.
+def test_a_gateway_that_is_out_of_step_waits_for_its_directory_before_it_calls_a_version_gone():
+    async def scenario():
+        async with world(streaming(b"v1"), streaming(b"v2")) as here:
+            adopt_versions(here, ("v1",))
+            record = StreamOriginRecord(b"k", StreamOrigin("plain", "v2"), 10)
+            answer_by_member(here, FoundStreamOrigin(record))
+            here.role._confirmed_at_s = float("-inf")
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.5, adopt_versions, here, ("v1", "v2"))
+            caller = await here.caller()
+            status, _, body = await caller.request("resumable", "s", headers=resuming("r1"))
+            assert (status, body) == (200, events_of(b"v2", 3, 4))
+
+    run(scenario())
+
+
 # In the test process: the directory of a gateway without any member may be of any age.
 def test_a_stream_of_unknown_origin_is_rejected_where_no_member_answers():
     async def scenario():
