--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -261,7 +261,7 @@
             return FoundStreamOrigin(None)
         if not await self.has_applied(freshness, monotonic_s() + MAX_APPLY_WAIT_S):
             return FoundStreamOrigin(None)
-        version = self.driver.machine.directory.sole_versions.get(service)
+        version = self.driver.machine.directory.sole_version(service)
         return FoundStreamOrigin(None, version, has_several_versions=version is None)
 
     def leader_host(self) -> str:
--- a/src/crowsill/state/directory.py
+++ b/src/crowsill/state/directory.py
@@ -44,13 +44,22 @@
 
 
 class DirectorySnapshot(msgspec.Struct, frozen=True, array_like=True):
-    """The full directory."""
+    """The full directory.
+
+    Attributes:
+        version: See `Directory`.
+        entries: The registered instances.
+        gone: Ids of instances that are gone, the oldest first.
+        newest_started_ms: Newest start time by replica name, the oldest entry first.
+        sole_versions: See `Directory`; None if an earlier build, which kept none, has recorded part
+            of the history.
+    """
 
     version: int = 0
     entries: list[DirectoryEntry] = []
     gone: list[str] = []
     newest_started_ms: list[tuple[str, int]] = []
-    sole_versions: dict[str, str | None] = {}
+    sole_versions: dict[str, str | None] | None = None
 
 
 class DirectoryChange(msgspec.Struct, frozen=True, array_like=True):
@@ -73,9 +82,6 @@
     Attributes:
         version: Increases with every change.
         last_change: The changes of the latest version, or None.
-        sole_versions: The only software version that replicas of a service ever had, by service;
-            None if there were several. It outlives the replicas: a stream may be resumed after the
-            last replica of the version that began it has left.
     """
 
     def __init__(self) -> None:
@@ -84,7 +90,17 @@
         self._entries: dict[str, DirectoryEntry] = {}
         self._gone: OrderedDict[str, None] = OrderedDict()
         self._newest_started_ms: OrderedDict[str, int] = OrderedDict()
-        self.sole_versions: dict[str, str | None] = {}
+        # The only software version that replicas of a service ever had; None if there were several.
+        # It outlives the replicas: a stream may be resumed after the last replica of the version
+        # that began it has left. None as a whole if part of the history is not known.
+        self._sole_versions: dict[str, str | None] | None = {}
+
+    def sole_version(self, service: str) -> str | None:
+        """Return the only software version that replicas of a service ever had.
+
+        None if there were several or none, or if that is not known.
+        """
+        return None if self._sole_versions is None else self._sole_versions.get(service)
 
     @property
     def instances(self) -> list[Instance]:
@@ -175,9 +191,11 @@
 
     def _note_version(self, instance: Instance) -> None:
         """Record the software version of an instance."""
+        if self._sole_versions is None:
+            return
         version = instance.software_version
-        if self.sole_versions.setdefault(instance.service, version) != version:
-            self.sole_versions[instance.service] = None
+        if self._sole_versions.setdefault(instance.service, version) != version:
+            self._sole_versions[instance.service] = None
 
     def offer(
         self, instance_id: str, models: list[LoadedModel], loading: list[LoadingModel]
@@ -252,7 +270,7 @@
         """Return the state for a snapshot."""
         entries, started = list(self._entries.values()), list(self._newest_started_ms.items())
         return DirectorySnapshot(
-            self.version, entries, list(self._gone), started, self.sole_versions
+            self.version, entries, list(self._gone), started, self._sole_versions
         )
 
     def load(self, snapshot: DirectorySnapshot) -> None:
@@ -261,10 +279,8 @@
         self._entries = {entry.heartbeat.instance.instance_id: entry for entry in snapshot.entries}
         self._gone = OrderedDict((instance_id, None) for instance_id in snapshot.gone)
         self._newest_started_ms = OrderedDict(snapshot.newest_started_ms)
-        self.sole_versions = dict(snapshot.sole_versions)
-        for instance in self.reported:
-            # A snapshot of an earlier build has no versions.
-            self._note_version(instance)
+        versions = snapshot.sole_versions
+        self._sole_versions = None if versions is None else dict(versions)
 
 
 def _keep_draining(known: Instance, reported: Instance) -> Instance:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -11,7 +11,7 @@
 from crowsill.gateway.request import CallerRequest
 from crowsill.model.instances import Instance, ReplicaHeartbeat
 from crowsill.model.stream_origins import StreamOrigin, StreamOriginRecord, StreamOrigins
-from crowsill.state.directory import Directory
+from crowsill.state.directory import Directory, DirectorySnapshot
 from crowsill.transport.stream_messages import (
     FindStreamOrigin,
     FoundStreamOrigin,
@@ -335,24 +335,39 @@
     directory = Directory()
     directory.record(heartbeat(1, "v1"))
     directory.record(heartbeat(2, "v1"))
-    assert directory.sole_versions == {"engines": "v1"}
+    assert directory.sole_version("engines") == "v1"
     directory.record(heartbeat(3, "v2"))
-    assert directory.sole_versions == {"engines": None}
+    assert directory.sole_version("engines") is None
     directory.remove("i-1")
     directory.remove("i-2")
-    assert directory.sole_versions == {"engines": None}
+    assert directory.sole_version("engines") is None
     restored = Directory()
     restored.load(directory.dump())
-    assert restored.sole_versions == {"engines": None}
+    assert restored.sole_version("engines") is None
     assert restored.full_change() == directory.full_change()
 
 
+# After an upgrade the first version that joined counted as the only one there had ever been.
+def test_a_snapshot_of_an_earlier_build_proves_no_version():
+    directory = Directory()
+    directory.record(heartbeat(1, "v1"))
+    directory.remove("i-1")
+    earlier = msgspec.to_builtins(directory.dump())[:-1]
+    restored = Directory()
+    restored.load(msgspec.convert(earlier, DirectorySnapshot))
+    restored.record(heartbeat(2, "v2"))
+    assert restored.sole_version("engines") is None
+    again = Directory()
+    again.load(restored.dump())
+    assert again.sole_version("engines") is None
+
+
 def test_no_version_is_a_version_of_its_own():
     directory = Directory()
     directory.record(heartbeat(1, ""))
-    assert directory.sole_versions == {"engines": ""}
+    assert directory.sole_version("engines") == ""
     directory.record(heartbeat(2, "v1"))
-    assert directory.sole_versions == {"engines": None}
+    assert directory.sole_version("engines") is None
 
 
 @pytest.mark.parametrize("version", [None, "", "v1", "\r\nX: 1", "ü" * 64])
