--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -265,7 +265,16 @@
 class PlatformSite:
     """The machines of a small site."""
 
-    def __init__(self, folder, core=5, fronts=2, redirectors=0):
+    def __init__(self, folder, core=5, fronts=2, redirectors=0, shares_machines=False):
+        """Create it.
+
+        Args:
+            folder: Folder of its files.
+            core: Number of control members.
+            fronts: Number of gateways.
+            redirectors: Number of control processes without a disk beside gateways.
+            shares_machines: Whether members run on the first gateways' machines.
+        """
         self.folder = folder
         # Further lines of the table `bounds` in the settings.
         self.bounds = []
@@ -273,7 +282,9 @@
         self.control_port, self.front_port, self.ready_port, self.inner_port = ports
         self.core = []
         for number in range(core):
-            self.core.append(Machine(self, f"core-{number}", f"127.0.1.{number + 1}", "control"))
+            place = (2, "control-beside-gateway") if shares_machines else (1, "control")
+            ip = f"127.0.{place[0]}.{number + 1}"
+            self.core.append(Machine(self, f"core-{number}", ip, place[1]))
         self.fronts = []
         for number in range(fronts):
             self.fronts.append(Machine(self, f"front-{number}", f"127.0.2.{number + 1}", "gateway"))
--- a/tests/stream_site.py
+++ b/tests/stream_site.py
@@ -182,17 +182,19 @@
 
 
 @contextlib.asynccontextmanager
-async def stream_site(folder, versions, fronts=3, held=None):
+async def stream_site(folder, versions, held=None, **machines):
     """Start a site with one replica of each of the given versions; yield the site and replicas.
 
     Args:
         folder: Folder of its files.
         versions: Software versions of the replicas.
-        fronts: Number of gateways.
         held: Model that each replica holds at the beginning; None for the only one.
+        machines: Further arguments of `PlatformSite`; three gateways without any.
     """
     held = held or [MODEL] * len(versions)
-    site = PlatformSite(folder, fronts=fronts)
+    site = PlatformSite(folder, **({"fronts": 3} | machines))
+    # The first gateway follows the first member, until that one fails.
+    site.fronts[0].seeds = site.core[:1]
     site.start()
     replicas = []
     try:
--- a/tests/test_streams_at_stale_gateways.py
+++ b/tests/test_streams_at_stale_gateways.py
@@ -50,16 +50,22 @@
     assert all(caller.is_in_order for caller in callers)
 
 
+# Members and gateways on machines of their own, or three members beside gateways.
+APART = {"fronts": 4}
+TOGETHER = {"fronts": 4, "core": 3, "shares_machines": True}
+
+
 @contextlib.asynccontextmanager
-async def site_with_a_stale_gateway(folder):
+async def site_with_a_stale_gateway(folder, machines):
     """Start a site in which replicas of a version join while the first gateway stands still.
 
     The member that it follows stands still, too: what that member had sent before would be read
     first.
     """
-    async with stream_site(folder, ("v1", "v1"), fronts=4) as (site, replicas):
+    async with stream_site(folder, ("v1", "v1"), **machines) as (site, replicas):
         stale, *others = site.fronts
         member = followed_member(site, stale)
+        assert member is site.core[0]
         stale.pause()
         member.pause()
         for number in (8, 9):
@@ -80,11 +86,12 @@
 
 # Callers held streams of two versions: a gateway that had stood still while the second version
 # joined took the only one that it knew for the one that had begun their streams.
+@pytest.mark.parametrize("machines", [APART, TOGETHER])
 def test_a_gateway_that_stood_still_does_not_continue_streams_at_the_only_version_it_knows(
-    tmp_path,
+    tmp_path, machines
 ):
     async def scenario():
-        async with site_with_a_stale_gateway(tmp_path) as (site, stale, others, _member):
+        async with site_with_a_stale_gateway(tmp_path, machines) as (site, stale, others, _member):
             callers = await begin_streams(others)
             resuming = asyncio.create_task(resume_streams(callers, stale))
             await asyncio.sleep(0.5)
@@ -101,10 +108,13 @@
 
 
 # The same, where members answer as it runs on; the one that it followed may be the last to do so.
+@pytest.mark.parametrize("machines", [APART, TOGETHER])
 @pytest.mark.parametrize("resumes_member", [True, False])
-def test_streams_that_are_resumed_at_a_gateway_that_stood_still_go_on(tmp_path, resumes_member):
+def test_streams_that_are_resumed_at_a_gateway_that_stood_still_go_on(
+    tmp_path, resumes_member, machines
+):
     async def scenario():
-        async with site_with_a_stale_gateway(tmp_path) as (_site, stale, others, member):
+        async with site_with_a_stale_gateway(tmp_path, machines) as (_site, stale, others, member):
             callers = await begin_streams(others)
             resuming = asyncio.create_task(resume_streams(callers, stale))
             await asyncio.sleep(0.5)
