--- a/src/crowsill/gateway/stream_origins.py
+++ b/src/crowsill/gateway/stream_origins.py
@@ -93,6 +93,13 @@
     return services[0] if len(services) == 1 else ""
 
 
+def _origin_of(
+    record: StreamOriginRecord, how: Resumption
+) -> tuple[StreamOrigin | None, Resumption]:
+    """Return the origin that a record names, and how it was found."""
+    return record.origin, Resumption.AMBIGUOUS if record.origin is None else how
+
+
 def is_resumable(route: Route) -> bool:
     """Whether callers may resume streams of a route."""
     return route.kind is RouteKind.STREAM and route.resumable
@@ -170,21 +177,21 @@
         self, request: CallerRequest, route: Route, tenant: str, deadline_at_s: float
     ) -> tuple[StreamOrigin | None, Resumption]:
         key = b""
-        record, how = None, Resumption.OWN_RECORD
         if request.resumed_request_id:
             key = stream_key(request.resumed_request_id, tenant, request.host, request.path)
-            record = self._own.find(key, monotonic_s())
+            own = self._own.find(key, monotonic_s())
+            if own is not None:
+                return _origin_of(own, Resumption.OWN_RECORD)
         service = _only_service(route)
-        if record is None and (key or service):
-            how = Resumption.GROUP_RECORD
-            end_at_s = min(deadline_at_s, monotonic_s() + MEMBER_DELAY_S)
-            found = await self._find_at_group(FindStreamOrigin(key, service=service), end_at_s)
-            record = found.record
-            if record is None and found.sole_version is not None:
-                return StreamOrigin(service, found.sole_version), Resumption.SOLE_VERSION
-        if record is None:
+        if not key and not service:
             return None, Resumption.UNKNOWN
-        return record.origin, Resumption.AMBIGUOUS if record.origin is None else how
+        end_at_s = min(deadline_at_s, monotonic_s() + MEMBER_DELAY_S)
+        found = await self._find_at_group(FindStreamOrigin(key, service=service), end_at_s)
+        if found.record is not None:
+            return _origin_of(found.record, Resumption.GROUP_RECORD)
+        if found.sole_version is not None:
+            return StreamOrigin(service, found.sole_version), Resumption.SOLE_VERSION
+        return None, Resumption.UNKNOWN
 
     async def _find_at_group(
         self, question: FindStreamOrigin, end_at_s: float
