--- a/tests/stream_site.py
+++ b/tests/stream_site.py
@@ -193,7 +193,7 @@
     """
     held = held or [MODEL] * len(versions)
     site = PlatformSite(folder, **({"fronts": 3} | machines))
-    # The first gateway follows the first member, until that one fails.
+    # The first gateway tries the first member before others.
     site.fronts[0].seeds = site.core[:1]
     site.start()
     replicas = []
