Streams: a leader infers no version while it lacks commits that other members may have applied

Cause: the leader tells the others of a commit with its next entry, and applies the commit only after its own write of that entry. Meanwhile its lease is valid, so it confirmed its directory without a second version that other members had applied and told to their gateways. `infer_stream_origin` returned the first version; a record at another member did not help, since the first known answer counts. Heartbeats and proofs of keys and routes are unchanged: those cover what the leader has acknowledged, which it has applied. A leader of an earlier build does not tell it, so the fault remains until all members run this build.

--- a/src/crowsill/control/driver.py
+++ b/src/crowsill/control/driver.py
@@ -128,6 +128,14 @@
             return False
         return self.node.has_lease(monotonic_s())
 
+    def has_applied_commits(self) -> bool:
+        """Whether all entries that this member knows to be committed are applied.
+
+        A leader tells the others of a commit before it has applied it, since its own write of the
+        next entry comes first.
+        """
+        return self.applied_index >= self.node.commit_index
+
     def leader_address(self) -> str | None:
         """`IP:port` of the leader, if it is known."""
         leader_id = self.node.leader_id
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -254,10 +254,11 @@
         """Return what is known of a stream of a service that has no record.
 
         A replica is recorded before any gateway sends to it. So what the leader confirms after this
-        call covers every replica that can have begun the stream.
+        call covers every replica that can have begun the stream, unless a member from which a
+        gateway learned of the replica is ahead of the leader.
         """
         freshness = await self.confirmed_freshness()
-        if freshness is None or self.driver is None:
+        if freshness is None or freshness.lacks_commits or self.driver is None:
             return FoundStreamOrigin(None)
         if not await self.has_applied(freshness, monotonic_s() + MAX_APPLY_WAIT_S):
             return FoundStreamOrigin(None)
@@ -430,6 +431,7 @@
             limits=self.reports.replica_grants.to_reports(),
             suspected=self.liveness.suspected(monotonic_s()),
             reached=self.liveness.reach.reached(monotonic_s()),
+            lacks_commits=not driver.has_applied_commits(),
         )
         return freshness if driver.has_lease() else None
 
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -223,6 +223,8 @@
         level: What is admitted now; None if it was not requested or is unknown.
         suspected: Replicas that several gateways fail to reach.
         reached: Replicas that some gateway has reached lately after others had failed to.
+        lacks_commits: Whether the leader has yet to apply committed entries, which other members
+            may have applied; those that it has acknowledged it has applied.
     """
 
     revision: int
@@ -238,6 +240,7 @@
     level: AdmissionLevel | None = None
     suspected: list[SuspectedReplica] = []
     reached: list[ReachedReplica] = []
+    lacks_commits: bool = False
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration-update"):
