Streams: a gateway with old routes infers no version of the service that they name

Cause: without a record, a version was inferred for the only service of the route in the gateway's own routes, whose age nobody asked. A gateway that was out of step as the route moved continued a stream of the new service at the former one; the leader confirmed the former one's only version. Change: the member tells the version of the routes that the leader confirmed (`FoundStreamOrigin.routes_version`). The gateway infers only if its routes are as new, and still lead to that service alone; otherwise 503, not run, come back. A member of an earlier build tells none, so the fault remains beside it. Not mended: a stream without a record whose route has moved, at a gateway with the new routes (docs/design).

--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -263,7 +263,12 @@
         if not await self.has_applied(freshness, monotonic_s() + MAX_APPLY_WAIT_S):
             return FoundStreamOrigin(None)
         version = self.driver.machine.directory.sole_version(service)
-        return FoundStreamOrigin(None, version, has_several_versions=version is None)
+        return FoundStreamOrigin(
+            None,
+            version,
+            has_several_versions=version is None,
+            routes_version=freshness.routes_version,
+        )
 
     def leader_host(self) -> str:
         """Return the leader's IP address, or an empty string."""
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -147,7 +147,11 @@
         self.quota_grants = QuotaGrantClient(self._follower.query)
         self.replica_grants = ReplicaGrants(self._follower.query, self._notify_change)
         self.stream_origins = GatewayStreamOrigins(
-            self.registry, self._follower.send_notice, self._follower.query, self.proof_age_s
+            self.registry,
+            self._follower.send_notice,
+            self._follower.query,
+            self.proof_age_s,
+            lambda: self.table,
         )
         self.demand = DemandReporter(self._follower, gateway.keep_asking_s)
 
--- a/src/crowsill/gateway/stream_origins.py
+++ b/src/crowsill/gateway/stream_origins.py
@@ -4,9 +4,9 @@
 before the first event leaves for the caller. So any gateway can find it, also after this one was
 killed. Where there is no record, the origin of a stream is known only if its service never had
 replicas of more than one version. The gateway's own directory can't tell: it may lack a version
-that joined while the gateway was cut off. So a member must confirm it after the request arrived;
-otherwise the request is rejected, because a wrong version would be joined to the first one without
-a trace.
+that joined while the gateway was cut off, and its routes may still lead to a former service. So a
+member must confirm the version, and the routes, after the request arrived; otherwise the request is
+rejected, because a wrong version would be joined to the first one without a trace.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 from crowsill.gateway.rejection import Rejection
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.logs import log_event
 from crowsill.metrics import RESUMED_STREAMS
 from crowsill.model.routes import Route, RouteKind
@@ -107,6 +108,7 @@
         notify: Callable[[StreamOriginsNotice], bool],
         query: Callable[[FindStreamOrigin, float], Awaitable[Body | None]],
         proof_age_s: Callable[[], float],
+        table: Callable[[], GatewayRoutingTable | None] = lambda: None,
     ) -> None:
         """Create it.
 
@@ -115,11 +117,13 @@
             notify: Sends a notice to the member that this gateway follows.
             query: Sends a request to that member; receives the time to wait in seconds.
             proof_age_s: Returns the seconds since the group last confirmed the directory.
+            table: Returns the routes in effect; without any, no version is inferred.
         """
         self._registry = registry
         self._notify = notify
         self._query = query
         self._proof_age_s = proof_age_s
+        self._table = table
         self._own = StreamOrigins(MAX_OWN_RECORDS)
 
     def record(
@@ -180,12 +184,24 @@
             end_at_s = min(deadline_at_s, monotonic_s() + MEMBER_DELAY_S)
             found = await self._find_at_group(FindStreamOrigin(key, service=service), end_at_s)
             record = found.record
-            if record is None and found.sole_version is not None:
+            if (
+                record is None
+                and found.sole_version is not None
+                and self._leads_to(request, service, found.routes_version)
+            ):
                 return StreamOrigin(service, found.sole_version), Resumption.SOLE_VERSION
         if record is None:
             return None, Resumption.UNKNOWN
         return record.origin, Resumption.AMBIGUOUS if record.origin is None else how
 
+    def _leads_to(self, request: CallerRequest, service: str, routes_version: int) -> bool:
+        """Whether a request belongs to a service alone, by routes of a version or later."""
+        table = self._table()
+        if table is None or table.version < routes_version:
+            return False
+        route = table.find(request.host, request.path)
+        return route is not None and _only_service(route) == service
+
     async def _find_at_group(
         self, question: FindStreamOrigin, end_at_s: float
     ) -> FoundStreamOrigin:
--- a/src/crowsill/transport/stream_messages.py
+++ b/src/crowsill/transport/stream_messages.py
@@ -40,11 +40,13 @@
         sole_version: The only software version that replicas of the service ever had; None if there
             were several, or if no leader confirmed it after the question arrived.
         has_several_versions: Whether a leader confirmed that there were several, or none.
+        routes_version: Version of the routes that the leader confirmed with it; 0 if none did.
     """
 
     record: StreamOriginRecord | None
     sole_version: str | None = None
     has_several_versions: bool = False
+    routes_version: int = 0
 
     @property
     def is_known(self) -> bool:
--- a/tests/test_old_knowledge.py
+++ b/tests/test_old_knowledge.py
@@ -3,10 +3,17 @@
 import asyncio
 import threading
 
+import msgspec
+import pytest
+
+from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.model.instances import Instance, ReplicaHeartbeat
 from crowsill.state.commands import RecordHeartbeat
 from crowsill.transport.messages import SubmitCommand
+from crowsill.transport.stream_messages import FoundStreamOrigin
 from tests.control_group import ControlGroup, until
+from tests.gateway_world import routes, run, world
+from tests.resumed_streams import adopt_versions, events_of, resuming, streaming
 
 
 class SteppedDisk:
@@ -97,3 +104,59 @@
             await group.stop()
 
     asyncio.run(scenario())
+
+
+def answer_for_routes(here, routes_version, configuration=None):
+    """Have a member confirm the only version of any service, as of a version of the routes.
+
+    Args:
+        here: The gateway.
+        routes_version: Version of the routes that the leader confirmed.
+        configuration: Routes that the gateway receives while it waits for the answer.
+    """
+
+    async def query(_question, _timeout_s):
+        if configuration is not None:
+            here.role._table = GatewayRoutingTable(configuration)
+        return FoundStreamOrigin(None, "v1", routes_version=routes_version)
+
+    here.role.stream_origins._query = query
+
+
+def moved_routes():
+    """Return newer routes in which the route of resumable streams leads to another service."""
+    document = msgspec.to_builtins(routes(version=2))
+    for route in document["routes"]:
+        if route["name"] == "resumable":
+            route["services"][0]["service"] = "engines"
+    return msgspec.convert(document, type(routes()))
+
+
+# A stream that another service had begun went on at the service to which old routes lead.
+@pytest.mark.parametrize("arrives", [False, True])
+def test_no_version_is_inferred_for_a_service_that_only_old_routes_name(arrives):
+    async def scenario():
+        ran = []
+        async with world(streaming(b"v1", ran)) as here:
+            adopt_versions(here, ("v1",))
+            answer_for_routes(here, 2, moved_routes() if arrives else None)
+            caller = await here.caller()
+            headers = resuming("began-at-another-service")
+            status, _, body = await caller.request("resumable", "s", headers=headers)
+            assert (status, msgspec.json.decode(body)["kind"]) == (503, "stream_unknown")
+            assert ran == []
+
+    run(scenario())
+
+
+def test_a_version_is_inferred_once_the_routes_are_those_that_a_leader_confirmed():
+    async def scenario():
+        async with world(streaming(b"v1")) as here:
+            adopt_versions(here, ("v1",))
+            answer_for_routes(here, 2, routes(version=2))
+            caller = await here.caller()
+            headers = resuming("began-elsewhere")
+            status, _, body = await caller.request("resumable", "s", headers=headers)
+            assert (status, body) == (200, events_of(b"v1", 3, 4))
+
+    run(scenario())
