Tests: related paths on which old knowledge infers or joins no version

Refuted, so nothing is changed: a member that is cut off from consensus, lags behind by its disk, or has handed over or lost the lead infers no version once a second one is recorded; a replica that started again under a new id runs nothing for a gateway that is out of step (421), and is recorded nowhere; a version that changes between choice and send, or while a resumed stream waits, is noticed before the request is sent.

--- a/tests/test_old_knowledge.py
+++ b/tests/test_old_knowledge.py
@@ -9,11 +9,11 @@
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.model.instances import Instance, ReplicaHeartbeat
 from crowsill.state.commands import RecordHeartbeat
-from crowsill.transport.messages import SubmitCommand
+from crowsill.transport.messages import SubmitCommand, Submitted
 from crowsill.transport.stream_messages import FoundStreamOrigin
-from tests.control_group import ControlGroup, until
-from tests.gateway_world import routes, run, world
-from tests.resumed_streams import adopt_versions, events_of, resuming, streaming
+from tests.control_group import ControlGroup, until, until_done
+from tests.gateway_world import ID, NOT_RUN, encode_response, routes, run, world
+from tests.resumed_streams import adopt_versions, answer_by_member, events_of, resuming, streaming
 
 
 class SteppedDisk:
@@ -160,3 +160,186 @@
             assert (status, body) == (200, events_of(b"v1", 3, 4))
 
     run(scenario())
+
+
+def only_for(instance_id, script):
+    """Return a script that rejects requests for other instances, as a replica does."""
+
+    async def guarded(headers, writer, number):
+        if headers["crowsill-expect-instance"] == instance_id:
+            return await script(headers, writer, number)
+        writer.write(encode_response(headers[ID], b"", "421 Other", f"{NOT_RUN}: 1"))
+        return True
+
+    return guarded
+
+
+def recorded_origins(here):
+    """Return the list that receives the origins that a gateway records."""
+    origins = []
+
+    def notify(notice):
+        origins.extend(record.origin for record in notice.records)
+        return True
+
+    here.role.stream_origins._notify = notify
+    return origins
+
+
+def test_a_replica_that_started_again_runs_nothing_for_a_gateway_that_is_out_of_step():
+    async def scenario():
+        ran = []
+        async with world(only_for("i-9", streaming(b"v2", ran))) as here:
+            adopt_versions(here, ("v1",))
+            answer_by_member(here, FoundStreamOrigin(None, "v1"))
+            origins = recorded_origins(here)
+            for headers in ([], resuming("began-elsewhere")):
+                caller = await here.caller()
+                status, _, body = await caller.request("resumable", "s", headers=headers)
+                assert (status // 100, b"v2" in body) == (5, False)
+            assert (ran, origins) == ([], [])
+
+    run(scenario())
+
+
+def replace_version_while_connecting(here, version):
+    """Have the first replica listed with another version while a connection to it is opened."""
+    acquire = here.role.pool.acquire
+
+    async def acquire_and_replace(*args):
+        connection = await acquire(*args)
+        adopt_versions(here, (version,))
+        return connection
+
+    here.role.pool.acquire = acquire_and_replace
+
+
+def test_a_resumed_stream_is_not_sent_if_the_version_changes_after_the_choice():
+    async def scenario():
+        ran = []
+        async with world(streaming(b"v2", ran)) as here:
+            adopt_versions(here, ("v1",))
+            answer_by_member(here, FoundStreamOrigin(None, "v1"))
+            replace_version_while_connecting(here, "v2")
+            caller = await here.caller()
+            headers = resuming("began-elsewhere")
+            status, _, body = await caller.request("resumable", "s", headers=headers)
+            assert (status, msgspec.json.decode(body)["kind"]) == (503, "stream_lost")
+            assert ran == []
+
+    run(scenario())
+
+
+def test_the_record_of_a_stream_names_the_version_that_is_listed_as_it_is_sent():
+    async def scenario():
+        async with world(streaming(b"v2")) as here:
+            adopt_versions(here, ("v1",))
+            origins = recorded_origins(here)
+            replace_version_while_connecting(here, "v2")
+            caller = await here.caller()
+            caller.send("resumable", "r1")
+            await caller.head()
+            assert [item.software_version for item in origins] == ["v2"]
+
+    run(scenario())
+
+
+def test_a_resumed_stream_that_waits_is_rejected_when_another_version_takes_the_place_of_its_own():
+    async def scenario():
+        ran = []
+        event = asyncio.Event()
+
+        async def script(headers, writer, number):
+            if number > 1:
+                return await streaming(b"v2", ran)(headers, writer, number)
+            extra = f"{NOT_RUN}: 1\r\nRetry-After: 0.6"
+            writer.write(encode_response(headers[ID], b"", "503 Full", extra))
+            event.set()
+            return True
+
+        async with world(script) as here:
+            adopt_versions(here, ("v1",))
+            answer_by_member(here, FoundStreamOrigin(None, "v1"))
+            caller = await here.caller()
+            caller.send("resumable", "s", headers=resuming("began-elsewhere"))
+            await event.wait()
+            await asyncio.sleep(0.1)
+            adopt_versions(here, ("v2",))
+            status, found = await caller.head()
+            body = await caller.body(found)
+            assert (status, msgspec.json.decode(body)["kind"]) == (503, "stream_lost")
+            assert ran == []
+
+    run(scenario())
+
+
+def cut_off(role):
+    """Drop all messages of consensus from a member and to it."""
+    driver = role._service.driver
+    driver._send = driver.receive = lambda _envelopes: None
+
+
+async def record_at_a_leader(group, roles, command):
+    """Have a leader among some members record a replica."""
+
+    async def recorded():
+        for role in roles:
+            if group._leads(role):
+                reply = await role._service.submit_or_forward(command)
+                return isinstance(reply, Submitted)
+        return False
+
+    await until_done(recorded)
+
+
+@pytest.mark.parametrize("trouble", ["leader_cut_off", "follower_cut_off", "disk_hangs"])
+def test_a_member_that_lacks_a_version_infers_none(tmp_path, trouble):
+    async def scenario():
+        group = ControlGroup(tmp_path)
+        await group.start()
+        leads = trouble == "leader_cut_off"
+        number = next(n for n, role in enumerate(group.roles) if group._leads(role) is leads)
+        lacking = group.roles[number]
+        others = [role for role in group.roles if role is not lacking]
+        try:
+            await record_at_a_leader(group, group.roles, registration(1, "v1"))
+
+            async def infers_the_first():
+                found = await lacking._service.infer_stream_origin("engines")
+                return found.sole_version == "v1"
+
+            await until_done(infers_the_first)
+            if trouble == "disk_hangs":
+                group.disks[number].hang()
+            else:
+                cut_off(lacking)
+            await record_at_a_leader(group, others, registration(2, "v2"))
+            assert versions_at(lacking) == {"v1"}
+            found = await lacking._service.infer_stream_origin("engines")
+            assert found == FoundStreamOrigin(None)
+        finally:
+            await group.stop()
+
+    asyncio.run(scenario())
+
+
+# The former leader has handed over, and the new one has recorded a second version.
+def test_a_leader_that_has_handed_over_infers_no_version_that_the_next_one_denies(tmp_path):
+    async def scenario():
+        group = ControlGroup(tmp_path)
+        await group.start()
+        former = next(role for role in group.roles if group._leads(role))
+        others = [role for role in group.roles if role is not former]
+        try:
+            await record_at_a_leader(group, group.roles, registration(1, "v1"))
+            group.disks[group.roles.index(former)].hang()
+            handing_over = asyncio.create_task(former._service.driver.hand_over_leadership(5.0))
+            await record_at_a_leader(group, others, registration(2, "v2"))
+            assert versions_at(former) == {"v1"}
+            found = await former._service.infer_stream_origin("engines")
+            assert found.sole_version is None
+            await handing_over
+        finally:
+            await group.stop()
+
+    asyncio.run(scenario())
