Registrations: a member that is behind does not call a replica gone that it does not know

Cause: a DELETE by the name of a replica that keeps it over restarts removes the incarnations that the asked member knows. One that was behind knew none, removed the bare name, and acknowledged, while the incarnation stayed listed and got work. Change: a member that knows no incarnation first applies what a leader confirms, or answers 503 after 0.8 s. Replicas with a new id at each start are removed by that id as before, after that confirmation if the member does not know them.

--- a/src/crowsill/control/registrations.py
+++ b/src/crowsill/control/registrations.py
@@ -116,9 +116,15 @@
     async def deregister(self, replica: str) -> Result[None, Problem]:
         """Record that a replica is gone, by its name: the incarnations known to this member.
 
-        Only these incarnations are removed, so the replica may start again under its name.
+        Only these incarnations are removed, so the replica may start again under its name. A member
+        that knows none may be behind: it catches up with the leader first, or fails.
         """
-        instance_ids = self._machine.directory.instances_of(replica) or [replica]
+        directory = self._machine.directory
+        if not directory.instances_of(replica):
+            confirmed = await self._catch_up_with_any_leader()
+            if not isinstance(confirmed, Success):
+                return confirmed
+        instance_ids = directory.instances_of(replica) or [replica]
         for instance_id in instance_ids:
             removed = await self._commit(RemoveInstance(instance_id), HEARTBEAT_TIMEOUT_S)
             if not isinstance(removed, Success):
@@ -161,11 +167,30 @@
 
     async def current_routes(self) -> Result[PublishedRoutes, Problem]:
         """Return the active routes, confirmed to be the latest acknowledged ones."""
+        confirmed = await self._catch_up(monotonic_s() + READ_TIMEOUT_S)
+        if not isinstance(confirmed, Success):
+            return Failure(confirmed.failure())
+        document = self._machine.routes.current
+        return Success(PublishedRoutes(document.version, decompress_document(document)))
+
+    async def _catch_up_with_any_leader(self) -> Result[None, Problem]:
+        """Wait as `_catch_up` does, also while members elect a leader."""
         deadline_at_s = monotonic_s() + READ_TIMEOUT_S
+        confirmed = await self._catch_up(deadline_at_s)
+        while not isinstance(confirmed, Success) and monotonic_s() < deadline_at_s:
+            await asyncio.sleep(RETRY_INTERVAL_S)
+            confirmed = await self._catch_up(deadline_at_s)
+        return confirmed
+
+    async def _catch_up(self, deadline_at_s: float) -> Result[None, Problem]:
+        """Wait until this member has applied all that was acknowledged before the call.
+
+        Args:
+            deadline_at_s: Monotonic time in seconds at which the wait ends.
+        """
         freshness = await self._service.confirmed_freshness()
         if freshness is None:
             return Failure(Problem(ErrorKind.NO_LEADER, "no leader confirms the latest version"))
         if not await self._service.has_applied(freshness, deadline_at_s):
             return Failure(Problem(ErrorKind.NO_LEADER, "this member is behind"))
-        document = self._machine.routes.current
-        return Success(PublishedRoutes(document.version, decompress_document(document)))
+        return Success(None)
--- a/tests/test_old_knowledge.py
+++ b/tests/test_old_knowledge.py
@@ -5,9 +5,12 @@
 
 import msgspec
 import pytest
+from returns.result import Success
 
+from crowsill.control.registrations import Registrations
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.model.instances import Instance, ReplicaHeartbeat
+from crowsill.model.route_codec import JsonRouteCodec
 from crowsill.state.commands import RecordHeartbeat
 from crowsill.transport.messages import SubmitCommand, Submitted
 from crowsill.transport.stream_messages import FoundStreamOrigin
@@ -343,3 +346,44 @@
             await group.stop()
 
     asyncio.run(scenario())
+
+
+async def deregister_at_a_member_that_is_behind(group, number):
+    """Deregister a replica, which keeps its name over restarts, where it is not known yet.
+
+    Args:
+        group: The members.
+        number: Number of a follower, whose disk hangs from now on.
+    """
+    role = group.roles[number]
+    group.disks[number].hang()
+    described = Instance("i-1@5", "engines", "10.0.0.1:80", "z", 8, replica="i-1", started_ms=5)
+    others = [other for other in group.roles if other is not role]
+    heartbeat = RecordHeartbeat(ReplicaHeartbeat(described, 1))
+    await record_at_a_leader(group, others, SubmitCommand(heartbeat))
+    machine = role._service.driver.machine
+    registrations = Registrations(role._service, machine, JsonRouteCodec(), 1)
+    return asyncio.create_task(registrations.deregister("i-1")), others
+
+
+# The member acknowledged that the replica is gone, and requests still went there.
+@pytest.mark.parametrize("catches_up", [True, False])
+def test_a_member_that_is_behind_does_not_call_a_replica_gone_that_it_does_not_know(
+    tmp_path, catches_up
+):
+    async def scenario():
+        group = ControlGroup(tmp_path)
+        await group.start()
+        number = group.follower_number()
+        try:
+            task, others = await deregister_at_a_member_that_is_behind(group, number)
+            if catches_up:
+                group.disks[number].resume()
+            result = await task
+            assert isinstance(result, Success) is catches_up
+            leader = next(role for role in others if group._leads(role))
+            assert bool(leader._service.driver.machine.directory.instances) is not catches_up
+        finally:
+            await group.stop()
+
+    asyncio.run(scenario())
