--- a/tests/test_old_knowledge.py
+++ b/tests/test_old_knowledge.py
@@ -387,3 +387,18 @@
             await group.stop()
 
     asyncio.run(scenario())
+
+
+def test_records_that_no_member_received_are_sent_to_the_next_one():
+    async def scenario():
+        async with world(streaming(b"v1")) as here:
+            adopt_versions(here, ("v1",))
+            here.role.stream_origins._notify = lambda _notice: False
+            caller = await here.caller()
+            caller.send("resumable", "r1")
+            await caller.head()
+            origins = recorded_origins(here)
+            here.role._on_member()
+            assert [item.software_version for item in origins] == ["v1"]
+
+    run(scenario())
