Callers: a response that ends with its connection is not complete before its last byte is sent

Cause: a caller of HTTP/1.0 learns the end of a stream from the end of its connection. As the replica's response was complete, the gateway turned off the reset that marks an early end, while bytes of it were still in its own write buffer. If the gateway stopped or was killed then, the connection ended cleanly.

What callers saw: HTTP/1.0 callers that read slowly, a stream that ends cleanly inside an event or after some of its events, without the rest. Callers of HTTP/1.1 get chunks and were not affected.

Change: the reset stays on until the kernel has the last byte.

Measured: test_a_response_that_ends_with_its_connection_is_complete_only_if_its_gateway_sent_it, cases "it stops" and "it is killed", failed before (clean end, part of 54 KB) and pass now; "it is not disturbed" passed before and passes.

--- a/src/crowsill/gateway/caller_protocol.py
+++ b/src/crowsill/gateway/caller_protocol.py
@@ -69,6 +69,7 @@
         self.is_closed = False
         self.received_at_s = 0.0
         self._is_framed_by_close = False
+        self._is_ending_by_close = False
 
     def _reset_message(self) -> None:
         self._target = b""
@@ -122,6 +123,8 @@
 
     def resume_writing(self) -> None:
         """Notify the handler that the write buffer accepts data again."""
+        if self._is_ending_by_close:
+            self._set_linger(is_on=False)
         self._handler.on_writable_changed(self, True)
 
     # Callbacks of the parser.
@@ -223,14 +226,29 @@
         if self.is_closed:
             return
         if self._is_framed_by_close:
-            self._set_linger(is_on=False)
-            keep_alive = False
+            self._end_by_close()
+            return
         if not keep_alive:
             self.close()
             return
         self._start_timer(self._handler.limits().idle_timeout_ms)
         self._loop.call_soon(self._handle_next)
 
+    def _end_by_close(self) -> None:
+        """End a response by a clean close, which must not precede its last byte.
+
+        Until the kernel has all of it, the end of this process resets the connection.
+        """
+        if self.transport is None:
+            return
+        if self.transport.get_write_buffer_size() == 0:
+            self._set_linger(is_on=False)
+        else:
+            self._is_ending_by_close = True
+            # `resume_writing` is called when the buffer is empty, before the socket is closed.
+            self.transport.set_write_buffer_limits(0)
+        self.close()
+
     def close(self) -> None:
         """Close the connection after sending what was written."""
         if self.transport is not None and not self.is_closed:
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import re
 import socket
 import time
@@ -365,6 +366,41 @@
     run(scenario())
 
 
+def close_as_the_kernel_does(sock):
+    """Close the socket of a process that is killed: nothing that it still holds is sent."""
+    null = os.open(os.devnull, os.O_RDONLY)
+    os.dup2(null, sock.fileno())
+    os.close(null)
+
+
+@pytest.mark.parametrize("end", ["it is not disturbed", "it stops", "it is killed"])
+def test_a_response_that_ends_with_its_connection_is_complete_only_if_its_gateway_sent_it(end):
+    async def scenario():
+        # Less than what has the gateway stop reading from the replica.
+        body = b"".join(b"id: %d\ndata: %s\n\n" % (n, LARGE[:9000]) for n in range(1, 7))
+
+        async def script(headers, writer, _number):
+            writer.write(encode_head(headers[ID], EVENT_STREAM, CHUNKED) + chunk(body) + LAST_CHUNK)
+            return True
+
+        async with world(script) as here:
+            caller, connection = await connect_with_small_buffers(here)
+            caller.writer.transport.pause_reading()
+            send_by_http_1_0(caller)
+            await until(lambda: here._replicas[0].requests and not connection.is_busy)
+            assert connection.transport.get_write_buffer_size() > 0
+            if end == "it stops":
+                connection.abort()
+            elif end == "it is killed":
+                close_as_the_kernel_does(connection.transport.get_extra_info("socket"))
+            caller.writer.transport.resume_reading()
+            received, is_clean = await read_until_end(caller.reader)
+            assert is_clean == received.endswith(body)
+            assert is_clean == (end == "it is not disturbed")
+
+    run(scenario())
+
+
 # A gateway that is told to stop.
 
 
