Streams: an event that the caller has is not relayed again by a replica that resumes

Cause: a gateway relayed whatever a replica sent after `Last-Event-Id`. It did not look at the id of the first event.

What callers saw: where a replica began at the same event or an earlier one, 200, whole by its framing, with events that they had already, directly and over a gateway that helps.

Change: the first bytes of a resumed stream are held until the id of its first event is known. If both ids are whole numbers and it is not above the last one, the attempt failed (`repeated_event`) before anything was relayed, and another replica is tried. A first event without an id, or with an id of another kind, is relayed as before. Whether events are left out can't be told, since ids need not be consecutive, and later events are not compared.

--- a/src/crowsill/gateway/attempt.py
+++ b/src/crowsill/gateway/attempt.py
@@ -19,6 +19,7 @@
 from crowsill.gateway.replica_connection import Break, ReplicaConnection
 from crowsill.gateway.replica_signals import ReplicaSignals, read_signals
 from crowsill.gateway.response import LAST_CHUNK, encode_chunk, encode_head
+from crowsill.gateway.resumed_start import ResumedStart
 
 MAX_BUFFERED_BYTES = 256 * 1024
 # A rejection must be complete this long after its head.
@@ -29,7 +30,7 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Breaks after which the replica has not closed its connection.
 INTACT_CONNECTION_BREAKS = frozenset(
-    (Break.NOT_HTTP, Break.SILENT, Break.TOO_LARGE, Break.TOO_SLOW)
+    (Break.NOT_HTTP, Break.SILENT, Break.TOO_LARGE, Break.TOO_SLOW, Break.REPEATED_EVENT)
 )
 
 
@@ -104,6 +105,7 @@
         is_stream: bool,
         close_after: bool,
         allows_chunks: bool,
+        resumed_after: bytes = b"",
     ) -> None:
         """Create an attempt.
 
@@ -113,6 +115,8 @@
             is_stream: Whether the body is relayed as it arrives.
             close_after: Whether the caller's connection closes after this response.
             allows_chunks: Whether the caller understands chunks.
+            resumed_after: Id of the last event that the caller has of the stream that it resumes;
+                empty if it resumes none.
         """
         self._loop = asyncio.get_running_loop()
         self.started_at_s = self._loop.time()
@@ -122,6 +126,7 @@
         self._is_stream = is_stream
         self._close_after = close_after
         self._allows_chunks = allows_chunks
+        self._resumed_start = ResumedStart(resumed_after)
         self.on_first_data: Callable[[], None] = lambda: None
         self.on_gap: Callable[[float, float], None] = lambda _gap_s, _now_s: None
         self.on_signals: Callable[[int, ReplicaSignals], None] = lambda _status, _signals: None
@@ -250,8 +255,7 @@
             self._relay(data)
             return
         if self._may_relay:
-            self._start_relaying()
-            self._relay(data)
+            self._begin_stream(data)
             return
         self._body.append(data)
         self._body_bytes += len(data)
@@ -264,6 +268,16 @@
         self._relay(b"".join(self._body))
         self._body.clear()
 
+    def _begin_stream(self, data: bytes) -> None:
+        """Relay the first pieces of a stream, unless it repeats an event."""
+        if self.position is not None:
+            data = self._resumed_start.feed(data)
+        if self._resumed_start.is_repeated:
+            self._break_off(Break.REPEATED_EVENT)
+        elif data:
+            self._start_relaying()
+            self._relay(data)
+
     def _start_relaying(self) -> None:
         self._relaying = True
         headers = end_to_end_headers(self._headers)
@@ -295,6 +309,10 @@
         if self._ends_early():
             self.on_break(Break.INSIDE_EVENT)
             return
+        if held := self._resumed_start.release():
+            # A stream without any event.
+            self._start_relaying()
+            self._relay(held)
         if not self._relaying:
             self._end(self._classify())
             return
--- a/src/crowsill/gateway/peers/sender.py
+++ b/src/crowsill/gateway/peers/sender.py
@@ -22,6 +22,7 @@
 from crowsill.gateway.replica_feedback import MIN_SERVER_ERROR_STATUS
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import has_lost_most_links
+from crowsill.gateway.stream_origins import is_resumable
 from crowsill.metrics import PEER_REQUESTS
 from crowsill.model.instances import Instance
 from crowsill.model.peers import PeerOffer
@@ -112,6 +113,7 @@
                 is_stream=is_stream,
                 close_after=closes_connection,
                 allows_chunks=self._request.allows_chunks,
+                resumed_after=self._request.last_event_id if is_resumable(route) else b"",
             )
             end = await self._run(peer, connection, attempt, deadline_at_s)
             reusable = end.result in (AttemptResult.COMPLETE, AttemptResult.NOT_RUN)
--- a/src/crowsill/gateway/replica_connection.py
+++ b/src/crowsill/gateway/replica_connection.py
@@ -45,6 +45,7 @@
         CRASHED: The connection was closed as at the end of the body, because the replica crashed.
         TOO_LARGE: More bytes were received than a head, or a body that is not relayed, may have.
         TOO_SLOW: A head, a trailer, the size of a chunk or a rejection was not complete in time.
+        REPEATED_EVENT: A resumed stream began at an event that the caller has.
     """
 
     CLOSED = "closed"
@@ -55,6 +56,7 @@
     CRASHED = "crashed"
     TOO_LARGE = "too_large"
     TOO_SLOW = "too_slow"
+    REPEATED_EVENT = "repeated_event"
 
 
 class ResponseSink(Protocol):
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -211,6 +211,7 @@
             is_stream=is_stream,
             close_after=closes_connection,
             allows_chunks=self._request.allows_chunks,
+            resumed_after=self._request.last_event_id if is_resumable(route) else b"",
         )
         attempt.connection = connection
         if self._request.model:
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -116,6 +116,71 @@
     run(scenario())
 
 
+# A replica that begins at another event than the one that is asked for.
+
+
+def beginning_at(first, own_requests=None, split=None):
+    """Return a script that begins at an event, whatever the request asks for."""
+
+    async def script(headers, writer, _number):
+        if own_requests is not None:
+            own_requests.append(headers[ID])
+        response = whole(headers[ID], b"v1", first, 12)
+        at = len(response) if split is None else response.index(b"id: ") + split
+        await send_in_pieces(writer, [response[:at], response[at:]])
+        return True
+
+    return script
+
+
+@pytest.mark.parametrize("first", [1, 9, 10])
+@pytest.mark.parametrize("split", [None, 1, 4, 5])
+def test_a_caller_does_not_get_an_event_again_that_it_has(first, split):
+    async def scenario():
+        async with world(beginning_at(first, split=split)) as here:
+            list_one_version(here)
+            _, _, body = await resume(here, "r1", last_id=10)
+            assert [number for number in ids_of(body) if number <= 10] == []
+            assert b"id: " not in body
+
+    run(scenario())
+
+
+def test_a_stream_is_resumed_at_a_replica_that_begins_at_the_right_event():
+    async def scenario():
+        ran = []
+
+        async def script(headers, writer, number):
+            ran.append(headers[ID])
+            first = 10 if len(ran) == 1 else 11
+            return await beginning_at(first)(headers, writer, number)
+
+        async with world(script, script) as here:
+            list_one_version(here)
+            found = await resume(here, "r1", last_id=10)
+            assert found == (200, True, events_of(b"v1", 11, 12))
+            assert ran == ["r1", "r1"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("prefix", [b"", b": hello\n\n", b"data: no id\n\n", b"event: x\n"])
+@pytest.mark.parametrize(("event_id", "last_id"), [(b"11", 10), (b"30", 10), (b"a-1", 10)])
+def test_a_resumed_stream_with_any_other_first_event_is_relayed(prefix, event_id, last_id):
+    async def scenario():
+        body = prefix + b"id: %s\ndata: v1\n\n" % event_id
+
+        async def script(headers, writer, _number):
+            writer.write(encode_head(headers[ID], EVENT_STREAM, CHUNKED) + chunk(body) + LAST_CHUNK)
+            return True
+
+        async with world(script) as here:
+            list_one_version(here)
+            assert await resume(here, "r1", last_id=last_id) == (200, True, body)
+
+    run(scenario())
+
+
 # A first try and the gateway's own retry.
 
 
@@ -228,6 +293,25 @@
     run_site(scenario())
 
 
+def test_a_caller_does_not_get_an_event_again_over_a_gateway_that_helps(tmp_path):
+    async def scenario():
+        async with PartitionedSite(tmp_path, gateways=2) as site:
+            await lose_links(site, [0])
+            role = site.gateways[0]
+
+            async def answer(_question, _timeout_s):
+                return FoundStreamOrigin(None, "")
+
+            role.stream_origins._query = answer
+            async with ScriptedPeer(site, beginning_at(10)) as peer:
+                caller = Caller(*await asyncio.open_connection(LOCAL, role.port()))
+                caller.send("resumable", "r1", headers=resuming("began", last_id=10))
+                status, _, body = await read_response(caller)
+                assert (status, ids_of(body), len(peer.requests)) == (502, [], 1)
+
+    run_site(scenario())
+
+
 @pytest.mark.parametrize("events", [0, 2])
 def test_a_stream_is_not_complete_if_a_real_gateway_that_helps_is_killed(tmp_path, events):
     async def scenario():
