Streams: a record prevails over the only version of a service

A caller's stream went on at another service, without a trace: its route had been moved since it began, and the member that was asked had no record yet. What others knew was raced against what the leader confirmed, so the confirmation won wherever the member was the leader, or another member did not answer.

The others have 0.15 s now, then the confirmation counts unless a record has arrived meanwhile. Still open: a moved route and no record anywhere.

--- a/src/crowsill/control/stream_origins.py
+++ b/src/crowsill/control/stream_origins.py
@@ -22,6 +22,8 @@
 FORWARD_DELAY_S = 0.02
 # Members in touch respond within milliseconds; the caller waits meanwhile.
 MEMBER_REPLY_TIMEOUT_S = 0.25
+# Time in which the others may report a record before the only version of a service is reported.
+RECORD_PRIORITY_S = 0.15
 
 
 class MemberStreamOrigins:
@@ -62,25 +64,25 @@
         if found is not None or request.is_forwarded:
             return FoundStreamOrigin(found)
         if not request.service:
-            return await self._find_at_others(request.key)
+            return await self._find_at_others(request.key, MEMBER_REPLY_TIMEOUT_S)
         inferring = asyncio.create_task(self._infer(request.service))
-        asking = asyncio.create_task(self._find_at_others(request.key))
         try:
-            for answer in asyncio.as_completed((inferring, asking)):
-                origin = await answer
-                if origin.is_known:
-                    return origin
-            return inferring.result()
+            # A record prevails: the route may have led to another service when the stream began.
+            found_by_others = await self._find_at_others(request.key, RECORD_PRIORITY_S)
+            if found_by_others.is_known:
+                return found_by_others
+            inferred = await inferring
+            found = self._origins.find(request.key, monotonic_s())
+            return inferred if found is None else FoundStreamOrigin(found)
         finally:
             inferring.cancel()
-            asking.cancel()
 
-    async def _find_at_others(self, key: bytes) -> FoundStreamOrigin:
+    async def _find_at_others(self, key: bytes, timeout_s: float) -> FoundStreamOrigin:
         """Return the record that other members have of a stream."""
         if not key:
             return FoundStreamOrigin(None)
         question = FindStreamOrigin(key, is_forwarded=True)
-        replies = await self._links.request_all(question, MEMBER_REPLY_TIMEOUT_S)
+        replies = await self._links.request_all(question, timeout_s)
         # A record may have arrived meanwhile.
         known = [self._origins.find(key, monotonic_s()), *_records_of(replies)]
         for record in known:
