Streams: the deadline of a resumed stream is told in the clock that the wait uses

On a machine that had been suspended for longer than a caller waits, no member was asked: the event loop's clock stands still meanwhile, and its deadline lay in the past of the other clock. Streams without a record of the gateway's own were rejected at once. The test failed before (503), and passes (200).

--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -150,7 +150,7 @@
         self._log.route = route
         if self._terms is None:
             origin = await self._context.stream_origins.find(
-                self._request, route, self._log.tenant, deadline_at_s
+                self._request, route, self._log.tenant, to_monotonic_at_s(deadline_at_s)
             )
             if isinstance(origin, Rejection):
                 self._admission.return_units()
