Streams: the wait for a member and for its answer share one limit

A question about a stream lasted up to twice its limit, which may be 1 s past the caller's deadline, where a member was found late. The test failed before, and passes.

--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -339,12 +339,14 @@
 
         Args:
             message: The request.
-            timeout_s: How long to wait for the reply, and, where any member can handle the
-                request, for a stream.
+            timeout_s: How long to wait for the reply; for the origin of a stream also for a
+                connection, and a report of a crash waits as long for one beforehand.
         """
         connection = self._connection
         if connection is None and isinstance(message, FindStreamOrigin):
+            end_at_s = monotonic_s() + timeout_s
             connection = await self._next_open_connection(timeout_s)
+            timeout_s = max(0.0, end_at_s - monotonic_s())
         if connection is None and isinstance(message, ReportCrash):
             # Any member keeps the report until there is a leader.
             asked_at_s = monotonic_s()
