--- a/src/crowsill/state/directory.py
+++ b/src/crowsill/state/directory.py
@@ -18,6 +18,8 @@
 )
 
 MAX_REMEMBERED_GONE = 4000
+# Recorded instead of None, which earlier builds can't read. No service has an empty name.
+UNKNOWN_HISTORY: dict[str, str | None] = {"": None}
 
 
 class DirectoryEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -51,8 +53,8 @@
         entries: The registered instances.
         gone: Ids of instances that are gone, the oldest first.
         newest_started_ms: Newest start time by replica name, the oldest entry first.
-        sole_versions: See `Directory`; None if an earlier build, which kept none, has recorded part
-            of the history.
+        sole_versions: See `Directory`; None in a snapshot of an earlier build, which kept none, and
+            `UNKNOWN_HISTORY` if such a build has recorded part of the history.
     """
 
     version: int = 0
@@ -270,7 +272,11 @@
         """Return the state for a snapshot."""
         entries, started = list(self._entries.values()), list(self._newest_started_ms.items())
         return DirectorySnapshot(
-            self.version, entries, list(self._gone), started, self._sole_versions
+            self.version,
+            entries,
+            list(self._gone),
+            started,
+            UNKNOWN_HISTORY if self._sole_versions is None else self._sole_versions,
         )
 
     def load(self, snapshot: DirectorySnapshot) -> None:
@@ -280,7 +286,9 @@
         self._gone = OrderedDict((instance_id, None) for instance_id in snapshot.gone)
         self._newest_started_ms = OrderedDict(snapshot.newest_started_ms)
         versions = snapshot.sole_versions
-        self._sole_versions = None if versions is None else dict(versions)
+        # An earlier build may have added services to a history that is not known.
+        is_unknown = versions is None or versions.keys() >= UNKNOWN_HISTORY.keys()
+        self._sole_versions = None if versions is None or is_unknown else dict(versions)
 
 
 def _keep_draining(known: Instance, reported: Instance) -> Instance:
