--- a/tests/test_origin_proof.py
+++ b/tests/test_origin_proof.py
@@ -4,6 +4,7 @@
 import time
 
 import msgspec
+import pytest
 
 from crowsill.control.stream_origins import MemberStreamOrigins
 from crowsill.gateway import stream_origins
@@ -25,6 +26,12 @@
     resuming,
     streaming,
 )
+from tests.stream_site import StreamingReplica, stream_configuration, stream_site
+from tests.test_streams_at_stale_gateways import (
+    all_serve_version,
+    begin_streams,
+    followed_member,
+)
 
 
 class SlowLinks:
@@ -178,3 +185,59 @@
         assert found.record == record
 
     asyncio.run(scenario())
+
+
+def configuration_of_moved_streams():
+    """Return the next configuration, in which the route of the streams leads to other engines."""
+    document = stream_configuration() | {"version": 2}
+    document["routes"][1] |= {"service": "others"}
+    document["services"].append(document["services"][1] | {"name": "others"})
+    return document
+
+
+async def move_streams(site, replicas):
+    """Move the route of the streams to replicas of another service and version."""
+    replica = StreamingReplica(site, 7, "w1")
+    replica.service = "others"
+    replicas.append(replica)
+    assert await site.publish(configuration_of_moved_streams()) == 200
+    await replica.start()
+    await site.until(lambda: all_serve_version(site.fronts, "w1"))
+
+
+async def restart(site, machines):
+    """Kill machines, start them again, and wait until all gateways serve."""
+    for machine in machines:
+        machine.kill()
+    for machine in machines:
+        machine.start()
+    await site.until(lambda: all_serve_version(site.fronts, "w1"))
+
+
+async def lose_the_records_of_a_member(site):
+    """Restart a gateway and its member; a further member does not answer from now on."""
+    await restart(site, [site.core[0], site.fronts[0]])
+    assert followed_member(site, site.fronts[0]) is site.core[0]
+    site.core[4].pause()
+
+
+async def lose_all_records(site):
+    await restart(site, site.machines)
+
+
+# Callers held streams of two services: their route had been moved, and the only version of the
+# service that it led to now was taken for what had begun their streams.
+@pytest.mark.parametrize("lose_records", [lose_the_records_of_a_member, lose_all_records])
+def test_a_stream_does_not_continue_at_the_service_that_its_route_was_moved_to(
+    tmp_path, lose_records
+):
+    async def scenario():
+        async with stream_site(tmp_path, ("v1", "v1"), fronts=4) as (site, replicas):
+            callers = await begin_streams(site.fronts[1:])
+            await move_streams(site, replicas)
+            await lose_records(site)
+            first = site.fronts[0]
+            await asyncio.gather(*(caller.try_at(first) for caller in callers))
+            assert [caller.events for caller in callers if len(caller.versions) > 1] == []
+
+    asyncio.run(scenario())
