--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -246,28 +246,10 @@
         return await stream.request(request, FORWARD_TIMEOUT_S)
 
     async def confirmed_freshness(self) -> Freshness | None:
-        """Return the current versions, confirmed after this call by the lease of a leader.
-
-        Followers learn of a commit with the leader's next message, and may apply it before the
-        leader does, whose own write of a later entry may last. So a leader waits until it has
-        applied all that was committed before the call.
-        """
-        if self.driver is not None and self.driver.is_leader:
-            committed_index = self.driver.node.commit_index
-            if not await self._has_applied_entries(self.driver, committed_index):
-                return None
+        """Return the current versions, confirmed after this call by the lease of a leader."""
         freshness = self.own_freshness()
         return freshness if freshness is not None else await self._relay.confirm()
 
-    async def _has_applied_entries(self, driver: ConsensusDriver, index: int) -> bool:
-        """Wait until this member has applied an entry; return False on a time-out."""
-        deadline_at_s = monotonic_s() + MAX_APPLY_WAIT_S
-        while driver.applied_index < index:
-            if monotonic_s() > deadline_at_s:
-                return False
-            await asyncio.sleep(APPLY_POLL_INTERVAL_S)
-        return True
-
     async def infer_stream_origin(self, service: str) -> FoundStreamOrigin:
         """Return what is known of a stream of a service that has no record.
 
