--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -17,6 +17,7 @@
 from tests.gateway_world import ID, LOCAL, Caller, Replica, run, world
 from tests.partitioned_site import PartitionedSite
 from tests.resumed_streams import adopt_versions, answer_by_member, events_of, resuming
+from tests.stream_site import StreamCaller, stream_site
 from tests.test_partitioned_gateways import run as run_site
 from tests.test_peer_requests import lose_links
 from tests.test_truncated_streams import encode_head, read_response, reset
@@ -539,3 +540,73 @@
             assert (status == 200 and is_complete) == (len(ids) == 10)
 
     run_site(scenario())
+
+
+# Real processes.
+
+
+class RecordingReader:
+    """Reads a response in chunks, and keeps the last line."""
+
+    def __init__(self, reader):
+        self._reader = reader
+        self.last_line = b""
+
+    async def readline(self):
+        self.last_line = await self._reader.readline()
+        return self.last_line
+
+    async def readexactly(self, size):
+        return await self._reader.readexactly(size)
+
+
+class EndCheckingCaller(StreamCaller):
+    """Counts the responses that ended as complete although events were missing."""
+
+    early_ends = 0
+
+    async def _read_events(self, reader, attempt):
+        recording = RecordingReader(reader)
+        await super()._read_events(recording, attempt)
+        has_ended = recording.last_line.strip() == b"0"
+        self.early_ends += has_ended and not self.is_complete
+
+
+async def stop_a_gateway(site):
+    site.fronts[0].process.terminate()
+
+
+async def kill_a_gateway(site):
+    site.fronts[0].kill()
+
+
+async def freeze_two_gateways(site):
+    for front in site.fronts[:2]:
+        front.pause()
+    await asyncio.sleep(1.5)
+    for front in site.fronts[:2]:
+        front.resume()
+
+
+@pytest.mark.parametrize(
+    ("disturb", "breaks_streams"),
+    [(stop_a_gateway, True), (kill_a_gateway, True), (freeze_two_gateways, False)],
+)
+def test_streams_are_in_order_while_gateways_stop_or_stand_still(tmp_path, disturb, breaks_streams):
+    async def scenario():
+        async with stream_site(tmp_path, ("v1", "v1", "v2", "v2")) as (site, _):
+            until_at_s = time.monotonic() + 14.0
+            callers = [EndCheckingCaller(number) for number in range(24)]
+            following = [
+                asyncio.create_task(item.follow(site.fronts, until_at_s)) for item in callers
+            ]
+            await asyncio.sleep(1.0)
+            await disturb(site)
+            await asyncio.gather(*following)
+        assert sum(caller.early_ends for caller in callers) == 0
+        assert [caller.events for caller in callers if not caller.is_in_order] == []
+        assert [caller.events for caller in callers if len(caller.versions) > 1] == []
+        assert any(caller.is_complete for caller in callers)
+        assert any(caller.was_resumed for caller in callers) or not breaks_streams
+
+    asyncio.run(scenario())
