--- a/src/crowsill/gateway/stream_origins.py
+++ b/src/crowsill/gateway/stream_origins.py
@@ -47,6 +47,8 @@
 # A member that does not answer for this long is asked again, or another one is.
 QUERY_TIMEOUT_S = 1.0
 POLL_S = 0.05
+# Longest pause between two questions while members have no leader.
+MAX_QUESTION_PAUSE_S = 0.2
 # A directory that was confirmed longer ago may lack replicas that serve.
 MAX_DIRECTORY_AGE_S = 1.5
 # Time in which a gateway that is out of step has its directory confirmed again.
@@ -198,6 +200,7 @@
             end_at_s: Monotonic time after which nothing is asked.
         """
         needs_record = False
+        pause_s = POLL_S
         while (remaining_s := end_at_s - monotonic_s()) > 0.0:
             reply = await self._query(question, min(remaining_s, QUERY_TIMEOUT_S))
             if isinstance(reply, FoundStreamOrigin):
@@ -206,7 +209,8 @@
                 if not needs_record and (reply.has_several_versions or not question.service):
                     needs_record = True
                     end_at_s = min(end_at_s, monotonic_s() + RECORD_DELAY_S)
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_S if needs_record else pause_s)
+            pause_s = min(2.0 * pause_s, MAX_QUESTION_PAUSE_S)
         return FoundStreamOrigin(None)
 
     async def _await_replica(self, origin: StreamOrigin, end_at_s: float) -> None:
--- a/tests/test_origin_proof.py
+++ b/tests/test_origin_proof.py
@@ -243,3 +243,24 @@
             assert [caller.events for caller in callers if len(caller.versions) > 1] == []
 
     asyncio.run(scenario())
+
+
+# Streams that were resumed while members elected a leader each asked some 36 times in 2 s, and the
+# member that was asked passed each question on to all others.
+def test_a_gateway_asks_less_often_while_no_leader_confirms_anything():
+    async def scenario():
+        questions = []
+
+        async def query(question, _timeout_s):
+            questions.append(question)
+            return FoundStreamOrigin(None)
+
+        async with world(streaming(b"v1")) as here:
+            adopt_versions(here, ("v1",))
+            here.role.stream_origins._query = query
+            caller = await here.caller()
+            status, _, _ = await caller.request("resumable", "s", headers=resuming("r1"))
+            assert status == 503
+            assert 0 < len(questions) <= 15
+
+    run(scenario())
