Soak: software versions join and leave while gateways are out of step

No soak had a gateway out of step while a version joined, nor callers that resume streams. `--versions` adds both: six services whose replicas' events name their software version; versions join as new replicas, or as the next start of a replica at its address under a new id, and the oldest leaves; meanwhile a gateway is stopped or cut off from all members (new `CuttingRelay`), alone or with the member that it follows, and comes back with all members, without that one, or with none. Callers resume streams there. Every stream is checked after each try: one version, no event missing or twice, none ended as complete before its last event.

--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -121,6 +121,7 @@
     silent_cuts: bool = False,
     parts: bool = False,
     load_control: bool = False,
+    versions: bool = False,
     folder: Path = Path("soak-run"),
 ) -> None:
     """Run the real programs under external faults and check all guarantees, for each seed."""
@@ -145,6 +146,7 @@
             has_silent_cuts=silent_cuts,
             has_parts=parts,
             has_load_control=load_control,
+            has_versions=versions,
         )
         report = run_soak(plan)
         typer.echo(report.text())
--- a/src/crowsill_lab/relay.py
+++ b/src/crowsill_lab/relay.py
@@ -4,6 +4,7 @@
 the first frame, and can partition members: it delays their data in both directions.
 `SilencingRelay` relays connections to any listener; it can discard all further data of open
 connections, while new connections work.
+`CuttingRelay` is one in front of a control member; it can also cut off single processes.
 """
 
 import asyncio
@@ -90,6 +91,7 @@
     """One relayed connection; data in a silent direction is discarded."""
 
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    source: str = ""
     to_target_is_silent: bool = False
     to_caller_is_silent: bool = False
 
@@ -117,14 +119,22 @@
             connection = _RelayedConnection((writer, upstream[1]))
             self._connections.append(connection)
             try:
+                connection.source = await self._relay_name(reader, upstream[1])
                 await asyncio.gather(
                     _pump_unless_silent(
-                        reader, upstream[1], lambda: connection.to_target_is_silent
+                        reader,
+                        upstream[1],
+                        lambda: connection.to_target_is_silent or self._is_cut_off(connection),
                     ),
                     _pump_unless_silent(
-                        upstream[0], writer, lambda: connection.to_caller_is_silent
+                        upstream[0],
+                        writer,
+                        lambda: connection.to_caller_is_silent or self._is_cut_off(connection),
                     ),
                 )
+            except (OSError, asyncio.IncompleteReadError):
+                for end in connection.writers:
+                    end.close()
             except asyncio.CancelledError:
                 # The event loop shuts down.
                 writer.close()
@@ -132,6 +142,16 @@
 
         self._server = await asyncio.start_server(accept, "127.0.0.1", port)
 
+    async def _relay_name(
+        self, reader: asyncio.StreamReader, target_writer: asyncio.StreamWriter
+    ) -> str:
+        """Relay what a connecting process says of itself; return its name, here always empty."""
+        return ""
+
+    def _is_cut_off(self, connection: _RelayedConnection) -> bool:
+        """Whether all data of a connection is discarded."""
+        return False
+
     def silence(self, to_target: bool, to_caller: bool) -> None:
         """Discard all further data of the open connections, in one direction or both."""
         for connection in self._connections:
@@ -150,6 +170,38 @@
             self._server.close()
 
 
+class CuttingRelay(SilencingRelay):
+    """Relays streams to a control member; processes can be cut off by their names."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._cut_off: set[str] = set()
+
+    def cut_off(self, name: str) -> None:
+        """Discard all data of a process's open and new connections, in both directions."""
+        self._cut_off.add(name)
+
+    def restore(self, name: str) -> None:
+        """Let new connections of a process work again, and reset those that have lost data."""
+        self._cut_off.discard(name)
+        for connection in self._connections:
+            if connection.source == name:
+                for writer in connection.writers:
+                    writer.transport.abort()
+
+    async def _relay_name(
+        self, reader: asyncio.StreamReader, target_writer: asyncio.StreamWriter
+    ) -> str:
+        header = await reader.readexactly(_LENGTH.size)
+        payload = await reader.readexactly(_LENGTH.unpack(header)[0])
+        target_writer.write(header + payload)
+        body = msgspec.msgpack.decode(payload, type=Frame).body
+        return body.node if isinstance(body, Hello) else ""
+
+    def _is_cut_off(self, connection: _RelayedConnection) -> bool:
+        return connection.source in self._cut_off
+
+
 async def _pump_unless_silent(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_silent: Callable[[], bool]
 ) -> None:
--- a/src/crowsill_lab/soak/faults.py
+++ b/src/crowsill_lab/soak/faults.py
@@ -14,11 +14,14 @@
 from crowsill_lab.soak.replica import SoakReplica
 from crowsill_lab.soak.seeded_site import SeededSite
 from crowsill_lab.soak.site import DRAIN_GRACE_S, Gateway, Member, SoakSite
+from crowsill_lab.soak.version_faults import VersionFaults
 
 MAX_GAP_S = 0.8
 MAX_DOWN_S = 1.5
 MAX_PAUSE_S = 2.0
 MAX_STOP_S = DRAIN_GRACE_S + 2.0
+# Of about a dozen kinds of faults, so many choices are a version that joins.
+VERSION_FAULT_CHOICES = 8
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -38,7 +41,9 @@
         random: Random,
         *,
         links: SoakLinks,
+        versions: VersionFaults | None = None,
     ) -> None:
+        self._versions = versions
         self._links = links
         self._site = site
         self._replicas = replicas
@@ -80,6 +85,7 @@
             self._restart_replica,
             *self._connection_faults(member),
             *self._loss_faults(),
+            *self._version_faults(gateway),
         ]
         await random.choice(faults)()
 
@@ -101,6 +107,19 @@
             lambda: self._lose_power(losses),
         ]
 
+    def _version_faults(self, gateway: Gateway) -> list[Fault]:
+        versions = self._versions
+        if versions is None:
+            return []
+        return [lambda: self._change_versions(versions, gateway)] * VERSION_FAULT_CHOICES
+
+    async def _change_versions(self, versions: VersionFaults, gateway: Gateway) -> None:
+        async with self._member_lock, self._gateway_locks[gateway.name]:
+            gateway.interruptions += 1
+            with gateway.disturbance():
+                self._note(await versions.inject(gateway))
+            gateway.interruptions += 1
+
     async def inject_final_loss(self) -> None:
         """After the last burst, inject the maximum simultaneous loss if the site can lose disks."""
         if self._losses is not None:
--- a/src/crowsill_lab/soak/ledger.py
+++ b/src/crowsill_lab/soak/ledger.py
@@ -7,6 +7,7 @@
 from crowsill_lab.soak.limits import LimitLedger
 from crowsill_lab.soak.link_ledger import LinkLedger
 from crowsill_lab.soak.signal_ledger import GatewayRun, SignalLedger
+from crowsill_lab.soak.stream_ledger import StreamLedger
 from crowsill_lab.soak.tenants import (
     BURST,
     LIMITED,
@@ -79,6 +80,7 @@
         signals: Backoffs and drains that replicas requested in their responses.
         limits: Rate limits that replicas advertised in their responses.
         links: Gateways that were cut off from all replicas, and first tries of callers.
+        streams: Streams that callers resume.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -94,6 +96,7 @@
     signals: SignalLedger = field(default_factory=SignalLedger)
     limits: LimitLedger = field(default_factory=LimitLedger)
     links: LinkLedger = field(default_factory=LinkLedger)
+    streams: StreamLedger = field(default_factory=StreamLedger)
 
     def note_arrival(
         self, request_id: str, instance_id: str, now_s: float, sender: GatewayRun | None = None
--- a/src/crowsill_lab/soak/operator.py
+++ b/src/crowsill_lab/soak/operator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
 from random import Random
 
 import msgspec
@@ -23,11 +24,17 @@
 
 HOST_NAME = "shop.example"
 TIMEOUT_MS = 3000.0
+RESUMED_TIMEOUT_MS = 8000.0
 MAX_PAUSE_S = 1.5
 
 
-def routes_of(version: int) -> RouteConfiguration:
-    """Return a version: three routes that all versions have, and one that only this one has."""
+def routes_of(version: int, resumed_services: Sequence[str] = ()) -> RouteConfiguration:
+    """Return a version: routes that all versions have, and one that only this one has.
+
+    Args:
+        version: The version.
+        resumed_services: Services whose streams callers may resume; each has a route of its name.
+    """
 
     def route(name: str, kind: RouteKind, attempts: int) -> Route:
         share = [WeightedService(SERVICE, 1.0)]
@@ -39,14 +46,37 @@
         route("stream", RouteKind.STREAM, 1),
         route(f"v{version}", RouteKind.AT_MOST_ONCE, 1),
     ]
-    services = [ServiceDefinition(SERVICE, 100, probe_path=PROBE_PATH)]
+    routes += [_resumable_route(service) for service in resumed_services]
+    names = [SERVICE, *resumed_services]
+    services = [ServiceDefinition(name, 100, probe_path=PROBE_PATH) for name in names]
     return RouteConfiguration(version, routes, services, CallerLimits(), tenants_of(version))
 
 
+def _resumable_route(service: str) -> Route:
+    share = [WeightedService(service, 1.0)]
+    return Route(
+        service,
+        HOST_NAME,
+        f"/{service}/",
+        RouteKind.STREAM,
+        RESUMED_TIMEOUT_MS,
+        share,
+        max_attempts=2,
+        resumable=True,
+    )
+
+
 class Operator:
     """Publishes versions of the routes until cancelled."""
 
-    def __init__(self, site: SoakSite | SeededSite, ledger: Ledger, random: Random) -> None:
+    def __init__(
+        self,
+        site: SoakSite | SeededSite,
+        ledger: Ledger,
+        random: Random,
+        resumed_services: Sequence[str] = (),
+    ) -> None:
+        self._resumed_services = resumed_services
         self._site = site
         self._ledger = ledger
         self._random = random
@@ -54,7 +84,7 @@
 
     async def publish(self, version: int) -> None:
         """Send a version to randomly chosen members until one acknowledges it."""
-        body = msgspec.json.encode(routes_of(version))
+        body = msgspec.json.encode(routes_of(version, self._resumed_services))
         while not await self._send(body):
             await asyncio.sleep(0.1)
         self._ledger.note_acknowledged(version, time.monotonic())
--- a/src/crowsill_lab/soak/runner.py
+++ b/src/crowsill_lab/soak/runner.py
@@ -21,6 +21,9 @@
 from crowsill_lab.soak.signals import SignalInjector
 from crowsill_lab.soak.site import Gateway, SoakSite
 from crowsill_lab.soak.stalls import read_busy_stalls
+from crowsill_lab.soak.stream_ledger import StreamLedger
+from crowsill_lab.soak.version_faults import VersionFaults
+from crowsill_lab.soak.versioned_streams import SERVICES, ResumingCaller
 from crowsill_lab.soak.watcher import VersionWatcher
 
 BURST_S = 6.0
@@ -31,6 +34,7 @@
 REPLICAS = 3
 CALLERS = 4
 STREAM_CALLERS = 2
+RESUMING_CALLERS = 24
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +57,8 @@
         has_parts: Whether requests have prompts, and one part of prompts crashes replicas.
         has_load_control: Whether gateways have all decisions under load switched on; only without
             redirectors.
+        has_versions: Whether callers also resume streams of replicas whose software versions join
+            and leave while a gateway is out of step; only without redirectors.
     """
 
     seed: int
@@ -67,6 +73,7 @@
     has_silent_cuts: bool = False
     has_parts: bool = False
     has_load_control: bool = False
+    has_versions: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +87,7 @@
         versions: Newest acknowledged version of the routes.
         violations: Violated guarantees.
         notes: What the checks did not count, and why.
+        streams: Streams that callers resume.
     """
 
     seed: int
@@ -88,6 +96,7 @@
     versions: int
     violations: list[str]
     notes: list[str] = field(default_factory=list)
+    streams: StreamLedger = field(default_factory=StreamLedger)
 
     def text(self) -> str:
         """Return the report as printed."""
@@ -98,6 +107,7 @@
             f"seed {self.seed}: {len(self.faults)} faults, newest version {self.versions}",
             f"  faults: {'; '.join(self.faults)}",
             f"  responses: {statuses}",
+            *([f"  resumed streams: {self.streams.text()}"] if self.streams.begun else []),
             *(f"  note: {line}" for line in self.notes),
             *(f"  BROKEN {line}" for line in self.violations),
         ]
@@ -124,6 +134,11 @@
         self._limit_random = Random(f"limits of {plan.seed}")
         self._cut_random = Random(f"cuts of {plan.seed}")
         self._part_random = Random(f"parts of {plan.seed}")
+        self._version_random = Random(f"software versions of {plan.seed}")
+        self._versions: VersionFaults | None = None
+        if plan.has_versions and isinstance(self._site, SoakSite):
+            faults_random = Random(self._version_random.getrandbits(64))
+            self._versions = VersionFaults(self._site, self._ledger, faults_random)
 
     async def run(self) -> SoakReport:
         """Run the soak, then terminate all processes."""
@@ -137,6 +152,8 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
             for replica in self._replicas:
                 await replica.stop()
+            if self._versions is not None:
+                await self._versions.stop()
             self._site.stop()
 
     def _prompt_random(self) -> Random | None:
@@ -153,12 +170,21 @@
             replica = SoakReplica(number, site, ledger, self._new_random(), self._links)
             await replica.start()
             self._replicas.append(replica)
-        operator = Operator(site, ledger, self._new_random())
+        resumed_services = SERVICES if self._versions is not None else ()
+        operator = Operator(site, ledger, self._new_random(), resumed_services)
         await asyncio.wait_for(operator.publish(1), MAX_START_S)
         self._watchers = [VersionWatcher(gateway, ledger) for gateway in site.gateways]
         await self._wait_until_recovered("start", MAX_START_S)
         self._start_traffic(operator)
-        faults = FaultInjector(site, self._replicas, ledger, self._new_random(), links=self._links)
+        await self._start_resumed_streams()
+        faults = FaultInjector(
+            site,
+            self._replicas,
+            ledger,
+            self._new_random(),
+            links=self._links,
+            versions=self._versions,
+        )
         self._injected = faults.injected
         signals = Random(f"words of {self._plan.seed}")
         self._start_continuing_faults()
@@ -193,8 +219,20 @@
                 *self._notes,
                 *ledger.links.uncounted({item.name: item.disturbances for item in site.gateways}),
             ],
+            ledger.streams,
         )
 
+    async def _start_resumed_streams(self) -> None:
+        """Start replicas and callers of streams that are resumed, if the plan has versions."""
+        versions = self._versions
+        if versions is None:
+            return
+        await versions.start()
+        for _ in range(RESUMING_CALLERS):
+            random = Random(self._version_random.getrandbits(64))
+            caller = ResumingCaller(self._site.gateways, self._ledger, versions.focus, random)
+            self._tasks.append(asyncio.create_task(caller.run()))
+
     async def _send_crashing_part(self) -> None:
         """Send prompts with a part that crashes replicas until cancelled, if the plan has parts."""
         if self._plan.has_parts:
--- a/src/crowsill_lab/soak/site.py
+++ b/src/crowsill_lab/soak/site.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from crowsill_lab.demo.processes import ManagedProcess, free_ports, module_command, wait_for_port
-from crowsill_lab.relay import SilencingRelay
+from crowsill_lab.relay import CuttingRelay, SilencingRelay
 from crowsill_lab.soak.signal_ledger import GatewayRun
 
 HOST = "127.0.0.1"
@@ -39,7 +39,7 @@
         self.name = f"m{number}"
         self.host = HOST
         self.listen_port, self.peer_port, self.registration_port = free_ports(3)
-        self.relay: SilencingRelay | None = SilencingRelay()
+        self.relay: SilencingRelay | None = CuttingRelay()
         self.process: ManagedProcess | None = None
 
     def settings(self, peers: list["Member"], folder: Path) -> str:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -39,6 +39,8 @@
 STREAMS_SEED = 1804
 # With this seed one part of prompts crashes replicas beside a request that does, too.
 PARTS_SEED = 2101
+# With this seed software versions join while gateways stand still or are cut off from members.
+VERSIONS_SEED = 7002
 
 
 def test_every_guarantee_holds_under_overlapping_faults(tmp_path):
@@ -79,6 +81,17 @@
     assert report.violations == [], report.text()
 
 
+def test_resumed_streams_have_one_software_version_under_overlapping_faults(tmp_path):
+    plan = SoakPlan(
+        VERSIONS_SEED, SECONDS, members=5, gateways=4, folder=tmp_path, has_versions=True
+    )
+    report = run_soak(plan)
+    assert report.violations == [], report.text()
+    assert {"join", "restart"} & {fault.partition(" ")[0] for fault in report.faults}
+    assert report.streams.continued > 20, report.text()
+    assert report.streams.resumed_out_of_step > 20, report.text()
+
+
 def test_callers_of_gateways_with_silent_links_are_served_under_overlapping_faults(tmp_path):
     plan = SoakPlan(
         SILENT_CUTS_SEED,
