Streams: a gateway that was out of step judges a resumed stream by its newest routes

Callers were told that their route no longer leads to the service that began their stream, by the routes that the gateway had as the request came, though newer ones had arrived while it waited. The waits for a member and for the directory share one limit of 2 s now (up to 4 s before).

--- a/src/crowsill/gateway/stream_origins.py
+++ b/src/crowsill/gateway/stream_origins.py
@@ -42,8 +42,8 @@
 MAX_RECORDS_PER_NOTICE = 500
 # Time in which a record that another gateway has sent reaches this gateway's member.
 RECORD_DELAY_S = 0.3
-# Time in which a gateway that has lost its member, or has just started, finds another one, or
-# members elect a leader.
+# Time in which a gateway that has lost its member, or has just started, finds another one, members
+# elect a leader, or a gateway that is out of step has its directory confirmed again.
 MEMBER_DELAY_S = 2.0
 # A member that does not answer for this long is asked again, or another one is.
 QUERY_TIMEOUT_S = 1.0
@@ -52,8 +52,6 @@
 MAX_QUESTION_PAUSE_S = 0.2
 # A directory that was confirmed longer ago may lack replicas that serve.
 MAX_DIRECTORY_AGE_S = 1.5
-# Time in which a gateway that is out of step has its directory confirmed again.
-DIRECTORY_DELAY_S = 2.0
 UNKNOWN_RETRY_AFTER_S = 1.0
 
 
@@ -173,14 +171,16 @@
         """
         if not is_resumable(route) or not request.last_event_id:
             return None
-        found, how = await self._find_origin(request, route, tenant, deadline_at_s)
+        end_at_s = min(deadline_at_s, monotonic_s() + MEMBER_DELAY_S)
+        found, how = await self._find_origin(request, route, tenant, end_at_s)
         if found is not None:
-            await self._await_replica(found, min(deadline_at_s, monotonic_s() + DIRECTORY_DELAY_S))
-            how = self._reason_against(found, route) or how
+            await self._await_replica(found, end_at_s)
+            # Newer routes may have arrived meanwhile.
+            how = self._reason_against(found, self._current_route(request) or route) or how
         return self.note_decision(request, found, how)
 
     async def _find_origin(
-        self, request: CallerRequest, route: Route, tenant: str, deadline_at_s: float
+        self, request: CallerRequest, route: Route, tenant: str, end_at_s: float
     ) -> tuple[StreamOrigin | None, Resumption]:
         key = b""
         if request.resumed_request_id:
@@ -191,7 +191,6 @@
         service = _only_service(route)
         if not key and not service:
             return None, Resumption.UNKNOWN
-        end_at_s = min(deadline_at_s, monotonic_s() + MEMBER_DELAY_S)
         found = await self._find_at_group(FindStreamOrigin(key, service=service), end_at_s)
         if found.record is not None:
             return _origin_of(found.record, Resumption.GROUP_RECORD)
@@ -205,9 +204,14 @@
         table = self._table()
         if table is None or table.version < routes_version:
             return False
-        route = table.find(request.host, request.path)
+        route = self._current_route(request)
         return route is not None and _only_service(route) == service
 
+    def _current_route(self, request: CallerRequest) -> Route | None:
+        """Return the route of a request by the routes in effect; None if there is none."""
+        table = self._table()
+        return None if table is None else table.find(request.host, request.path)
+
     async def _find_at_group(
         self, question: FindStreamOrigin, end_at_s: float
     ) -> FoundStreamOrigin:
