--- a/tests/test_gateway_use.py
+++ b/tests/test_gateway_use.py
@@ -84,8 +84,7 @@
     local = LocalIdentity("c1", "c1.1", "z", b"k" * 32)
     contacts = GroupContacts([], Random(1))
     service = MemberService(local, False, subscribers, None, contacts, quota=grants)
-    node = SimpleNamespace(commit_index=0)
-    service.driver = SimpleNamespace(is_leader=True, applied_index=0, node=node)
+    service.driver = SimpleNamespace(is_leader=True)
     service.own_freshness = lambda: Freshness(0, 3)
     service._has_applied = lambda _freshness: True
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -51,8 +51,7 @@
     """A member's driver that becomes the leader later."""
 
     def __init__(self):
-        self.node = SimpleNamespace(membership=Membership(), commit_index=0)
-        self.applied_index = 0
+        self.node = SimpleNamespace(membership=Membership())
         self.is_leader = False
         self.machine = StateMachine()
 
--- a/tests/test_reported_pace.py
+++ b/tests/test_reported_pace.py
@@ -69,8 +69,7 @@
     grants = QuotaGrants(QuotaBounds(), QuotaUse(), lambda: None)
     local = LocalIdentity(name, f"{name}.1", "z", b"k" * 32)
     service = MemberService(local, False, subscribers, None, GroupContacts([], None), quota=grants)
-    node = SimpleNamespace(commit_index=0)
-    service.driver = SimpleNamespace(is_leader=is_leader, applied_index=0, node=node)
+    service.driver = SimpleNamespace(is_leader=is_leader)
     service.own_freshness = lambda: Freshness(0, 3) if service.driver.is_leader else None
     service._has_applied = lambda _freshness: True
     return service
--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -545,8 +545,7 @@
     local = LocalIdentity("c1", "c1.1", "z", b"k" * 32)
     contacts = GroupContacts([], Random(1))
     service = MemberService(local, False, subscribers, None, contacts, quota=grants)
-    node = SimpleNamespace(term=4, commit_index=0)
-    service.driver = SimpleNamespace(is_leader=True, applied_index=0, node=node)
+    service.driver = SimpleNamespace(is_leader=True, node=SimpleNamespace(term=4))
     service.own_freshness = lambda: Freshness(0, 3)
     service._has_applied = lambda _freshness: True
 
