Gateways: each decision on a retry is logged and counted by service

A gateway's retry budget showed nowhere, so that neither its spending nor what it denied could be told from logs. E239 says what a retry was charged to, or that it was denied, and what is left.

--- a/src/crowsill/events.py
+++ b/src/crowsill/events.py
@@ -168,6 +168,11 @@
         "WARNING",
         "A stream that a caller wants to resume was rejected; the line says why.",
     )
+    RETRY_DECIDED = EventDefinition(
+        239,
+        "INFO",
+        "A retry was charged to the budget of its service, or denied; the line says what is left.",
+    )
     LEVEL_CHANGED = EventDefinition(
         230,
         "INFO",
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -431,7 +431,10 @@
         if self._progress.attempts >= MAX_ATTEMPTS:
             return False
         budget = self._context.budget(self._service)
-        return budget.spend(self._loop.time(), self._context.gateways)
+        now_s, gateways = self._loop.time(), self._context.gateways
+        is_charged = budget.spend(now_s, gateways)
+        self._log.log_retry("charged" if is_charged else "denied", budget.left(now_s, gateways))
+        return is_charged
 
     def _refund(self, is_retry: bool) -> None:
         """Return what was charged for an attempt that sent nothing."""
@@ -464,8 +467,10 @@
         repeatable = route.may_repeat or (route.kind is RouteKind.STREAM and route.resumable)
         if not repeatable or self._progress.runs >= route.max_attempts:
             return False
-        budget = self._context.budget(self._service)
-        return budget.left(self._loop.time(), self._context.gateways) >= 1.0
+        left = self._context.budget(self._service).left(self._loop.time(), self._context.gateways)
+        if left < 1.0:
+            self._log.log_retry("denied", left)
+        return left >= 1.0
 
     def _has_destination(self, route: Route) -> bool:
         """Whether a replica or a peer can take the request now."""
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -14,7 +14,7 @@
 from crowsill.gateway.selection import Choice, NoReplicaReason
 from crowsill.gateway.wait_decision import wait_budget
 from crowsill.logs import log_event
-from crowsill.metrics import GATEWAY_FIRST_BYTE_S, GATEWAY_REQUESTS, REPLICA_SIGNALS
+from crowsill.metrics import GATEWAY_FIRST_BYTE_S, GATEWAY_REQUESTS, REPLICA_SIGNALS, RETRIES
 from crowsill.model.peers import PeerOffer
 from crowsill.model.prompt_parts import format_parts
 from crowsill.model.routes import Route, RouteKind
@@ -118,6 +118,23 @@
             ms=self._age_ms(),
         )
 
+    def log_retry(self, result: str, left: float) -> None:
+        """Log and count whether a retry is charged to the budget of its service.
+
+        Args:
+            result: What it was charged to, or that it was denied.
+            left: Retries that are left of what requests earned here.
+        """
+        RETRIES.labels(self.service, result).inc()
+        log_event(
+            Event.RETRY_DECIDED,
+            request=self.request_id,
+            service=self.service,
+            result=result,
+            left=round(left, 2),
+            ms=self._age_ms(),
+        )
+
     def log_sent_to_peer(self, peer: PeerOffer, attempt_number: int) -> None:
         """Log that the request is passed to another gateway."""
         log_event(
--- a/src/crowsill/metrics.py
+++ b/src/crowsill/metrics.py
@@ -204,6 +204,12 @@
     buckets=_LATENCY_BUCKETS_S,
     registry=REGISTRY,
 )
+RETRIES = Counter(
+    "crowsill_gateway_retries",
+    "Retries that were charged to the budget of a service, or denied, by result.",
+    ["service", "result"],
+    registry=REGISTRY,
+)
 UNUSABLE_RESPONSES = Counter(
     "crowsill_gateway_unusable_responses",
     "Responses of replicas and other gateways that were broken off here, by reason.",
