Retries: the leader grants the allowance, and a restarted gateway spends a fifth of its ratio

Cause: a bound over all gateways of which each process remembered its own part. Each start renewed a gateway's ninth of the allowance and of the ratio; a gateway that was cut off kept its part while the others divided the whole; how many divide was assumed to be eight until the first report.

Now the leader grants retries beyond the ratio from the window that it keeps for tenants' quotas, committed before it is granted, so that the sum holds over restarts, cuts, leaders and power cuts. The ratio needs no division; a process in its first window spends 0.2 of it beside the 0.7 that its predecessors may have spent. A retry counts from its charge on, and for a window from its sending.

Without a leader only the ratio is spent.

The test of shares in test_registered_fleet now charges earned retries and a ledger, with the same bound; the budget test of test_gateway_http earns a retry first, since a lone request earns none.

--- a/src/crowsill/control/replica_grants.py
+++ b/src/crowsill/control/replica_grants.py
@@ -2,7 +2,7 @@
 
 from crowsill.clock import monotonic_s
 from crowsill.control.driver import ConsensusDriver
-from crowsill.control.quota_grants import forward_to_leader
+from crowsill.control.recorded_grants import forward_to_leader
 from crowsill.control.replica_limits import ReplicaLimits
 from crowsill.events import Event
 from crowsill.logs import log_event
--- a/src/crowsill/control/role.py
+++ b/src/crowsill/control/role.py
@@ -30,6 +30,7 @@
 from crowsill.control.quarantine_expiry import expire_suspects, review_parts
 from crowsill.control.quota_grants import QuotaGrants
 from crowsill.control.registrations import Registrations
+from crowsill.control.retry_grants import RetryGrants
 from crowsill.control.service import MemberService, member_addresses
 from crowsill.control.store_loads import StoreLoadLog
 from crowsill.control.subscribers import Subscribers
@@ -39,6 +40,7 @@
 from crowsill.model.route_codec import decompress_document
 from crowsill.model.routes import RouteConfiguration
 from crowsill.platform_ports import PlatformPorts
+from crowsill.routing.earned_retries import RetryBudgetLimits
 from crowsill.settings import ControlSettings, Settings
 from crowsill.state.commands import Command, CommandResult, RecordQuotaUse, RecordStoreLoad
 from crowsill.state.machine import StateMachine
@@ -114,6 +116,10 @@
             self._machine.quota_use,
             self._current_routes,
         )
+        self._retries = RetryGrants(
+            RetryBudgetLimits(window_s=control.retry_window_s, allowance=control.retry_allowance),
+            self._machine.quota_use,
+        )
 
     def _recover(self) -> Result[RecoveredState, str]:
         try:
@@ -144,6 +150,7 @@
             self._links,
             self._contacts,
             quota=self._quota,
+            retries=self._retries,
             target_voters=self._control.target_voters,
             heartbeat_s=self._control.replica_heartbeat_s,
         )
@@ -243,12 +250,14 @@
     def _on_applied(self, command: Command, result: CommandResult) -> None:
         if isinstance(command, RecordQuotaUse):
             self._quota.on_applied(command)
+            self._retries.on_applied(command)
         elif isinstance(command, RecordStoreLoad):
             self._store_loads.note(command, monotonic_s())
         self._publisher.on_applied(command, result)
 
     def _on_restored(self) -> None:
         self._quota.on_restored()
+        self._retries.on_restored()
         self._store_loads.note_restored(monotonic_s())
         self._subscribers.push_full_state()
 
@@ -283,6 +292,7 @@
         self._leader_tasks = [
             asyncio.create_task(member_changes.reconcile()),
             asyncio.create_task(self._quota.record_periodically(driver)),
+            asyncio.create_task(self._retries.record_periodically(driver)),
             asyncio.create_task(
                 expire_suspects(self._machine.crashes, driver.submit, self._control.quarantine_s)
             ),
--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -14,6 +14,7 @@
 from crowsill.control.members import MemberChanges
 from crowsill.control.quota_grants import QuotaGrants
 from crowsill.control.replica_liveness import ReplicaLiveness
+from crowsill.control.retry_grants import RetryGrants
 from crowsill.control.stream_origins import MemberStreamOrigins
 from crowsill.control.subscribers import FreshnessRelay, Subscribers
 from crowsill.events import Event
@@ -100,6 +101,7 @@
         announcer: Sends the group's addresses to other processes while this member leads; None
             otherwise.
         quota: Grants quota units to tenants.
+        retries: Grants retries of services.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         contacts: GroupContacts,
         *,
         quota: QuotaGrants,
+        retries: RetryGrants,
         target_voters: int | None = None,
         heartbeat_s: float = 1.0,
     ) -> None:
@@ -123,10 +126,12 @@
             links: Streams to the other members.
             contacts: Addresses at which this member looks for the group while it belongs to none.
             quota: Grants quota units to tenants.
+            retries: Grants retries of services.
             target_voters: Number of voters that a group formed from seeds grows to.
             heartbeat_s: Time between two heartbeats of a replica that registers itself.
         """
         self.quota = quota
+        self.retries = retries
         self._target_voters = target_voters
         self._has_reached_full_size = False
         self.on_waiting: Callable[[dict[str, int], dict[str, list[str]]], None] = (
@@ -328,6 +333,8 @@
     ) -> Body:
         """Handle a request of an entry or gateway, or of a follower on their behalf."""
         match request:
+            case GrantRequest(retries_of=service) if service:
+                return await self.retries.handle(request, driver, self.leader_stream)
             case GrantRequest():
                 return await self.quota.handle(request, driver, self.leader_stream)
             case ReplicaGrantRequest():
--- a/src/crowsill/gateway/context.py
+++ b/src/crowsill/gateway/context.py
@@ -15,12 +15,12 @@
 from crowsill.gateway.replica_grants import ReplicaGrants
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
+from crowsill.gateway.retry_budgets import RetryBudgets
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.gateway.shared_admission import SharedAdmission
 from crowsill.gateway.stream_origins import GatewayStreamOrigins
 from crowsill.gateway.suspect_runs import SuspectRunClient
 from crowsill.gateway.wait_turns import WaitTurns
-from crowsill.routing.shared_budget import SharedRetryBudget
 
 
 class ExchangeContext(Protocol):
@@ -43,6 +43,7 @@
     turns: WaitTurns | None
     shared_admission: SharedAdmission | None
     stream_origins: GatewayStreamOrigins
+    retry_budgets: RetryBudgets
 
     @property
     def revocation_s(self) -> float:
@@ -71,9 +72,6 @@
     def stop_limit_at_s(self) -> float:
         """Monotonic time at which a shutdown ends requests in flight; infinite before one."""
 
-    def budget(self, service: str) -> SharedRetryBudget:
-        """Return the retry budget of a service."""
-
     def brittle(self, service: str) -> BrittleReplicas:
         """Return the brittle replicas of a service."""
 
--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -24,6 +24,7 @@
 from crowsill.gateway.replica_work import cost_of_request
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.request_pressure import RequestPressure
+from crowsill.gateway.retries import Retries
 from crowsill.gateway.routing_table import GatewayRoutingTable, is_urgent, pick_service
 from crowsill.gateway.selection import Choice, NoReplicaReason, choose, is_running_elsewhere
 from crowsill.gateway.selection_limits import SelectionLimits
@@ -41,8 +42,6 @@
 MAX_FIRST_EVENT_TARGETS = 2.0
 MIN_FIRST_EVENT_LIMIT_MS = 1000.0
 MAX_ROUTES_WAIT_S = 1.2
-# Counts all attempts; `Route.max_attempts` bounds those that a replica may have run.
-MAX_ATTEMPTS = 4
 CONNECTION_SHARE = 0.9
 # A service whose replicas have sent nothing for longer than this is not merely slow.
 MAX_SLOW_S = 3.0
@@ -82,6 +81,7 @@
         self._log = ExchangeLog(request, context.fingerprints)
         self._admission = Admission(context, request, is_charged=terms is None)
         self._repeat_guard = RepeatGuard(context, request, self._log)
+        self._retries = Retries(context, self._progress, self._log)
         self._pressure = RequestPressure(context, request, is_from_peer=terms is not None)
         self._outcome = Outcome(
             context, caller, request, self._progress, self._log, is_for_peer=terms is not None
@@ -198,7 +198,7 @@
 
     def _count_request(self, route: Route) -> None:
         """Count the request as demand, and for the retry budget of its service."""
-        self._context.budget(self._service).earn(self._loop.time())
+        self._context.retry_budgets.earned(self._service).earn(self._loop.time())
         request, table = self._request, self._context.table
         urgency = 0.0 if table is None else table.urgency(route)
         self._context.demand.note_request(self._service, request.model, request.adapter, urgency)
@@ -245,6 +245,7 @@
             await self._serve_in_turn(route, deadline_at_s, waiting)
         finally:
             waiting.end()
+            self._retries.release()
 
     async def _serve_in_turn(
         self, route: Route, deadline_at_s: float, waiting: WaitingRequest
@@ -283,10 +284,12 @@
         self, route: Route, choice: Choice, deadline_at_s: float, waiting: WaitingRequest
     ) -> bool:
         """Send the request to a replica; return False if it may be sent again."""
-        is_retry = self._progress.attempts > 0
-        if is_retry and not self._spend_retry():
-            self._give_up(waiting, NoReplicaReason.ALL_TRIED, route)
-            return True
+        if self._retries.needs_charge():
+            if not await self._retries.charge_next():
+                self._give_up(waiting, NoReplicaReason.ALL_TRIED, route)
+                return True
+            # The replica is chosen again, because the grant may have taken a while.
+            return False
         if not await self._charge_repetition(deadline_at_s):
             return True
         waiting.note_sent()
@@ -295,7 +298,9 @@
         waiting.note_end(end)
         self._pressure.note_end(end)
         if end is None:
-            self._refund(is_retry)
+            self._retries.release()
+            if self._progress.may_have_run:
+                self._admission.return_units()
             return False
         if await self._should_retry(route, choice, end):
             return False
@@ -426,23 +431,6 @@
             is_suspected=context.replica_watch.sharing.avoidance(service, self._loop.time()),
         )
 
-    def _spend_retry(self) -> bool:
-        """Spend a retry from the budget; return False if no further attempt is allowed."""
-        if self._progress.attempts >= MAX_ATTEMPTS:
-            return False
-        budget = self._context.budget(self._service)
-        now_s, gateways = self._loop.time(), self._context.gateways
-        is_charged = budget.spend(now_s, gateways)
-        self._log.log_retry("charged" if is_charged else "denied", budget.left(now_s, gateways))
-        return is_charged
-
-    def _refund(self, is_retry: bool) -> None:
-        """Return what was charged for an attempt that sent nothing."""
-        if is_retry:
-            self._context.budget(self._service).refund()
-        if self._progress.may_have_run:
-            self._admission.return_units()
-
     async def _should_retry(self, route: Route, choice: Choice, end: AttemptEnd) -> bool:
         """Whether to send the request to another replica after this attempt."""
         progress = self._progress
@@ -452,7 +440,9 @@
             return True
         if not self._may_repeat(route, end) or not self._has_destination(route):
             return False
-        return await self._repeat_guard.may_repeat(choice.record.instance, end)
+        if not await self._repeat_guard.may_repeat(choice.record.instance, end):
+            return False
+        return await self._retries.charge_next()
 
     def _may_repeat(self, route: Route, end: AttemptEnd) -> bool:
         """Whether the route and the retry budget allow another run after a failed one."""
@@ -467,10 +457,7 @@
         repeatable = route.may_repeat or (route.kind is RouteKind.STREAM and route.resumable)
         if not repeatable or self._progress.runs >= route.max_attempts:
             return False
-        left = self._context.budget(self._service).left(self._loop.time(), self._context.gateways)
-        if left < 1.0:
-            self._log.log_retry("denied", left)
-        return left >= 1.0
+        return self._retries.may_charge_next()
 
     def _has_destination(self, route: Route) -> bool:
         """Whether a replica or a peer can take the request now."""
--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -118,12 +118,12 @@
             ms=self._age_ms(),
         )
 
-    def log_retry(self, result: str, left: float) -> None:
+    def log_retry(self, result: str, earned_left: float) -> None:
         """Log and count whether a retry is charged to the budget of its service.
 
         Args:
-            result: What it was charged to, or that it was denied.
-            left: Retries that are left of what requests earned here.
+            result: What it was charged to, or why it was denied.
+            earned_left: Retries that are left of what requests earned here.
         """
         RETRIES.labels(self.service, result).inc()
         log_event(
@@ -131,7 +131,7 @@
             request=self.request_id,
             service=self.service,
             result=result,
-            left=round(left, 2),
+            earned_left=round(earned_left, 2),
             ms=self._age_ms(),
         )
 
--- a/src/crowsill/gateway/progress.py
+++ b/src/crowsill/gateway/progress.py
@@ -6,6 +6,7 @@
 from crowsill.gateway.availability import Availability
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.selection import NoReplicaReason
+from crowsill.routing.earned_retries import RetryCharge
 
 
 @dataclass(slots=True)
@@ -24,6 +25,7 @@
         last_failure: Why the last attempt failed, for the error message.
         waiting_reason: Why it waited last; None if it has not waited.
         attempt: The current attempt, or the last one.
+        retry: What the next attempt is charged to if it is a retry; None if nothing is charged.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -35,6 +37,19 @@
     last_failure: str = ""
     waiting_reason: NoReplicaReason | None = None
     attempt: Attempt | None = None
+    retry: RetryCharge | None = None
+
+    def is_retry_expired(self, now_s: float) -> bool:
+        """Whether the charge of the next attempt is no longer valid."""
+        return self.retry is not None and now_s >= self.retry.expires_at_s
+
+    def note_sent(self, now_s: float) -> None:
+        """Record that an attempt is sent to a replica at a monotonic time in seconds."""
+        self.attempts += 1
+        self.may_have_run = True
+        if self.retry is not None:
+            self.retry.note_sent(now_s)
+            self.retry = None
 
 
 class PendingPrompt:
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from crowsill.clock import monotonic_s
+from crowsill.clock import PROCESS_STARTED_S, monotonic_s
 from crowsill.events import Event
 from crowsill.gateway.brittle_replicas import BrittleReplicas
 from crowsill.gateway.caller_listener import CallerListener, detect_silence
@@ -34,6 +34,7 @@
 from crowsill.gateway.replica_registry import ReplicaRecord, ReplicaRegistry
 from crowsill.gateway.replica_watch import ReplicaWatch
 from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.retry_budgets import RetryBudgets
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.gateway.running_exchanges import RunningExchanges
 from crowsill.gateway.shared_admission import SharedAdmission
@@ -47,8 +48,8 @@
 from crowsill.model.route_codec import RouteCodec, decompress_document
 from crowsill.model.routes import CallerLimits
 from crowsill.model.suspects import SuspectChange
+from crowsill.routing.earned_retries import RetryBudgetLimits
 from crowsill.routing.request_cost import CostModel
-from crowsill.routing.shared_budget import RetryBudgetLimits, RetryBudgets, SharedRetryBudget
 from crowsill.settings import GatewaySettings, Settings
 from crowsill.state.route_store import RouteDocument
 from crowsill.tenancy.identity import is_key_proof_fresh
@@ -106,9 +107,6 @@
         self._wait_limit_at_s = float("inf")
         self._stop_limit_at_s = float("inf")
         self._has_drained = False
-        self._budgets = RetryBudgets(
-            RetryBudgetLimits(gateway.retry_ratio, gateway.retry_window_s, gateway.retry_allowance)
-        )
         self._node = settings.node
         self._brittle: dict[str, BrittleReplicas] = {}
         self._running = RunningExchanges()
@@ -145,6 +143,11 @@
             random=self.random,
         )
         self.quota_grants = QuotaGrantClient(self._follower.query)
+        self.retry_budgets = RetryBudgets(
+            RetryBudgetLimits(gateway.retry_ratio, gateway.retry_window_s, gateway.retry_allowance),
+            PROCESS_STARTED_S,
+            self._follower.query,
+        )
         self.replica_grants = ReplicaGrants(self._follower.query, self._notify_change)
         self.stream_origins = GatewayStreamOrigins(
             self.registry,
@@ -315,13 +318,9 @@
 
     @property
     def gateways(self) -> int:
-        """Highest number of live gateways lately; they share the retry budgets."""
+        """Highest number of live gateways lately."""
         return self._gateway_count.maximum()
 
-    def budget(self, service: str) -> SharedRetryBudget:
-        """Return the retry budget of a service."""
-        return self._budgets.of_service(service)
-
     def brittle(self, service: str) -> BrittleReplicas:
         """Return the brittle replicas of a service."""
         return self._brittle.setdefault(service, BrittleReplicas(self._node))
--- a/src/crowsill/gateway/sender.py
+++ b/src/crowsill/gateway/sender.py
@@ -192,6 +192,8 @@
             return False
         if not has_software_version(record, self._request):
             return False
+        if self._progress.is_retry_expired(now_s):
+            return False
         if record.availability.limit.is_in_effect(now_s) and now_s >= grant_expires_at_s:
             return False
         return record.availability.accepts_on_open_connection(now_s)
@@ -240,8 +242,7 @@
         if record.availability.limit.is_advertised:
             record.availability.sent_under_limit += 1
             SENT_UNDER_LIMIT.inc()
-        self._progress.attempts += 1
-        self._progress.may_have_run = True
+        self._progress.note_sent(sent_at_s)
         connection.send(message, request.request_id, request.method == b"HEAD", attempt)
         return sent_at_s
 
--- a/src/crowsill/settings.py
+++ b/src/crowsill/settings.py
@@ -82,6 +82,9 @@
         quota_window_s: Sliding window in which the usage of a tenant is counted.
         quota_tolerance: Share by which a tenant may exceed its rate and burst in a window.
         quota_slack: Units that a tenant may use beyond that.
+        retry_window_s: Length of the window in which retries are counted; as of the gateways.
+        retry_allowance: Retries of a service in a window beyond those that its requests earn, over
+            all gateways together.
         quarantine_s: Time after the last crash of a replica under a request after which its crashes
             no longer count. A request that still crashes replicas may then crash three more each
             time.
@@ -112,6 +115,8 @@
     quota_window_s: PositiveSeconds = 10.0
     quota_tolerance: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    retry_window_s: PositiveSeconds = 10.0
+    retry_allowance: Annotated[float, msgspec.Meta(ge=0)] = 20.0
     quarantine_s: PositiveSeconds = 3600.0
 
     @property
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -280,15 +280,17 @@
 
 
 class GrantRequest(msgspec.Struct, frozen=True, tag="grant-request"):
-    """A gateway requests quota for one request of a tenant; a follower forwards it to the leader.
+    """A gateway requests quota for one request, or a retry; a follower forwards it to the leader.
 
     Attributes:
-        tenant: Tenant of the request.
-        units: Cost of the request, in the unit of the tenant's rate.
+        tenant: Tenant of the request; empty for a retry.
+        units: Cost of the request, in the unit of the tenant's rate; 1 for a retry.
+        retries_of: Service whose retry is requested; empty for quota of a tenant.
     """
 
     tenant: str
     units: float
+    retries_of: str = ""
 
 
 class GrantReply(msgspec.Struct, frozen=True, tag="grant-reply"):
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -8,6 +8,7 @@
 
 from crowsill.clock import monotonic_s
 from crowsill.gateway.headers import HeaderNames
+from crowsill.gateway.retry_budgets import RetryBudgets
 from crowsill.gateway.role import GatewayRole
 from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.model.instances import Instance, InstanceState, LoadedModel
@@ -22,8 +23,10 @@
     ServiceDefinition,
     WeightedService,
 )
+from crowsill.routing.earned_retries import RetryBudgetLimits
 from crowsill.settings import Address, GatewaySettings, LoadControlSettings, Settings
 from crowsill.state.directory import DirectoryChange
+from crowsill.transport.messages import GrantReply
 
 LOCAL = "127.0.0.1"
 NAMES = HeaderNames()
@@ -122,6 +125,15 @@
     )
 
 
+def granted_retries(grants=True):
+    """Return retry budgets with a leader that grants or denies every retry."""
+
+    async def reply(_request, _timeout_s):
+        return GrantReply(grants, 0.0, 0.8)
+
+    return RetryBudgets(RetryBudgetLimits(), monotonic_s(), reply)
+
+
 class World:
     """A running gateway with its replicas."""
 
@@ -146,6 +158,7 @@
         await self.role.start()
         for replica in self._replicas:
             await replica.start()
+        self.role.retry_budgets = granted_retries()
         self.role._table = GatewayRoutingTable(self._configuration)
         self.role._on_current(1, monotonic_s())
         self.adopt(
--- a/tests/test_confirmed_state.py
+++ b/tests/test_confirmed_state.py
@@ -110,7 +110,7 @@
     local = LocalIdentity("n", "a", "z", b"k" * 32)
     subscribers = Subscribers(driver.machine.configuration, FleetView())
     contacts = GroupContacts([], Random(1))
-    service = MemberService(local, False, subscribers, None, contacts, quota=None)
+    service = MemberService(local, False, subscribers, None, contacts, quota=None, retries=None)
     service.driver = driver
     return service
 
--- a/tests/test_gateway_http.py
+++ b/tests/test_gateway_http.py
@@ -339,10 +339,13 @@
                 return script
 
             first.script, second.script = fails_beside(second), fails_beside(first)
-            budget = here.role.budget("plain")
-            before = budget.left(asyncio.get_running_loop().time(), 1)
+            budget = here.role.retry_budgets.earned("plain")
+            for _ in range(100):
+                budget.earn(asyncio.get_running_loop().time())
+            before = budget.left(asyncio.get_running_loop().time())
+            assert before >= 1.0
             await (await here.caller()).request("safe")
             assert len(first.requests) + len(second.requests) == 1
-            assert budget.left(asyncio.get_running_loop().time(), 1) >= before
+            assert budget.left(asyncio.get_running_loop().time()) >= before
 
     run(scenario())
--- a/tests/test_gateway_use.py
+++ b/tests/test_gateway_use.py
@@ -83,7 +83,7 @@
     grants = QuotaGrants(QuotaBounds(), QuotaUse(), lambda: None)
     local = LocalIdentity("c1", "c1.1", "z", b"k" * 32)
     contacts = GroupContacts([], Random(1))
-    service = MemberService(local, False, subscribers, None, contacts, quota=grants)
+    service = MemberService(local, False, subscribers, None, contacts, quota=grants, retries=None)
     service.driver = SimpleNamespace(is_leader=True)
     service.own_freshness = lambda: Freshness(0, 3)
     service._has_applied = lambda _freshness: True
--- a/tests/test_operators_http.py
+++ b/tests/test_operators_http.py
@@ -42,6 +42,7 @@
         links,
         GroupContacts([], Random(1)),
         quota=QuotaGrants(QuotaBounds(), QuotaUse(), lambda: None),
+        retries=None,
     )
     operations = OperatorService(Settings("c1", "z", "key"), service, machine, fleet)
     digest = hashlib.sha256(TOKEN.encode()).hexdigest()
--- a/tests/test_peer_requests.py
+++ b/tests/test_peer_requests.py
@@ -249,7 +249,7 @@
                 assert member._machine.crashes.version == 0
             role = site.gateways[0]
             assert role.crash_guard.has_suspects is False
-            assert not role.budget("plain")._retries_at_s
+            assert not role.retry_budgets.earned("plain")._retries_at_s
             site.restore([0])
             records = role.registry.listed()
             await until(lambda: not any(item.availability.is_unreachable for item in records))
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -81,6 +81,12 @@
     assert gateway.retry_window_s == 10.0
 
 
+def test_members_grant_the_retries_that_the_platform_allows(tmp_path):
+    text = core_settings() + "[bounds]\nbudgetWindowS = 8.0\nbudgetSlack = 7.0\n"
+    control = load_text(tmp_path, text).unwrap().control
+    assert (control.retry_window_s, control.retry_allowance) == (8.0, 7.0)
+
+
 def test_decisions_under_load_are_on_only_where_the_contracts_ask_for_them(tmp_path):
     with_pressure = 'contracts = ["base", "quota", "pressure"]\n' + FRONT
     off = load_text(tmp_path, FRONT).unwrap().gateway.load_control
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -82,6 +82,7 @@
             None,
             GroupContacts([], Random(1)),
             quota=QuotaGrants(QuotaBounds(), QuotaUse(), lambda: None),
+            retries=None,
         )
         driver = service.driver = ElectingDriver()
         service.own_freshness = lambda: Freshness(0, 1) if driver.is_leader else None
--- a/tests/test_registered_fleet.py
+++ b/tests/test_registered_fleet.py
@@ -9,12 +9,14 @@
 from crowsill.consensus.replacement import GroupHealth, SelfRepair, next_membership
 from crowsill.gateway.replica_registry import ReplicaRegistry
 from crowsill.model.instances import Instance, InstanceState, LoadedModel, ReplicaHeartbeat
+from crowsill.model.tenants import Tenant
 from crowsill.placement.load_window import LoadWindow
-from crowsill.routing.shared_budget import RetryBudgetLimits, SharedRetryBudget
+from crowsill.routing.earned_retries import GRANTED_PART, EarnedRetries, RetryBudgetLimits
 from crowsill.state.commands import OfferModels, PublishRoutes, RecordHeartbeat, RemoveInstance
 from crowsill.state.directory import Directory
 from crowsill.state.machine import StateMachine
 from crowsill.state.route_store import RouteDocument
+from crowsill.tenancy.grant_ledger import GrantLedger, QuotaBounds
 
 REPAIR = SelfRepair(target_voters=5, replace_voter_after_s=2.0)
 
@@ -134,7 +136,21 @@
 @given(st.lists(st.tuples(st.floats(0, 3), st.booleans()), max_size=200), st.integers(1, 9))
 def test_all_shares_together_keep_the_budget_in_every_window(steps, gateways):
     limits = RetryBudgetLimits(ratio=0.2, window_s=10.0, allowance=30.0)
-    shares = [SharedRetryBudget(limits) for _ in range(gateways)]
+    shares = [EarnedRetries(limits, -10.0) for _ in range(gateways)]
+    ledger = GrantLedger(QuotaBounds(10.0), {}, 0.0)
+    account = Tenant("till", rate_per_s=GRANTED_PART * 30.0 / 10.0)
+
+    def spend(share):
+        charge = share.charge(now_s)
+        if charge is not None:
+            charge.note_sent(now_s)
+            return True
+        decision = ledger.grant(account, 1.0, now_s)
+        while decision is None:
+            ledger.note_recorded(ledger.due(now_s))
+            decision = ledger.grant(account, 1.0, now_s)
+        return decision.is_granted
+
     now_s, random = 0.0, Random(1)
     first: list[float] = []
     repeats: list[float] = []
@@ -144,7 +160,7 @@
         if not repeat:
             share.earn(now_s)
             first.append(now_s)
-        elif share.spend(now_s, gateways):
+        elif spend(share):
             repeats.append(now_s)
         recent = sum(1 for at in repeats if at > now_s - 10.0)
         assert recent <= 0.2 * sum(1 for at in first if at > now_s - 10.0) + 30.0
--- a/tests/test_reported_pace.py
+++ b/tests/test_reported_pace.py
@@ -68,7 +68,9 @@
     )
     grants = QuotaGrants(QuotaBounds(), QuotaUse(), lambda: None)
     local = LocalIdentity(name, f"{name}.1", "z", b"k" * 32)
-    service = MemberService(local, False, subscribers, None, GroupContacts([], None), quota=grants)
+    service = MemberService(
+        local, False, subscribers, None, GroupContacts([], None), quota=grants, retries=None
+    )
     service.driver = SimpleNamespace(is_leader=is_leader)
     service.own_freshness = lambda: Freshness(0, 3) if service.driver.is_leader else None
     service._has_applied = lambda _freshness: True
--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -544,7 +544,7 @@
     grants = QuotaGrants(QuotaBounds(), QuotaUse(), lambda: None)
     local = LocalIdentity("c1", "c1.1", "z", b"k" * 32)
     contacts = GroupContacts([], Random(1))
-    service = MemberService(local, False, subscribers, None, contacts, quota=grants)
+    service = MemberService(local, False, subscribers, None, contacts, quota=grants, retries=None)
     service.driver = SimpleNamespace(is_leader=True, node=SimpleNamespace(term=4))
     service.own_freshness = lambda: Freshness(0, 3)
     service._has_applied = lambda _freshness: True
@@ -566,7 +566,7 @@
     local = LocalIdentity("c2", "c2.1", "z", b"k" * 32)
     subscribers = SimpleNamespace(fleet_position=lambda: (0, 0))
     service = MemberService(
-        local, False, subscribers, None, GroupContacts([], Random(1)), quota=grants
+        local, False, subscribers, None, GroupContacts([], Random(1)), quota=grants, retries=None
     )
     sent = []
 
