--- a/src/crowsill_lab/soak/ledger.py
+++ b/src/crowsill_lab/soak/ledger.py
@@ -6,6 +6,7 @@
 
 from crowsill_lab.soak.limits import LimitLedger
 from crowsill_lab.soak.link_ledger import LinkLedger
+from crowsill_lab.soak.retry_ledger import RetryLedger, RetryWindow
 from crowsill_lab.soak.signal_ledger import GatewayRun, SignalLedger
 from crowsill_lab.soak.stream_ledger import StreamLedger
 from crowsill_lab.soak.tenants import (
@@ -81,6 +82,7 @@
         limits: Rate limits that replicas advertised in their responses.
         links: Gateways that were cut off from all replicas, and first tries of callers.
         streams: Streams that callers resume.
+        retries: Retries that arrived at replicas.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -97,6 +99,7 @@
     limits: LimitLedger = field(default_factory=LimitLedger)
     links: LinkLedger = field(default_factory=LinkLedger)
     streams: StreamLedger = field(default_factory=StreamLedger)
+    retries: RetryLedger = field(default_factory=RetryLedger)
 
     def note_arrival(
         self, request_id: str, instance_id: str, now_s: float, sender: GatewayRun | None = None
@@ -110,6 +113,7 @@
             sender: The gateway run that sent it, which may not be the one that its caller sent it
                 to; None if unknown.
         """
+        self.retries.note_arrival(request_id, now_s)
         sent = self.sent.get(request_id)
         if sent is None or sent.gateway is None:
             return None
@@ -201,11 +205,19 @@
         elif status == 200 and body != expected:
             self.note_violation(f"{request_id}: response to another request: {body[:80]!r}")
 
+    def _sent_at_s(self) -> list[float]:
+        return [sent.sent_at_s for sent in self.sent.values()]
+
+    def worst_retry_window(self) -> RetryWindow:
+        """Return the window with the largest share of the retries that the budget allows."""
+        return self.retries.worst_window(self._sent_at_s())
+
     def check_totals(self) -> None:
         """Check at the end the guarantees that cover all requests together."""
         self._check_rate()
         self.violations += self.limits.violations()
         self.violations += self.links.violations()
+        self.violations += self.retries.violations(self._sent_at_s())
         for request_id, count in self.runs.items():
             if count > 1 and request_id in self.at_most_once:
                 self.note_violation(f"{request_id}: ran {count} times")
--- a/src/crowsill_lab/soak/runner.py
+++ b/src/crowsill_lab/soak/runner.py
@@ -17,6 +17,7 @@
 from crowsill_lab.soak.links import LinkFault, LinkInjector, SoakLinks
 from crowsill_lab.soak.operator import Operator
 from crowsill_lab.soak.replica import SoakReplica
+from crowsill_lab.soak.retry_ledger import RetryWindow
 from crowsill_lab.soak.seeded_site import SeededSite
 from crowsill_lab.soak.signals import SignalInjector
 from crowsill_lab.soak.site import Gateway, SoakSite
@@ -88,6 +89,7 @@
         violations: Violated guarantees.
         notes: What the checks did not count, and why.
         streams: Streams that callers resume.
+        retries: The window with the most retries, of what the budget allows.
     """
 
     seed: int
@@ -97,6 +99,7 @@
     violations: list[str]
     notes: list[str] = field(default_factory=list)
     streams: StreamLedger = field(default_factory=StreamLedger)
+    retries: RetryWindow = field(default_factory=lambda: RetryWindow(0.0, 0, 0.0))
 
     def text(self) -> str:
         """Return the report as printed."""
@@ -107,6 +110,7 @@
             f"seed {self.seed}: {len(self.faults)} faults, newest version {self.versions}",
             f"  faults: {'; '.join(self.faults)}",
             f"  responses: {statuses}",
+            f"  retries: {self.retries.retries} of {self.retries.allowed:.0f} in the worst window",
             *([f"  resumed streams: {self.streams.text()}"] if self.streams.begun else []),
             *(f"  note: {line}" for line in self.notes),
             *(f"  BROKEN {line}" for line in self.violations),
@@ -220,6 +224,7 @@
                 *ledger.links.uncounted({item.name: item.disturbances for item in site.gateways}),
             ],
             ledger.streams,
+            ledger.worst_retry_window(),
         )
 
     async def _start_resumed_streams(self) -> None:
--- a/tests/retry_site.py
+++ b/tests/retry_site.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from crowsill.routing.earned_retries import RetryBudgetLimits
+from crowsill_lab.soak.retry_ledger import RetryLedger
 from tests.platform_site import ID, STAMP, PlatformSite, SimulatedReplica, configuration
 
 RATIO = 0.2
@@ -22,52 +24,20 @@
 class FailingReplica(SimulatedReplica):
     """Counts what arrives; fails it once `fails` is set."""
 
-    def __init__(self, site, number):
+    def __init__(self, site, number, ledger):
         super().__init__(site, number, "till")
         self.fails = False
-        self.arrivals = []
+        self.ledger = ledger
 
     async def _answer(self, first, headers, body):
         if ID.lower() not in headers:
             return await super()._answer(first, headers, body)
         request_id = headers[ID.lower()]
-        self.arrivals.append((time.monotonic(), request_id))
+        self.ledger.note_arrival(request_id, time.monotonic())
         status = 500 if self.fails else 200
         return status, [f"{ID}: {request_id}", f"{STAMP}: {self.instance_id}"], b"!"
 
 
-def worst_window(requests_s, arrivals):
-    """Return retries and allowed retries in the window with the largest share of what is allowed.
-
-    The requests of a window are those sent in it, in the one before or in the one half a window
-    before, whichever are most.
-
-    >>> worst_window([0.0, 0.1], [(0.1, "a"), (0.2, "a"), (0.3, "b")])
-    (1, 58.4)
-
-    Args:
-        requests_s: Times at which requests were sent, in order.
-        arrivals: Times and request ids of arrivals at any replica.
-    """
-    seen, retries_s = set(), []
-    for at_s, request_id in sorted(arrivals):
-        if request_id in seen:
-            retries_s.append(at_s)
-        seen.add(request_id)
-
-    def sent_before(end_s):
-        return sum(end_s - WINDOW_S < sent_s <= end_s for sent_s in requests_s)
-
-    found = (0, RATIO * len(requests_s) + ALLOWANCE)
-    for end_s in retries_s:
-        retries = sum(end_s - WINDOW_S < at_s <= end_s for at_s in retries_s)
-        most = max(sent_before(end_s - back * WINDOW_S) for back in (0.0, 0.5, 1.0))
-        allowed = RATIO * most + ALLOWANCE
-        if retries / allowed > found[0] / found[1]:
-            found = (retries, round(allowed, 3))
-    return found
-
-
 class RetrySite:
     """The machines, the replicas and the callers.
 
@@ -83,7 +53,10 @@
             f"budgetWindowS = {WINDOW_S}",
             f"budgetSlack = {ALLOWANCE}",
         ]
-        self.replicas = [FailingReplica(self.site, number) for number in range(REPLICAS)]
+        self.ledger = RetryLedger(RetryBudgetLimits(RATIO, WINDOW_S, ALLOWANCE))
+        self.replicas = [
+            FailingReplica(self.site, number, self.ledger) for number in range(REPLICAS)
+        ]
         self.requests_s = []
         self.statuses = []
         self._random = random.Random(seed)
@@ -145,8 +118,8 @@
 
     def worst_window(self):
         """Return retries and allowed retries in the worst window."""
-        arrivals = [arrival for replica in self.replicas for arrival in replica.arrivals]
-        return worst_window(self.requests_s, arrivals)
+        window = self.ledger.worst_window(self.requests_s)
+        return window.retries, window.allowed
 
     async def stop(self):
         """Stop everything."""
