--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -122,6 +122,7 @@
     parts: bool = False,
     load_control: bool = False,
     versions: bool = False,
+    failures: bool = False,
     folder: Path = Path("soak-run"),
 ) -> None:
     """Run the real programs under external faults and check all guarantees, for each seed."""
@@ -147,6 +148,7 @@
             has_parts=parts,
             has_load_control=load_control,
             has_versions=versions,
+            has_failures=failures,
         )
         report = run_soak(plan)
         typer.echo(report.text())
--- a/src/crowsill_lab/soak/faults.py
+++ b/src/crowsill_lab/soak/faults.py
@@ -173,11 +173,22 @@
     async def _kill_gateway(self, gateway: Gateway) -> None:
         async with self._gateway_locks[gateway.name]:
             self._note(f"kill {gateway.name}")
-            gateway.interruptions += 1
-            with gateway.disturbance():
-                await self._kill(gateway.process)
-            gateway.interruptions += 1
-            gateway.starts += 1
+            await self._kill_locked_gateway(gateway)
+
+    async def kill_gateways(self) -> None:
+        """Kill all gateways at once and start each again after a short time."""
+        async with contextlib.AsyncExitStack() as locks:
+            for name in sorted(self._gateway_locks):
+                await locks.enter_async_context(self._gateway_locks[name])
+            self._note("kill all gateways")
+            await asyncio.gather(*map(self._kill_locked_gateway, self._site.gateways))
+
+    async def _kill_locked_gateway(self, gateway: Gateway) -> None:
+        gateway.interruptions += 1
+        with gateway.disturbance():
+            await self._kill(gateway.process)
+        gateway.interruptions += 1
+        gateway.starts += 1
 
     async def _pause_gateway(self, gateway: Gateway) -> None:
         async with self._gateway_locks[gateway.name]:
--- a/src/crowsill_lab/soak/replica.py
+++ b/src/crowsill_lab/soak/replica.py
@@ -95,6 +95,7 @@
         self._is_restarting = False
         self._is_down = False
         self._shed_until_at_s = float("-inf")
+        self._fail_until_at_s = float("-inf")
         self._reports_draining = False
         self._limit_per_s: float | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -150,6 +151,10 @@
         """Reject requests and request backoffs until a monotonic time."""
         self._shed_until_at_s = until_at_s
 
+    def fail_until(self, until_at_s: float) -> None:
+        """Fail all requests until a monotonic time, also in the next incarnations."""
+        self._fail_until_at_s = until_at_s
+
     def advertise_limit(self, per_s: float | None) -> None:
         """Advertise a limit from now on, or none; a new incarnation starts without one."""
         self._limit_per_s = per_s
@@ -272,6 +277,9 @@
         request_id = headers[NAMES.request_id.decode()]
         tenant = headers.get(NAMES.tenant.decode(), "")
         self._ledger.note_run(request_id, headers, tenant, time.monotonic())
+        if time.monotonic() < self._fail_until_at_s:
+            writer.write(self._head(500, request_id, ["Content-Length: 0"]))
+            return True
         await asyncio.sleep(self._random.random() * MAX_WORK_S)
         if self._endless_random.random() < ENDLESS_SHARE:
             if await send_endless(writer, self._endless_random):
--- a/src/crowsill_lab/soak/runner.py
+++ b/src/crowsill_lab/soak/runner.py
@@ -11,6 +11,7 @@
 from crowsill_lab.soak.caller import SoakCaller, SoakStreamCaller, send_request
 from crowsill_lab.soak.crashing_part import CrashingPart
 from crowsill_lab.soak.crashing_request import CrashingRequest
+from crowsill_lab.soak.failures import FailureInjector
 from crowsill_lab.soak.faults import FaultInjector
 from crowsill_lab.soak.ledger import Ledger
 from crowsill_lab.soak.limits import LimitInjector
@@ -60,6 +61,8 @@
             redirectors.
         has_versions: Whether callers also resume streams of replicas whose software versions join
             and leave while a gateway is out of step; only without redirectors.
+        has_failures: Whether all replicas also fail all requests for seconds, while all gateways
+            are killed at once.
     """
 
     seed: int
@@ -75,6 +78,7 @@
     has_parts: bool = False
     has_load_control: bool = False
     has_versions: bool = False
+    has_failures: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +142,7 @@
         self._limit_random = Random(f"limits of {plan.seed}")
         self._cut_random = Random(f"cuts of {plan.seed}")
         self._part_random = Random(f"parts of {plan.seed}")
+        self._failure_random = Random(f"failures of {plan.seed}")
         self._version_random = Random(f"software versions of {plan.seed}")
         self._versions: VersionFaults | None = None
         if plan.has_versions and isinstance(self._site, SoakSite):
@@ -200,11 +205,14 @@
             signal_task = asyncio.create_task(self._inject_signals(signals, faults))
             self._tasks += [crash_task, signal_task]
             part_task = asyncio.create_task(self._send_crashing_part())
-            self._tasks.append(part_task)
+            failure_task = asyncio.create_task(self._inject_failures(faults))
+            self._tasks += [part_task, failure_task]
             await faults.burst(BURST_S)
             crash_task.cancel()
             part_task.cancel()
             signal_task.cancel()
+            failure_task.cancel()
+            await asyncio.wait([failure_task])
             await self._wait_until_recovered(f"after {len(faults.injected)} faults", MAX_RECOVERY_S)
         await self._end_continuing_faults()
         if not ledger.violations:
@@ -245,6 +253,16 @@
             self._crashing_requests.append(part)
             await part.run()
 
+    async def _inject_failures(self, faults: FaultInjector) -> None:
+        """Make all replicas fail until cancelled, if the plan has failures."""
+        if self._plan.has_failures:
+            await FailureInjector(
+                lambda: list(self._replicas),
+                faults.kill_gateways,
+                self._failure_random,
+                faults.injected.append,
+            ).run()
+
     async def _inject_signals(self, random: Random, faults: FaultInjector) -> None:
         """Make replicas shed and drain by responses until cancelled, if the plan has signals."""
         if self._plan.has_signals:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -41,6 +41,8 @@
 PARTS_SEED = 2101
 # With this seed software versions join while gateways stand still or are cut off from members.
 VERSIONS_SEED = 7002
+# All replicas fail while all gateways are killed at once.
+FAILURES_SEED = 9401
 
 
 def test_every_guarantee_holds_under_overlapping_faults(tmp_path):
@@ -81,6 +83,16 @@
     assert report.violations == [], report.text()
 
 
+def test_retries_stay_within_their_budget_under_overlapping_faults(tmp_path):
+    plan = SoakPlan(
+        FAILURES_SEED, SECONDS, members=3, gateways=4, folder=tmp_path, has_failures=True
+    )
+    report = run_soak(plan)
+    assert report.violations == [], report.text()
+    assert "fail" in {fault.partition(" ")[0] for fault in report.faults}
+    assert report.retries.retries > 10, report.text()
+
+
 def test_resumed_streams_have_one_software_version_under_overlapping_faults(tmp_path):
     plan = SoakPlan(
         VERSIONS_SEED, SECONDS, members=5, gateways=4, folder=tmp_path, has_versions=True
