Soak: only requests that reached a gateway and may go to the service earn retries

Refused connections and requests without a route or key made up most of what the budget was measured against, so that the check was looser than the budget. A test's stand-in for a member has retries.

--- a/src/crowsill_lab/soak/caller.py
+++ b/src/crowsill_lab/soak/caller.py
@@ -79,7 +79,9 @@
             if response.headers.get(NAMES.limit[0].decode()) and gateway.current_run() == run:
                 ledger.limits.note_reported(replica, run, time.monotonic())
             content = await response.read()
-    except (aiohttp.ClientError, TimeoutError):
+    except (aiohttp.ClientError, TimeoutError) as error:
+        if isinstance(error, aiohttp.ClientConnectorError):
+            ledger.not_for_service.add(request_id)
         ledger.statuses[0] += 1
         return CallerResponse(request_id, 0)
     is_stream = path.startswith(STREAM_PATH)
--- a/src/crowsill_lab/soak/ledger.py
+++ b/src/crowsill_lab/soak/ledger.py
@@ -24,6 +24,7 @@
 CRASHING_PART_PREFIX = "dead"
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+NOT_ALLOWED_STATUSES = frozenset((401, 403, 404))
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +71,7 @@
         runs: Number of times that replicas ran each request, by request id.
         at_most_once: Ids of requests that must not run twice.
         not_run: Ids of requests whose response guarantees that they did not run.
+        not_for_service: Ids of requests that reached no gateway, or that no route or key allows.
         statuses: Number of responses by status; 0 if the connection closed without one.
         violations: Violated guarantees, one line each.
         acknowledged: Newest acknowledged version of the routes.
@@ -88,6 +90,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     at_most_once: set[str] = field(default_factory=set)
     not_run: set[str] = field(default_factory=set)
+    not_for_service: set[str] = field(default_factory=set)
     statuses: Counter[int] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     acknowledged: int = 0
@@ -195,6 +198,8 @@
         self.statuses[status] += 1
         if status in NOT_RUN_STATUSES:
             self.not_run.add(request_id)
+        if status in NOT_ALLOWED_STATUSES:
+            self.not_for_service.add(request_id)
         if status == 503 and b'"quarantined"' in body:
             self.note_violation(f"{request_id}: rejected for a crash that it did not cause")
         if status == 200 and body != expected and expected.startswith(body):
@@ -206,7 +211,12 @@
             self.note_violation(f"{request_id}: response to another request: {body[:80]!r}")
 
     def _sent_at_s(self) -> list[float]:
-        return [sent.sent_at_s for sent in self.sent.values()]
+        """Return when the requests were sent that reached a gateway and may go to the service."""
+        return [
+            sent.sent_at_s
+            for request_id, sent in self.sent.items()
+            if request_id not in self.not_for_service
+        ]
 
     def worst_retry_window(self) -> RetryWindow:
         """Return the window with the largest share of the retries that the budget allows."""
--- a/tests/test_store_loads.py
+++ b/tests/test_store_loads.py
@@ -145,7 +145,8 @@
 
 def test_a_member_notes_what_it_applies_and_forgets_it_with_a_snapshot():
     log = StoreLoadLog(now_s=0.0)
-    role = SimpleNamespace(_store_loads=log, _publisher=Mock(), _quota=Mock(), _subscribers=Mock())
+    others = {name: Mock() for name in ("_publisher", "_quota", "_retries", "_subscribers")}
+    role = SimpleNamespace(_store_loads=log, **others)
     before_s = monotonic_s()
     ControlRole._on_applied(role, RecordStoreLoad("s"), Mock())
     assert len(log.since("s", before_s)) == 1
