Soak: how often requests run and which deadlines replicas receive are checked

Two more kinds of a broken budget that no soak checked: more runs of a request than its route allows, and deadlines longer than the caller's. The test of restarts also kills members between gateways and power cuts.

--- a/src/crowsill/state/commands.py
+++ b/src/crowsill/state/commands.py
@@ -182,10 +182,10 @@
 
 
 class RecordQuotaUse(msgspec.Struct, frozen=True, array_like=True, tag="record-quota-use"):
-    """Record an upper bound of the units that tenants were recently granted.
+    """Record an upper bound of the units that accounts were recently granted.
 
     Attributes:
-        units: Units by tenant and age, the most recent first; an empty list removes the tenant.
+        units: Units by account and age, the most recent first; an empty list removes the account.
     """
 
     units: dict[str, list[float]]
--- a/src/crowsill/state/machine.py
+++ b/src/crowsill/state/machine.py
@@ -81,7 +81,7 @@
         directory: Self-registered replicas.
         control_addresses: Addresses of control processes that were members or asked to join.
         missing_models: Requests for models that no engine had loaded.
-        quota_use: Units that tenants were recently granted.
+        quota_use: Units that accounts were recently granted.
         crashes: Requests that were running when replicas crashed.
         suspect_runs: Runs of such requests that are in progress.
     """
--- a/src/crowsill/state/quota_use.py
+++ b/src/crowsill/state/quota_use.py
@@ -1,11 +1,11 @@
-"""Replicated record of the units that tenants were recently granted.
+"""Replicated record of the units that accounts were recently granted: tenants' units, retries.
 
 Before a leader grants units, it records an upper bound of them, so that its successor knows it.
 """
 
 
 class QuotaUse:
-    """Units by tenant and age, the most recent first.
+    """Units by account and age, the most recent first.
 
     >>> use = QuotaUse()
     >>> use.record({"t": [3.0, 0.0, 0.0]}), use.record({"t": [3.0, 0.0, 0.0]}), use.units
@@ -22,7 +22,7 @@
         self.units = units
 
     def record(self, units: dict[str, list[float]]) -> bool:
-        """Replace the record of the given tenants; return whether that changed anything."""
+        """Replace the record of the given accounts; return whether that changed anything."""
         changed = False
         for name, ages in units.items():
             if ages:
--- a/src/crowsill_lab/soak/ledger.py
+++ b/src/crowsill_lab/soak/ledger.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from crowsill_lab.soak.deadline_ledger import DeadlineLedger
 from crowsill_lab.soak.limits import LimitLedger
 from crowsill_lab.soak.link_ledger import LinkLedger
 from crowsill_lab.soak.retry_ledger import RetryLedger, RetryWindow
@@ -24,6 +25,12 @@
 CRASHING_PART_PREFIX = "dead"
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Largest number of replicas that may run a request, by the routes of a soak; a few requests may
+# exceed it where a replica that ran one crashed.
+MAX_ATTEMPTS = 2
+MAX_REPEATED = 3
+# Time that the routes of a soak give each request.
+TIMEOUT_S = 3.0
 NOT_ALLOWED_STATUSES = frozenset((401, 403, 404))
 
 
@@ -85,6 +92,7 @@
         links: Gateways that were cut off from all replicas, and first tries of callers.
         streams: Streams that callers resume.
         retries: Retries that arrived at replicas.
+        deadlines: Deadlines that replicas received.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -103,6 +111,7 @@
     links: LinkLedger = field(default_factory=LinkLedger)
     streams: StreamLedger = field(default_factory=StreamLedger)
     retries: RetryLedger = field(default_factory=RetryLedger)
+    deadlines: DeadlineLedger = field(default_factory=DeadlineLedger)
 
     def note_arrival(
         self, request_id: str, instance_id: str, now_s: float, sender: GatewayRun | None = None
@@ -127,6 +136,18 @@
         self.limits.note_arrival(instance_id, gateway, now_s)
         return gateway
 
+    def note_deadline(self, request_id: str, remaining_ms: str | None, now_s: float) -> None:
+        """Record the deadline in milliseconds that a replica received with a request."""
+        sent = self.sent.get(request_id)
+        if sent is not None:
+            self.deadlines.note_arrival(
+                request_id,
+                caller_ends_at_s=sent.sent_at_s + TIMEOUT_S,
+                remaining_s=None if remaining_ms is None else float(remaining_ms) / 1000.0,
+                now_s=now_s,
+                timeout_s=TIMEOUT_S,
+            )
+
     def note_crash(self, path: str, body: bytes, crash: Crash) -> None:
         """Record that a request crashed a replica."""
         self.crashes.setdefault((path, body), []).append(crash)
@@ -228,6 +249,10 @@
         self.violations += self.limits.violations()
         self.violations += self.links.violations()
         self.violations += self.retries.violations(self._sent_at_s())
+        self.violations += self.deadlines.violations()
+        repeated = sum(count > MAX_ATTEMPTS for count in self.runs.values())
+        if repeated > MAX_REPEATED:
+            self.note_violation(f"{repeated} requests ran more than {MAX_ATTEMPTS} times")
         for request_id, count in self.runs.items():
             if count > 1 and request_id in self.at_most_once:
                 self.note_violation(f"{request_id}: ran {count} times")
--- a/src/crowsill_lab/soak/operator.py
+++ b/src/crowsill_lab/soak/operator.py
@@ -16,14 +16,14 @@
     WeightedService,
 )
 from crowsill_lab.soak.control_calls import put
-from crowsill_lab.soak.ledger import Ledger
+from crowsill_lab.soak.ledger import MAX_ATTEMPTS, TIMEOUT_S, Ledger
 from crowsill_lab.soak.replica import PROBE_PATH, SERVICE
 from crowsill_lab.soak.seeded_site import SeededSite
 from crowsill_lab.soak.site import SoakSite
 from crowsill_lab.soak.tenants import tenants_of
 
 HOST_NAME = "shop.example"
-TIMEOUT_MS = 3000.0
+TIMEOUT_MS = TIMEOUT_S * 1000.0
 RESUMED_TIMEOUT_MS = 8000.0
 MAX_PAUSE_S = 1.5
 
@@ -42,7 +42,7 @@
 
     routes = [
         route("once", RouteKind.AT_MOST_ONCE, 1),
-        route("safe", RouteKind.IDEMPOTENT, 2),
+        route("safe", RouteKind.IDEMPOTENT, MAX_ATTEMPTS),
         route("stream", RouteKind.STREAM, 1),
         route(f"v{version}", RouteKind.AT_MOST_ONCE, 1),
     ]
--- a/src/crowsill_lab/soak/replica.py
+++ b/src/crowsill_lab/soak/replica.py
@@ -304,6 +304,7 @@
             self._ledger.note_violation(f"{request_id}: reached {self.name}, which is draining")
         now_s = time.monotonic()
         gateway = self._ledger.note_arrival(request_id, self.instance_id, now_s, sender)
+        self._ledger.note_deadline(request_id, headers.get(NAMES.deadline.decode()), now_s)
         if now_s < self._shed_until_at_s and self._random.random() < SHED_SHARE:
             return self._reject_and_back_off(request_id, gateway, now_s)
         if self._random.random() < REJECTED_SHARE:
--- a/tests/test_retries_after_restarts.py
+++ b/tests/test_retries_after_restarts.py
@@ -24,15 +24,20 @@
     return site.site.fronts
 
 
-async def play(folder, restarted, pauses_s, rate_per_s):
-    """Restart machines after each pause while all replicas fail; return the worst window."""
+def members(site):
+    return site.site.core
+
+
+async def play(folder, restarts, rate_per_s):
+    """Restart machines, each after a pause, while all replicas fail; return the worst window."""
     site = RetrySite(folder)
     try:
         await site.start()
         await site.send(rate_per_s, SETTLED_S)
         site.fail_everything()
-        sending = asyncio.create_task(site.send(rate_per_s, sum(pauses_s) + 12.0))
-        for pause_s in pauses_s:
+        sent_s = sum(pause_s for pause_s, _ in restarts) + 12.0
+        sending = asyncio.create_task(site.send(rate_per_s, sent_s))
+        for pause_s, restarted in restarts:
             await asyncio.sleep(pause_s)
             await asyncio.to_thread(site.restart, restarted(site))
         await sending
@@ -43,20 +48,24 @@
 
 
 @pytest.mark.parametrize(
-    ("restarted", "pauses_s"),
+    "restarts",
     [
-        pytest.param(machines, (4.0,), id="power_cut"),
-        pytest.param(machines, (4.0, 4.0), id="two_power_cuts"),
-        pytest.param(gateways, (4.0, 2.8, 2.8), id="all_gateways_three_times"),
+        pytest.param([(4.0, machines)], id="power_cut"),
+        pytest.param([(4.0, machines)] * 2, id="two_power_cuts"),
+        pytest.param([(4.0, gateways), *[(2.8, gateways)] * 2], id="all_gateways_three_times"),
+        pytest.param(
+            [(1.0, members), (1.5, gateways), (2.0, members), (0.5, machines), (3.0, gateways)],
+            id="members_and_gateways",
+        ),
     ],
 )
-def test_retries_stay_within_their_budget_while_processes_restart(tmp_path, restarted, pauses_s):
-    retries, allowed = asyncio.run(play(tmp_path, restarted, pauses_s, RATE_PER_S))
+def test_retries_stay_within_their_budget_while_processes_restart(tmp_path, restarts):
+    retries, allowed = asyncio.run(play(tmp_path, restarts, RATE_PER_S))
     print(f"worst window: {retries} retries of {allowed:.0f}")
     assert retries <= MAX_SHARE * allowed
 
 
 def test_retries_are_sent_while_nothing_restarts(tmp_path):
-    retries, allowed = asyncio.run(play(tmp_path, gateways, (), RATE_PER_S))
+    retries, allowed = asyncio.run(play(tmp_path, [], RATE_PER_S))
     print(f"worst window: {retries} retries of {allowed:.0f}")
     assert 0.6 * allowed <= retries <= MAX_SHARE * allowed
