--- a/tests/test_leader_link.py
+++ b/tests/test_leader_link.py
@@ -68,3 +68,27 @@
         await new_leader.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_a_new_leader_has_no_stream_to_itself():
+    # It received what it pushed to the leader, pushed it again, and ran without an end.
+    async def scenario():
+        own_server, own_address = await start_leader(responds=True)
+        member = Follower()
+        # Elected, but its first entry is not committed yet.
+        member.address = own_address
+        link = LeaderLink(LOCAL, member, FleetView(), lambda delta: None)
+        link_task = asyncio.create_task(link.run())
+        waited_until_s = asyncio.get_running_loop().time() + 2.0
+        while member.leader_stream is None and asyncio.get_running_loop().time() < waited_until_s:
+            await asyncio.sleep(0.01)
+        member.driver.is_leader = True
+        await asyncio.sleep(0.3)
+        try:
+            assert member.leader_stream is None
+        finally:
+            link_task.cancel()
+            await asyncio.gather(link_task, return_exceptions=True)
+            await own_server.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
