Placement: demand is what callers asked for, not a place in the configuration's list

Seen: copies were loaded and kept for models that nobody had asked for, since they stood early in the list of models or behind one in demand. With the same demand and another order of the list, weights and loads differed. Cause: `CopyValue` assumed rates by list position before any request (`INITIAL_RATE_*`) and a share of a model's demand for the next ones (`NEXT_MODEL_*`). Change: a model's weight is the demand that was counted. Before any request only models that no engine holds are loaded, the slowest loads first, whenever the engines are complete, not for 5 s only; a copy makes way only where another engine holds its model too. Free places take adapters in an order that depends on the model's name alone; of equal loads none goes first for its place in a list.

--- a/src/crowsill/placement/adapter_jobs.py
+++ b/src/crowsill/placement/adapter_jobs.py
@@ -1,6 +1,7 @@
 """Adapter loads: first the adapters that requests wait for, then others for free slots. Pure."""
 
 from collections.abc import Iterator
+from zlib import crc32
 
 from crowsill.model.routes import ModelWeights
 from crowsill.placement.copy_views import EngineView, Job, JobReason, ServiceView
@@ -113,10 +114,10 @@
         )
 
     def _adapters_to_compare(self, model: ModelWeights, held: set[str]) -> Iterator[str]:
-        """Yield the adapters of a model in order, those in demand and enough of the others.
+        """Yield the adapters of a model: those in demand and enough of the others.
 
         A configuration may name any number of adapters; one that is neither held nor in demand is
-        as good as the next.
+        as good as the next, so these begin at a number that depends on the name of the model only.
         """
         prefix = f"{model.name}/a"
         in_demand = {
@@ -127,10 +128,11 @@
             and len(number) <= MAX_NUMBER_DIGITS
             and f"{int(number)}" == number
         }
-        first = min(model.adapters, len(held) + len(in_demand) + 1)
-        yield from (f"a{number}" for number in range(1, first + 1))
-        later = (number for number in in_demand if first < number <= model.adapters)
-        yield from (f"a{number}" for number in sorted(later))
+        requested = sorted(number for number in in_demand if 1 <= number <= model.adapters)
+        yield from (f"a{number}" for number in requested)
+        others = min(model.adapters, len(held) + len(requested) + 1)
+        offset = crc32(model.name.encode())
+        yield from (f"a{(offset + place) % model.adapters + 1}" for place in range(others))
 
     def _is_idle(self, model: str) -> bool:
         return self._view.now_s - self._view.last_request_at_s(model) > IDLE_AFTER_S
--- a/src/crowsill/placement/copy_planner.py
+++ b/src/crowsill/placement/copy_planner.py
@@ -14,7 +14,13 @@
 from crowsill.model.routes import ModelWeights
 from crowsill.placement.adapter_jobs import AdapterJobs
 from crowsill.placement.copy_value import CopyValue
-from crowsill.placement.copy_views import EngineView, Job, JobReason, ServiceView
+from crowsill.placement.copy_views import (
+    EngineView,
+    Job,
+    JobReason,
+    ServiceView,
+    models_by_name,
+)
 from crowsill.placement.rare_models import RareModels
 
 # A load must gain this many times the value of the models that it evicts.
@@ -44,17 +50,12 @@
 LOW_GAIN_FETCH_SHARE = 0.34
 # A load from the store with a smaller gain counts as one of low gain.
 LOW_GAIN = 10.0
-# Models are prefetched only for this time after placement started, in seconds: a later load would
-# block its engine when the first requests arrive.
-PREFETCH_WINDOW_S = 5.0
 # Number of engines without a cached copy that are evaluated for a model, the least loaded first.
 # In a large deployment, evaluating all engines would take longer than the heartbeat timeout of a
 # leader.
 MAX_UNCACHED_ENGINES = 4
 # Maximum number of loads that one step starts; the next step follows within 0.1 s.
 MAX_LOADS_PER_STEP = 4
-# A prefetch may evict only models of a smaller weight, in weighted requests per second.
-MAX_PREFETCH_VICTIM_WEIGHT = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +80,7 @@
 
     def __init__(self, view: ServiceView) -> None:
         self._view = view
-        self._models = {model.name: model for model in view.limits.models}
+        self._models = models_by_name(view.limits)
         self._value = CopyValue(view)
         self.deferred: dict[str, str] = {}
         # Engines that have a job in this plan.
@@ -102,7 +103,7 @@
             self._note_deferral(resource)
         for job in self._adapters.fill_free_slots():
             self._add(job)
-        if not view.requested_at_s and self._may_preload():
+        if view.is_settled and not view.requested_at_s:
             self._prefetch()
         return self._jobs
 
@@ -117,8 +118,6 @@
 
     def _load_models(self) -> None:
         """Start loads in the order of their gain rate, while any gains enough."""
-        if not (self._view.requested_at_s or self._may_preload()):
-            return
         for _ in range(MAX_LOADS_PER_STEP):
             free = self._free_engines()
             candidates = [self._best_for(name, free) for name in self._models]
@@ -208,8 +207,6 @@
 
         The cost rises as fewer engines stay free for further loads.
         """
-        if not self._view.requested_at_s:
-            return 0.0
         cost = self._value.blocked_adapters(engine)
         if not engine.is_needed:
             return cost
@@ -222,11 +219,6 @@
         idle_s = self._view.now_s - self._view.last_request_at_s(model)
         return max(0.0, REQUEST_DURATION_S - idle_s)
 
-    def _may_preload(self) -> bool:
-        """Whether loads may start before any request, so that they end before the first one."""
-        view = self._view
-        return view.is_settled and view.now_s - view.started_at_s < PREFETCH_WINDOW_S
-
     def _cached_load_wait_s(self, name: str) -> float:
         """Return the time until a busy engine could have loaded its cached copy, in seconds."""
         times = [
@@ -239,7 +231,7 @@
     def _may_fetch(self, gain: float) -> bool:
         if self._store_loads <= 0:
             return False
-        if gain >= LOW_GAIN or not self._view.requested_at_s:
+        if gain >= LOW_GAIN:
             return True
         return self._fetching < max(1, int(len(self._view.engines) * LOW_GAIN_FETCH_SHARE))
 
@@ -329,34 +321,60 @@
     # Prefetch.
 
     def _prefetch(self) -> None:
-        """Before any traffic, load models that no machine has cached.
+        """Before any request, load the models that no engine holds, the slowest loads first.
 
-        Only models that can be loaded again from a cached copy are evicted for that.
+        Their first callers would wait for the load. A copy is evicted only if other engines hold
+        its model too, so that no model gets lost, and only for a model that has to be fetched from
+        the weight store.
         """
-        for name, model in self._models.items():
-            is_cached = any(engine.has_cached(name) for engine in self._view.engines)
-            if is_cached or self._value.copies(name) > 0 or self._store_loads <= 0:
-                continue
+        missing = [model for name, model in self._models.items() if self._value.copies(name) == 0]
+        for model in sorted(missing, key=lambda item: -self._shortest_load(item)[0]):
             job = self._prefetch_job(model)
             if job is not None:
                 self._add(job)
-                self._value.add(name, job.instance_id)
+                self._value.add(model.name, job.instance_id)
+
+    def _shortest_load(self, model: ModelWeights) -> tuple[float, bool]:
+        """Return the time of the shortest load in seconds, and whether it is from the store."""
+        loads = (engine.load_time_s(model) for engine in self._view.engines)
+        return min(loads, default=(model.load_s, True))
 
     def _prefetch_job(self, model: ModelWeights) -> Job | None:
-        for engine in self._view.engines:
-            if engine.is_busy or engine.instance_id in self._assigned:
-                continue
-            victims = [name for name in engine.held if self._may_evict_for_prefetch(engine, name)]
-            victims.sort(key=lambda name: self._value.loss(engine, name))
-            unload = tuple(victims[:1])
-            freed_mb = sum(engine.model_mb(name, self._models.get(name)) for name in unload)
-            if engine.used_mb(self._models) - freed_mb + model.memory_mb <= engine.limits.memory_mb:
+        """Return the load of a model that no engine holds at the engine where it is shortest."""
+        load_s, from_store = self._shortest_load(model)
+        if from_store and self._store_loads <= 0:
+            return None
+        engines = [
+            engine
+            for engine in self._free_engines()
+            if engine.load_time_s(model) == (load_s, from_store)
+        ]
+        choices: list[tuple[EngineView, tuple[str, ...]]] = [(engine, ()) for engine in engines]
+        if from_store:
+            choices += [(engine, self._surplus_copies(engine)[:1]) for engine in engines]
+        for engine, unload in choices:
+            if self._is_room_without(engine, unload, model):
                 reason = JobReason.PREFETCHED
-                return Job(engine.instance_id, unload, model.name, "", True, model.load_s, reason)
+                return Job(engine.instance_id, unload, model.name, "", from_store, load_s, reason)
         return None
 
-    def _may_evict_for_prefetch(self, engine: EngineView, name: str) -> bool:
-        return engine.has_cached(name) and self._value.weight(name) < MAX_PREFETCH_VICTIM_WEIGHT
+    def _surplus_copies(self, engine: EngineView) -> tuple[str, ...]:
+        """Return the models of an engine that others hold too and its machine keeps cached.
+
+        Those with the most copies come first.
+        """
+        surplus = [
+            name for name in engine.held if engine.has_cached(name) and self._value.copies(name) > 1
+        ]
+        return tuple(sorted(surplus, key=lambda name: (-self._value.copies(name), name)))
+
+    def _is_room_without(
+        self, engine: EngineView, unload: tuple[str, ...], model: ModelWeights
+    ) -> bool:
+        """Whether an engine has room for a model once it has unloaded others."""
+        freed_mb = sum(engine.model_mb(name, self._models.get(name)) for name in unload)
+        used_mb = engine.used_mb(self._models) - freed_mb
+        return used_mb + model.memory_mb <= engine.limits.memory_mb
 
     def _add(self, job: Job) -> None:
         self._jobs.append(job)
--- a/src/crowsill/placement/copy_value.py
+++ b/src/crowsill/placement/copy_value.py
@@ -5,9 +5,7 @@
 requests. A further copy relieves the others and remains when an engine is lost.
 """
 
-import math
-
-from crowsill.placement.copy_views import EngineView, ServiceView
+from crowsill.placement.copy_views import EngineView, ServiceView, models_by_name
 from crowsill.placement.engine_loads import (
     ENGINE_TIME_PER_REQUEST_S,
     EngineLoads,
@@ -29,16 +27,6 @@
 # wait for a load would get the worst service.
 URGENT_WEIGHT = 10.0
 PATIENT_WEIGHT = 2.5
-# Requests per second and engine that are assumed for the first model of the list before any
-# request, and the number of list positions over which the rate falls by a factor of e. Operators
-# list the most important models first. In total, each engine is filled up to its easy load
-# (0.6 / 0.12 s), because fleets are sized for their demand.
-INITIAL_RATE_PER_S_PER_ENGINE = 1.4
-INITIAL_RATE_DECAY_POSITIONS = 3.0
-# Demand moves along the list: share of the demand for a model that is assumed for the next one,
-# and the number of positions over which it falls by a factor of e.
-NEXT_MODEL_SHARE = 0.25
-NEXT_MODEL_DECAY_POSITIONS = 2.0
 # Share of the loss that counts for a copy that its machine keeps cached, since it loads again soon.
 CACHED_LOSS_SHARE = 0.5
 # A copy is not evicted for this time after its load, in seconds.
@@ -73,8 +61,7 @@
 
     def __init__(self, view: ServiceView) -> None:
         self._view = view
-        self._models = {model.name: model for model in view.limits.models}
-        self._assumed = self._assumed_rates()
+        self._models = models_by_name(view.limits)
         self.holders: dict[str, list[str]] = {}
         for engine in view.engines:
             for model in (*engine.held, *engine.loading_models):
@@ -121,33 +108,12 @@
         }
         return EngineLoads(works, self.holders, speeds)
 
-    def _assumed_rates(self) -> dict[str, float]:
-        """Return the requests per second that are assumed for each model by its list position."""
-        view = self._view
-        names = [model.name for model in view.limits.models]
-        if not view.requested_at_s:
-            first = INITIAL_RATE_PER_S_PER_ENGINE * len(view.engines)
-            return {
-                name: first * math.exp(-position / INITIAL_RATE_DECAY_POSITIONS)
-                for position, name in enumerate(names)
-            }
-        carried, assumed = 0.0, {}
-        decay = math.exp(-1.0 / NEXT_MODEL_DECAY_POSITIONS)
-        for name in names:
-            assumed[name] = carried
-            carried = carried * decay + NEXT_MODEL_SHARE * view.urgent.get(name, 0.0)
-        return assumed
-
     def _rate(self, model: str) -> float:
-        """Return the requests per second for a model, including the assumed ones."""
-        return self._view.demand.get(model, 0.0) + self._assumed.get(model, 0.0)
-
-    def weight(self, model: str) -> float:
-        """Return the weighted requests per second for a model, including the assumed ones."""
-        return self._counted_weight(model) + URGENT_WEIGHT * self._assumed.get(model, 0.0)
+        """Return the requests per second for a model."""
+        return self._view.demand.get(model, 0.0)
 
-    def _counted_weight(self, resource: str) -> float:
-        """Return the weighted requests per second that were counted for a resource."""
+    def weight(self, resource: str) -> float:
+        """Return the weighted requests per second for a resource."""
         urgent = self._view.urgent.get(resource, 0.0)
         patient = max(0.0, self._view.demand.get(resource, 0.0) - urgent)
         return PATIENT_WEIGHT * patient + URGENT_WEIGHT * urgent
@@ -309,7 +275,5 @@
             name, slash, adapter = resource.partition("/")
             if slash and name == model:
                 is_held = adapter in engine.held[model]
-                missing += self._counted_weight(resource) * (
-                    UNKNOWN_ADAPTER_SHARE if is_held else 1.0
-                )
+                missing += self.weight(resource) * (UNKNOWN_ADAPTER_SHARE if is_held else 1.0)
         return missing
--- a/src/crowsill/placement/copy_views.py
+++ b/src/crowsill/placement/copy_views.py
@@ -11,6 +11,18 @@
 OVERDUE_FACTOR = 2.0
 
 
+def models_by_name(limits: EngineLimits) -> dict[str, ModelWeights]:
+    """Return the models of a service by name, in an order that no configuration decides.
+
+    The order of a list says nothing about demand, so it must decide nothing.
+
+    >>> models = [ModelWeights("b", 70.0), ModelWeights("a", 70.0)]
+    >>> list(models_by_name(EngineLimits(220.0, 4, 8, 1000, 1.0, models)))
+    ['a', 'b']
+    """
+    return {model.name: model for model in sorted(limits.models, key=lambda model: model.name)}
+
+
 class JobReason(StrEnum):
     """The reason for a job, for the log."""
 
@@ -160,7 +172,6 @@
         missing_since_at_s: Time of the first of these requests, by model.
         turn_share: Share of the engines that may load rare models in turn, at least one engine; 0
             for no turns.
-        started_at_s: Time when this leader started to place models.
         store_loads: Number of loads from the weight store that may start now.
         is_settled: Whether no engine has joined for a while, so that the fleet is complete.
         now_s: The current time.
@@ -174,7 +185,6 @@
     requested_at_s: dict[str, float]
     awaited: list[str]
     awaited_since_at_s: dict[str, float]
-    started_at_s: float
     store_loads: int
     now_s: float
     is_settled: bool = True
--- a/src/crowsill/placement/planner.py
+++ b/src/crowsill/placement/planner.py
@@ -146,7 +146,9 @@
             for spec in self._view.resources.values()
             if spec.is_adapter is adapters and not self._copies(spec.name)
         ]
-        missing.sort(key=lambda spec: (-self._view.demand.get(spec.name, 0.0), -spec.memory_mib))
+        missing.sort(
+            key=lambda spec: (-self._view.demand.get(spec.name, 0.0), -spec.memory_mib, spec.name)
+        )
         for spec in missing:
             if self._orders_left() <= 0:
                 return
