Shared admission: callers of one rank are admitted alike, however often they tried

Seen: under overload a caller that came back was admitted before one of the same rank that tried for the first time; whether it came back was guessed from its time left, with a jump at 95 in 100 of it. Cause: `admission_class` had two classes a rank. Change: a class is a rank. What is owed to a tenant is no longer guessed from who seems to come back: it is the work that was refused and told a time still ahead. `Retry-After` is one rule: as long again as the overload has lasted, plus what is owed at the rate that more urgent work leaves.

--- a/src/crowsill/gateway/admission_level.py
+++ b/src/crowsill/gateway/admission_level.py
@@ -6,15 +6,12 @@
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import Choice, NoReplicaReason, has_resources
 from crowsill.model.service_pressure import AdmissionLevel, TenantLevel
+from crowsill.overload.owed_work import MIN_RETRY_AFTER_S, retry_spread_s
 
 # A member replies every 0.5 s, so a level of this age means that several replies are missing.
 LEVEL_LIFETIME_S = 1.5
 # After this time without a newer level, lower numbers are accepted: the group was formed anew.
 FORGET_AFTER_S = 10.0
-# Callers that are refused come back spread over this share of their delay, and at least this time.
-RETRY_SPREAD_SHARE = 1.0
-MIN_RETRY_SPREAD_S = 1.5
-MIN_RETRY_AFTER_S = 1.0
 # Callers that come back near their deadlines or later can't be served in time.
 LATEST_RETURN_SHARE = 0.9
 LATEST_RETURN_SPREAD = 0.8
@@ -91,7 +88,7 @@
         if number == cut.cut_class and draws[0] < cut.share_percent / 100.0:
             return None
         delay_s = cut.retry_after_ds / 10.0
-        delay_s += draws[1] * max(MIN_RETRY_SPREAD_S, delay_s * RETRY_SPREAD_SHARE)
+        delay_s += draws[1] * retry_spread_s(delay_s)
         if remaining_s * LATEST_RETURN_SHARE < MIN_RETRY_AFTER_S:
             # It could not come back in time.
             return None
--- a/src/crowsill/gateway/request_pressure.py
+++ b/src/crowsill/gateway/request_pressure.py
@@ -67,7 +67,7 @@
         self._service = service
         self._tenant = "" if admission.tenant is None else admission.tenant.name
         budget = wait_budget(route, request.wait_ms, 0.0)
-        self._class = admission_class(rank, budget.is_retry)
+        self._class = admission_class(rank)
         self._work = request_work(
             request.model, request.prompt_tokens, request.output_tokens, request.length_hint
         )
--- a/src/crowsill/overload/fair_shares.py
+++ b/src/crowsill/overload/fair_shares.py
@@ -95,8 +95,8 @@
         share: Its share in work per second.
         retry_after_s: When refused work is expected to be admitted.
 
-    >>> tenant_cut("a", {1: 4.0, 3: 8.0, 5: 8.0}, 10.0, 0.5)
-    TenantCut(tenant='a', cut_class=3, share_percent=75, retry_after_s=0.5)
+    >>> tenant_cut("a", {1: 4.0, 2: 8.0, 3: 8.0}, 10.0, 0.5)
+    TenantCut(tenant='a', cut_class=2, share_percent=75, retry_after_s=0.5)
     """
     if sum(asked.values()) <= share * MIN_EXCESS:
         return None
--- a/src/crowsill/overload/owed_work.py
+++ b/src/crowsill/overload/owed_work.py
@@ -1,28 +1,31 @@
 """Estimates when work that is refused now will be admitted. Pure.
 
-A caller that comes back while more urgent work still takes all of its tenant's share is refused
-again. How long that lasts is unknown; an overload that has lasted for some time is expected to last
-as long again.
+How long an overload lasts is unknown; one that has lasted for some time is expected to last as long
+again. Callers that come back are admitted like all others of their rank, so those that are refused
+now are told to come after that, and after the work that was refused before and told a time still
+ahead.
 """
 
-import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from crowsill.overload.fair_shares import TenantCut
 
-# Callers are expected to come back within this time, or not at all.
-OWED_LIFETIME_S = 10.0
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 10.0
-# If more urgent work leaves less than this part of a tenant's share, nothing is refused for a time
-# that depends on it.
+# Callers that are refused are told times spread over this share of their delay, and at least this
+# time, so that they don't come back together.
+RETRY_SPREAD_SHARE = 1.0
+MIN_RETRY_SPREAD_S = 1.5
+# Refused work is served at the rate that more urgent work leaves of its tenant's share, at least at
+# this part of the share.
 MIN_LEFT_SHARE = 0.1
 
 
 def refused_work(asked: dict[int, float], cut: TenantCut) -> float:
     """Return the work per second that a cut refuses.
 
-    >>> refused_work({1: 4.0, 3: 8.0, 5: 8.0}, TenantCut("a", 3, 75, 0.0))
+    >>> refused_work({1: 4.0, 2: 8.0, 3: 8.0}, TenantCut("a", 2, 75, 0.0))
     10.0
     """
     cut_share = 1.0 - cut.share_percent / 100.0
@@ -30,27 +33,56 @@
     return beyond + cut_share * asked.get(cut.cut_class, 0.0)
 
 
+def retry_spread_s(delay_s: float) -> float:
+    """Return the time over which callers that are told a delay come back after it.
+
+    >>> retry_spread_s(0.5), retry_spread_s(4.0)
+    (1.5, 4.0)
+    """
+    return max(MIN_RETRY_SPREAD_S, delay_s * RETRY_SPREAD_SHARE)
+
+
 @dataclass(slots=True)
 class OwedWork:
-    """Work of each tenant that was refused and has not come back yet."""
+    """Work of each tenant that was refused and whose time to come back is still ahead.
+
+    >>> owed = OwedWork()
+    >>> owed.update({"a": 8.0}, {"a": 1.0}, 0.25)
+    >>> owed.of("a")
+    2.0
+    >>> owed.update({}, {}, 2.0)
+    >>> owed.of("a")
+    0.0
+    """
 
-    _owed: dict[str, float] = field(default_factory=dict)
+    _now_s: float = 0.0
+    # Time when each part of the work is expected back, and the part, by tenant.
+    _parts: dict[str, deque[tuple[float, float]]] = field(default_factory=dict)
 
-    def update(
-        self, asked: dict[str, dict[int, float]], refused: dict[str, float], elapsed_s: float
-    ) -> None:
-        """Add what was refused and subtract what came back.
+    def update(self, refused: dict[str, float], told_s: dict[str, float], elapsed_s: float) -> None:
+        """Add what was refused, and drop what is expected back by now.
 
         Args:
-            asked: Work per second by tenant and class.
             refused: Work per second that was refused, by tenant.
+            told_s: Delay that callers were told, by tenant.
             elapsed_s: Time since the last update.
         """
-        kept_share = math.exp(-elapsed_s / OWED_LIFETIME_S)
-        for tenant in refused.keys() | self._owed.keys():
-            change = (refused.get(tenant, 0.0) - _returned(asked.get(tenant, {}))) * elapsed_s
-            self._owed[tenant] = max(0.0, self._owed.get(tenant, 0.0) * kept_share + change)
-        self._owed = {tenant: work for tenant, work in self._owed.items() if work > 0.0}
+        self._now_s += elapsed_s
+        for tenant, rate in refused.items():
+            delay_s = told_s.get(tenant, MIN_RETRY_AFTER_S)
+            due_at_s = self._now_s + delay_s + retry_spread_s(delay_s) / 2.0
+            if rate > 0.0:
+                self._parts.setdefault(tenant, deque()).append((due_at_s, rate * elapsed_s))
+        for tenant, parts in list(self._parts.items()):
+            left = deque(part for part in parts if part[0] > self._now_s)
+            if left:
+                self._parts[tenant] = left
+            else:
+                del self._parts[tenant]
+
+    def of(self, tenant: str) -> float:
+        """Return the work that a tenant is owed."""
+        return sum((work for _, work in self._parts.get(tenant, ())), 0.0)
 
     def retry_after_s(
         self, cut: TenantCut, asked: dict[int, float], overloaded_for_s: float
@@ -63,18 +95,9 @@
             overloaded_for_s: Time since the level of the service began.
         """
         share = sum(asked.values()) - refused_work(asked, cut)
-        owed = self._owed.get(cut.tenant, 0.0)
         if share <= 0.0:
             return MAX_RETRY_AFTER_S
-        first_tries = sum(
-            rate for number, rate in asked.items() if number < cut.cut_class and number % 2 == 1
-        )
-        left = share - first_tries
-        has_left = left >= MIN_LEFT_SHARE * share
-        delay_s = owed / left if has_left else overloaded_for_s + owed / share
+        owed = self.of(cut.tenant)
+        left = share - sum(rate for number, rate in asked.items() if number < cut.cut_class)
+        delay_s = overloaded_for_s + owed / max(left, MIN_LEFT_SHARE * share)
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, delay_s))
-
-
-def _returned(asked: dict[int, float]) -> float:
-    """Return the work of callers that came back; their classes are even."""
-    return sum(rate for number, rate in asked.items() if number % 2 == 0)
--- a/src/crowsill/overload/service_level.py
+++ b/src/crowsill/overload/service_level.py
@@ -84,7 +84,8 @@
         met = sample.full + sample.started
         self._last_pressure = self.pressure
         self.pressure = sample.full / met if met > 0.0 else 0.0
-        self._owed.update(sample.asked, sample.refused, elapsed_s)
+        told_s = {cut.tenant: cut.retry_after_s for cut in self.cuts}
+        self._owed.update(sample.refused, told_s, elapsed_s)
         self._room = max(demand.started, self._room * math.exp(-elapsed_s / ROOM_TIME_CONSTANT_S))
         if is_settled:
             self._adjust_target(sample, demand, elapsed_s)
