Waiting: how long a request waits depends on the time that its caller has left

Seen: two requests with nearly the same time left waited for very different times: the longest wait jumped between 0.955 and 0.945 of the route's time, where a "first try" ended. Cause: `wait_decision` guessed from the time left whether a caller had been rejected before (`FIRST_TRY_SHARE`), counted the time since that supposed first try, and let those that it took for returned wait longer by a price for a second rejection (`REPEATED_REJECTION_COST`). Change: both are gone. A wait in vain costs the share of the caller's remaining time that it takes, since the caller could try elsewhere; time already waited is not counted. A caller that has less time than the route gives needs its response sooner in proportion, in the decision and in the order of waiting. E201 and E202 tell the time that the caller had in place of a guess, `crowsill-lab tries` has one row a route. The order of waiting by the time left is held by the same test as before.

--- a/src/crowsill/gateway/exchange_log.py
+++ b/src/crowsill/gateway/exchange_log.py
@@ -64,11 +64,11 @@
     def _route_name(self) -> str:
         return "" if self.route is None else self.route.name
 
-    def _has_returned(self) -> bool:
-        """Whether the caller has sent the request again after a rejection."""
+    def _wait_ms(self) -> float:
+        """The time that the caller had for the request when it arrived."""
         if self.route is None:
-            return False
-        return wait_budget(self.route, self._request.wait_ms, 0.0).is_retry
+            return 0.0
+        return round(wait_budget(self.route, self._request.wait_ms, 0.0).total_s * 1000.0, 1)
 
     def _is_late(self, first_ms: float, gap_ms: float) -> bool:
         """Whether the response missed its target latency, or had a gap longer than its target."""
@@ -313,7 +313,7 @@
             last_event=self._request.last_event_id.decode("latin-1"),
             events=_event_range(attempt),
             late=self._is_late(first_ms, gap_ms),
-            returned=self._has_returned(),
+            wait_ms=self._wait_ms(),
             route=self._route_name,
             ms=self._age_ms(),
         )
@@ -339,7 +339,7 @@
             sendings=progress.attempts,
             may_have_run=progress.may_have_run,
             retry_after_s="" if retry_after_s is None else retry_after_s,
-            returned=self._has_returned(),
+            wait_ms=self._wait_ms(),
             route=self._route_name,
             ms=self._age_ms(),
         )
--- a/src/crowsill/gateway/request_pressure.py
+++ b/src/crowsill/gateway/request_pressure.py
@@ -78,7 +78,7 @@
             service,
             self._tenant,
             self._class,
-            remaining_s=budget.total_s - budget.elapsed_before_s,
+            remaining_s=budget.total_s,
             draws=(shared.random.random(), shared.random.random()),
             now_s=now_s,
         )
--- a/src/crowsill/gateway/wait_decision.py
+++ b/src/crowsill/gateway/wait_decision.py
@@ -4,10 +4,11 @@
 others. A request that cannot be served in time is rejected at once with a time to retry, which
 differs between callers.
 
-The decision covers the time since the caller's first try. A response has full value up to its
-target; the value then falls to 0 at the deadline. A wait that ends in a rejection costs more the
-longer it lasts, up to 1 at the deadline. A request waits as long as the expected value of being
-served exceeds the expected cost.
+The decision depends on the time that the caller has left, not on how often it has tried. A response
+has full value up to its target; the value then falls to 0 at the deadline. A wait that ends in a
+rejection costs the share of the caller's remaining time that it takes, since the caller could have
+tried elsewhere meanwhile. A request waits as long as the expected value of being served exceeds the
+expected cost.
 """
 
 import math
@@ -20,11 +21,6 @@
 STREAM_ABANDON_S = 2.0
 STREAM_ABANDON_TARGETS = 4.0
 STREAM_ABANDON_GAPS = 8.0
-# Cost of rejecting a request that was rejected before, as a share of the value of its response. Set
-# by the operators.
-REPEATED_REJECTION_COST = 0.3
-# A caller with this share of the route's time left or more is on its first try.
-FIRST_TRY_SHARE = 0.95
 # After a backoff a replica accepts one request and then two, and few under a rate limit. Of more
 # requests waiting for it at one gateway, most would be rejected in the end.
 MAX_WAITING_TO_OPEN = 2
@@ -52,33 +48,25 @@
 
 @dataclass(frozen=True, slots=True)
 class WaitBudget:
-    """How long a caller waits for one request, in seconds since the caller's first try began.
+    """How long a caller waits for one request, in seconds since it arrived.
 
     Attributes:
-        elapsed_before_s: Time until the current try began.
         waited_s: Time until now.
         total_s: Time until the deadline.
         target_s: Time up to which a response has its full value.
         abandons_after_s: Time after which the caller disconnects if it has received nothing;
             infinite if it waits until the deadline.
-        is_retry: Whether the caller was rejected before.
     """
 
-    elapsed_before_s: float
     waited_s: float
     total_s: float
     target_s: float
     abandons_after_s: float
 
-    @property
-    def is_retry(self) -> bool:
-        """Whether the caller was rejected before."""
-        return self.elapsed_before_s > 0.0
-
     def response_value(self, after_s: float) -> float:
-        """Return the value of a response after a time since the first try, from 1 to 0.
+        """Return the value of a response after a time since the arrival, from 1 to 0.
 
-        >>> budget = WaitBudget(0.0, 0.0, 5.0, 1.0, 3.0)
+        >>> budget = WaitBudget(0.0, 5.0, 1.0, 3.0)
         >>> budget.response_value(0.5), budget.response_value(2.0), budget.response_value(3.5)
         (1.0, 0.75, 0.0)
         """
@@ -92,6 +80,9 @@
 def wait_budget(route: Route, wait_ms: float | None, waited_s: float) -> WaitBudget:
     """Return how long the caller of a request waits.
 
+    A caller that has less time than the route gives needs its response sooner, so its target is
+    shorter in proportion.
+
     Args:
         route: The request's route.
         wait_ms: The remaining time that the caller sent with it, or None.
@@ -100,25 +91,18 @@
     >>> from crowsill.model.routes import RouteKind
     >>> route = Route("r", "h", "/", RouteKind.STREAM, 5000, [], target_latency_ms=800)
     >>> wait_budget(route, 5000, 0.25)
-    WaitBudget(elapsed_before_s=0.0, waited_s=0.25, total_s=5.0, target_s=0.8, abandons_after_s=3.2)
-    >>> wait_budget(route, 3000, 0.25)
-    WaitBudget(elapsed_before_s=2.0, waited_s=2.25, total_s=5.0, target_s=0.8, abandons_after_s=5.2)
+    WaitBudget(waited_s=0.25, total_s=5.0, target_s=0.8, abandons_after_s=3.2)
+    >>> wait_budget(route, 2500, 0.25)
+    WaitBudget(waited_s=0.25, total_s=2.5, target_s=0.4, abandons_after_s=3.2)
     """
-    total_s = route.timeout_ms / 1000.0
+    timeout_s = route.timeout_ms / 1000.0
+    total_s = timeout_s if wait_ms is None else min(timeout_s, wait_ms / 1000.0)
     target_s = route.target_latency_ms / 1000.0
-    remaining_s = total_s if wait_ms is None else min(total_s, wait_ms / 1000.0)
-    is_retry = remaining_s < total_s * FIRST_TRY_SHARE
-    elapsed_before_s = total_s - remaining_s if is_retry else 0.0
-    if not is_retry:
-        total_s = remaining_s
     abandons_after_s = float("inf")
     if route.kind is RouteKind.STREAM:
         gaps_s = route.target_gap_ms / 1000.0 * STREAM_ABANDON_GAPS
-        max_silence_s = max(STREAM_ABANDON_S, target_s * STREAM_ABANDON_TARGETS, gaps_s)
-        abandons_after_s = elapsed_before_s + max_silence_s
-    return WaitBudget(
-        elapsed_before_s, elapsed_before_s + waited_s, total_s, target_s, abandons_after_s
-    )
+        abandons_after_s = max(STREAM_ABANDON_S, target_s * STREAM_ABANDON_TARGETS, gaps_s)
+    return WaitBudget(waited_s, total_s, target_s * total_s / timeout_s, abandons_after_s)
 
 
 def should_wait(estimate: WaitEstimate, budget: WaitBudget, response_s: float) -> bool:
@@ -130,20 +114,17 @@
         response_s: Time from then to the first data of the response.
 
     >>> soon, never = WaitEstimate(0.5, 0.9, 0.5), WaitEstimate(9.0, 0.9, 9.0)
-    >>> caller = WaitBudget(0.0, 0.0, 5.0, 0.8, 3.2)
+    >>> caller = WaitBudget(0.0, 5.0, 0.8, 3.2)
     >>> should_wait(soon, caller, 0.1), should_wait(never, caller, 0.1)
     (True, False)
     """
     value = budget.response_value(budget.waited_s + estimate.ready_s + response_s)
     if value <= 0.0:
         return False
-    # Time between two tries of the caller is not a wait here.
-    waited_here_s = budget.waited_s - budget.elapsed_before_s
-    wasted_s = waited_here_s + min(estimate.known_after_s, estimate.ready_s)
-    cost = wasted_s / (budget.total_s - budget.elapsed_before_s)
-    # A repeated rejection costs the same now or later; serving the request avoids it.
-    avoided_cost = REPEATED_REJECTION_COST if budget.is_retry else 0.0
-    return estimate.probability * (value + avoided_cost) > (1.0 - estimate.probability) * cost
+    # The value is positive, so some time remains.
+    wasted_s = min(estimate.known_after_s, estimate.ready_s)
+    cost = wasted_s / (budget.total_s - budget.waited_s)
+    return estimate.probability * value > (1.0 - estimate.probability) * cost
 
 
 def in_order(
@@ -157,7 +138,7 @@
         budget: How long its caller waits.
         response_s: Time from its turn to the first data of the response.
 
-    >>> caller = WaitBudget(0.0, 0.0, 8.0, 6.0, 12.0)
+    >>> caller = WaitBudget(0.0, 8.0, 6.0, 12.0)
     >>> in_order(WaitEstimate(0.3, 0.2, 0.3), 2.0, caller, 0.1)
     WaitEstimate(ready_s=2.0, probability=0.9, known_after_s=2.0)
     >>> in_order(WaitEstimate(0.3, 0.2, 0.3), 7.0, caller, 0.1)
@@ -180,7 +161,7 @@
         rank: Rank of its route; 0 is the most urgent.
         spread: A random number from 0 to 1 that keeps callers from retrying together.
 
-    >>> budget = WaitBudget(0.0, 0.0, 5.0, 0.8, 3.2)
+    >>> budget = WaitBudget(0.0, 5.0, 0.8, 3.2)
     >>> round(retry_delay_s(WaitEstimate(2.0, 0.9, 2.0), budget, rank=1, spread=0.5), 2)
     2.15
     """
--- a/src/crowsill/gateway/wait_estimates.py
+++ b/src/crowsill/gateway/wait_estimates.py
@@ -119,7 +119,9 @@
 
 def _until_open(record: ReplicaRecord | None, now_s: float, is_urgent: bool) -> WaitEstimate:
     """Return when a replica opens: the time is exact, but other requests may be sent first."""
-    closed_s = 0.0 if record is None else record.availability.opens_at_s(is_urgent) - now_s
+    closed_s = 0.0
+    if record is not None:
+        closed_s = max(0.0, record.availability.opens_at_s(is_urgent) - now_s)
     return WaitEstimate(closed_s, REOPENED_PROBABILITY, closed_s)
 
 
--- a/src/crowsill/gateway/wait_turns.py
+++ b/src/crowsill/gateway/wait_turns.py
@@ -52,7 +52,6 @@
         tenant: Its tenant, or `NO_TENANT`.
     """
     budget = wait_budget(route, request.wait_ms, 0.0)
-    first_try_at_s = request.arrived_at_s - budget.elapsed_before_s
     first_ms, work_ms = DEFAULT_SERVICE_MS, DEFAULT_SERVICE_MS
     if request.model:
         first_ms = latency_model.idle_first_event_ms(request.model, request.prompt_tokens)
@@ -71,8 +70,10 @@
         is_urgent(route),
         min(work_ms, MAX_WORK_MS),
         request.arrived_at_s,
-        target_start_at_s=first_try_at_s + budget.target_s - first_s,
-        deadline_start_at_s=first_try_at_s + min(budget.total_s, budget.abandons_after_s) - first_s,
+        target_start_at_s=request.arrived_at_s + budget.target_s - first_s,
+        deadline_start_at_s=(
+            request.arrived_at_s + min(budget.total_s, budget.abandons_after_s) - first_s
+        ),
     )
 
 
--- a/src/crowsill_lab/main.py
+++ b/src/crowsill_lab/main.py
@@ -75,7 +75,7 @@
 
 @application.command()
 def tries(logs: list[Path]) -> None:
-    """Report the outcomes of first tries and retries from saved logs of gateways."""
+    """Report the outcomes of requests by route from saved logs of gateways."""
     from crowsill_lab.report import plot, read_tries, table
 
     texts = [path.read_text(encoding="utf-8", errors="replace") for path in logs]
