Rare models: the routes tell how long callers wait, not fixed times

Seen: a model that was missing got its turn after 15 s, or after 25 s at any engine, if its last request was at most 10 s old, on every site; a model counted as idle for adapters after 8 s. Cause: the times came from one site's routes and from what was counted, not from the callers concerned. Change: the turn comes once the most patient callers of the service have left unserved (its longest route timeout, 60 s at most); at any engine once the load could have ended by then; the last request may be as old as that. Adapters fill free places for models in demand, without a time of their own. Tests: a turn at the very time for four timeouts (no such input before); demand in the simulated site moves to the next models, far away and in no order, where it only moved to the next ones.

--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -18,10 +18,10 @@
 from crowsill.model.instances import Instance
 from crowsill.model.routes import EngineLimits, RouteConfiguration
 from crowsill.placement.copy_planner import CopyPlanner
-from crowsill.placement.copy_views import EngineView, Job, ServiceView
+from crowsill.placement.copy_views import DEFAULT_WAIT_S, EngineView, Job, ServiceView
 from crowsill.placement.demand import DemandEstimate
 from crowsill.placement.load_window import LoadWindow
-from crowsill.placement.missing_requests import MissingRequests
+from crowsill.placement.missing_requests import MAX_REQUEST_GAP_S, MissingRequests
 from crowsill.state.commands import RecordMissingModels
 from crowsill.state.missing_models import most_requested
 
@@ -265,9 +265,12 @@
         for service in routes.services:
             if service.engine is not None:
                 members = [item for item in instances if item.service == service.name]
-                self._plan_service(service.name, service.engine, members)
+                longest_wait_s = routes.longest_timeout_s(service.name)
+                self._plan_service(service.name, service.engine, members, longest_wait_s)
 
-    def _plan_service(self, name: str, limits: EngineLimits, members: list[Instance]) -> None:
+    def _plan_service(
+        self, name: str, limits: EngineLimits, members: list[Instance], longest_wait_s: float | None
+    ) -> None:
         now_s = monotonic_s()
         views: list[EngineView] = []
         excluded = self._excluded_engines(members)
@@ -316,6 +319,7 @@
             },
             store_loads=self._load_window(name, limits).loads_left(now_s),
             now_s=now_s,
+            longest_wait_s=_bounded_wait_s(longest_wait_s),
             is_settled=self._is_settled(name, now_s),
             missed_requests=self._missing_requests.counts(name),
             missing_since_at_s=self._missing_requests.since_at_s(name),
@@ -428,6 +432,17 @@
         engine.job = task
 
 
+def _bounded_wait_s(longest_timeout_s: float | None) -> float:
+    """Return how long callers are expected to wait; a route may have any timeout.
+
+    >>> _bounded_wait_s(None), _bounded_wait_s(20.0), _bounded_wait_s(1e12)
+    (15.0, 20.0, 60.0)
+    """
+    if longest_timeout_s is None:
+        return DEFAULT_WAIT_S
+    return min(longest_timeout_s, MAX_REQUEST_GAP_S)
+
+
 def _waiting_lifetime_s(resource: str) -> float:
     return WAITING_ADAPTER_LIFETIME_S if "/" in resource else WAITING_LIFETIME_S
 
--- a/src/crowsill/model/routes.py
+++ b/src/crowsill/model/routes.py
@@ -148,6 +148,16 @@
     limits: CallerLimits = CallerLimits()
     tenants: list[Tenant] = []
 
+    def longest_timeout_s(self, service: str) -> float | None:
+        """Return the longest timeout of the routes to a service in seconds; None without one."""
+        timeouts_ms = (
+            route.timeout_ms
+            for route in self.routes
+            if any(share.service == service and share.weight > 0 for share in route.services)
+        )
+        longest_ms = max(timeouts_ms, default=None)
+        return None if longest_ms is None else longest_ms / 1000.0
+
 
 def route_faults(configuration: RouteConfiguration) -> list[str]:
     """Return the errors in a route configuration; empty if it is valid.
--- a/src/crowsill/placement/adapter_jobs.py
+++ b/src/crowsill/placement/adapter_jobs.py
@@ -8,8 +8,6 @@
 
 # Expected load time of an adapter, in seconds.
 ADAPTER_LOAD_S = 0.02
-# A model without a request for this time counts as idle, in seconds.
-IDLE_AFTER_S = 8.0
 # Callers choose the names of adapters that they ask for; longer numbers name none.
 MAX_NUMBER_DIGITS = 16
 
@@ -63,8 +61,9 @@
         for engine in self._view.engines:
             if not self._accepts_job(engine) or engine.adapters >= engine.limits.adapter_slots:
                 continue
-            models = [name for name in engine.held if not self._is_idle(name)]
-            for name in sorted(models, key=lambda item: -self._view.demand.get(item, 0.0)):
+            demand = self._view.demand
+            models = [name for name in engine.held if demand.get(name, 0.0) > 0.0]
+            for name in sorted(models, key=lambda item: -demand[item]):
                 adapter = self._next_adapter(engine, name)
                 if adapter and self._fits(engine, name):
                     jobs.append(_job(engine, (), name, adapter, JobReason.FREE_SLOT))
@@ -134,9 +133,6 @@
         offset = crc32(model.name.encode())
         yield from (f"a{(offset + place) % model.adapters + 1}" for place in range(others))
 
-    def _is_idle(self, model: str) -> bool:
-        return self._view.now_s - self._view.last_request_at_s(model) > IDLE_AFTER_S
-
 
 def _job(
     engine: EngineView, unload: tuple[str, ...], model: str, adapter: str, reason: JobReason
--- a/src/crowsill/placement/copy_views.py
+++ b/src/crowsill/placement/copy_views.py
@@ -7,6 +7,8 @@
 from crowsill.model.instances import Instance
 from crowsill.model.routes import EngineLimits, ModelWeights
 
+# Time for which callers of a service wait if no route to it is known, in seconds.
+DEFAULT_WAIT_S = 15.0
 # Expected remaining time of an overdue job, as a multiple of the time by which it is overdue.
 OVERDUE_FACTOR = 2.0
 
@@ -175,6 +177,7 @@
         store_loads: Number of loads from the weight store that may start now.
         is_settled: Whether no engine has joined for a while, so that the fleet is complete.
         now_s: The current time.
+        longest_wait_s: Time for which the most patient callers wait for a response.
     """
 
     limits: EngineLimits
@@ -187,6 +190,7 @@
     awaited_since_at_s: dict[str, float]
     store_loads: int
     now_s: float
+    longest_wait_s: float = DEFAULT_WAIT_S
     is_settled: bool = True
     awaited_versions: dict[str, set[str]] = field(default_factory=dict)
     missed_streams: dict[str, dict[str, float]] = field(default_factory=dict)
--- a/src/crowsill/placement/rare_models.py
+++ b/src/crowsill/placement/rare_models.py
@@ -2,14 +2,16 @@
 
 The planner compares the gain of a load with the cost of blocking its engine. Under high demand,
 that cost may exceed the gain of a model that is requested only every few seconds, however long it
-has been missing. So a model that is still requested gets a turn: after `CHEAP_TURN_AFTER_S` at the
-engines where its load costs least, unless requests wait for a missing model in much higher demand,
-and after `MAX_MISSING_S` at any engine; the model that has been missing for longest first. The
-number of engines that fetch such models from the weight store at once is bounded, so that the
+has been missing. So a model that is still requested gets a turn once even the callers that can wait
+longest have left unserved: at the engines where its load costs least, unless requests wait for a
+missing model in much higher demand. If its load could have ended by now, had one of these engines
+been free, it gets the next engine that is. The model that has been missing for longest goes first.
+The number of engines that fetch such models from the weight store at once is bounded, so that the
 others stay available to the models in demand.
 
-So with k such engines, loads of L seconds and m models missing for too long, each of them is loaded
-within `MAX_MISSING_S` + ceil(m / k) * L, apart from the time in which no engine gets free.
+So with k such engines, loads of L seconds, callers that wait for up to W seconds and m models
+missing for too long, each of them is loaded within W + L + ceil(m / k) * L, apart from the time in
+which no engine gets free.
 """
 
 import math
@@ -18,15 +20,7 @@
 from crowsill.placement.copy_value import CopyValue
 from crowsill.placement.copy_views import EngineView, Job, JobReason, ServiceView
 
-# A model that is requested and has been missing for this time is loaded at the next free engine of
-# those where that costs least, in seconds. Callers that can wait do so for 15 to 20 s.
-CHEAP_TURN_AFTER_S = 15.0
-# After this time it is loaded at the next free engine, in seconds.
-MAX_MISSING_S = 25.0
-# A model without a request for this time gets no turn, in seconds, because its callers have given
-# up.
-MAX_REQUEST_AGE_S = 10.0
-# Share of the engines that are used before `MAX_MISSING_S`: those where a load costs least.
+# Share of the engines that are used before a model is overdue: those where a load costs least.
 CHEAP_ENGINES_SHARE = 0.34
 # Number of models that one step evaluates at all engines; the next step follows within 0.1 s.
 MAX_MODELS_PER_STEP = 4
@@ -86,7 +80,7 @@
         ]
 
     def _is_overdue(self, name: str) -> bool:
-        return self._missing_s(name) >= MAX_MISSING_S
+        return self._missing_s(name) >= self._view.longest_wait_s + self._models[name].load_s
 
     def _is_outranked(self, name: str) -> bool:
         """Whether requests wait for another missing model that is in much higher demand."""
@@ -103,9 +97,9 @@
         due = [
             name
             for name in view.missing_since_at_s
-            if self._missing_s(name) >= CHEAP_TURN_AFTER_S
+            if self._missing_s(name) >= view.longest_wait_s
             and name in self._models
-            and view.now_s - view.last_request_at_s(name) < MAX_REQUEST_AGE_S
+            and view.now_s - view.last_request_at_s(name) < view.longest_wait_s
         ]
         return sorted(due, key=lambda name: view.missing_since_at_s[name])
 
--- a/tests/patterns/placement_site.py
+++ b/tests/patterns/placement_site.py
@@ -91,7 +91,7 @@
         """Create it.
 
         Args:
-            models: Number of adapters by model; operators list the models in this order.
+            models: Number of adapters by model.
             held: Models that each engine holds.
             on_disk: Further models on the disk of each engine.
             seed: Seed of all randomness.
@@ -248,6 +248,7 @@
             awaited_since_at_s={},
             store_loads=self.window.loads_left(self.now_s),
             now_s=self.now_s,
+            longest_wait_s=max((item.wait_s for item in self.traffic.values()), default=0.0),
             missed_requests=self.missing.counts(SERVICE),
             missing_since_at_s=self.missing.since_at_s(SERVICE),
             turn_share=TURN_SHARE,
--- a/tests/patterns/test_unserved_models.py
+++ b/tests/patterns/test_unserved_models.py
@@ -4,6 +4,8 @@
 loads never gain as much as they cost, or because no engine that holds their model accepts orders.
 """
 
+from random import Random
+
 import pytest
 
 from tests.patterns.placement_site import PlacementSite, Traffic
@@ -28,6 +30,14 @@
     return PlacementSite(models, held, on_disk, seed)
 
 
+# How demand moves between the popular models: to the next ones, far away, and in no order.
+MOVES = {
+    "next": list(range(10)),
+    "far": [7 * number % 10 for number in range(10)],
+    "no order": Random(5).sample(range(10), 10),
+}
+
+
 def shifting_traffic(shift):
     """Return the traffic while four of the popular models have nearly all requests."""
     traffic = {}
@@ -41,16 +51,17 @@
     return traffic
 
 
-def run_shifting(site, seconds):
-    for shift in range(int(seconds / SHIFT_S)):
+def run_shifting(site, seconds, moves="next"):
+    for shift in MOVES[moves][: int(seconds / SHIFT_S)]:
         site.traffic = shifting_traffic(shift)
         site.run(SHIFT_S)
 
 
+@pytest.mark.parametrize("moves", MOVES)
 @pytest.mark.parametrize("seed", range(1, 6))
-def test_every_model_and_adapter_that_is_requested_throughout_is_served(seed):
+def test_every_model_and_adapter_that_is_requested_throughout_is_served(seed, moves):
     site = crowded_site(seed)
-    run_shifting(site, SECONDS)
+    run_shifting(site, SECONDS, moves)
     assert site.never_served() == []
 
 
--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -8,6 +8,8 @@
 
 from random import Random
 
+import pytest
+
 from crowsill.placement.copy_planner import CopyPlanner
 from crowsill.placement.copy_views import JobReason
 from crowsill.placement.missing_requests import MAX_REQUEST_GAP_S, MissingRequests
@@ -55,6 +57,22 @@
     assert [job.instance_id for job in jobs_for("m7", state)] == ["popular"]
 
 
+@pytest.mark.parametrize("wait_s", [5.0, 15.0, 20.0, 40.0])
+def test_a_rare_model_gets_its_turn_when_the_most_patient_callers_have_left(wait_s):
+    engines = [engine("popular", "m0", "m1", "m5"), engine("b", "m5")]
+
+    def job_ids(missing_s):
+        since_at_s = {"m7": 100.0 - missing_s}
+        state = view(engines, awaited=["m7"], missing_since_at_s=since_at_s, **demand(["m7"]))
+        state.longest_wait_s = wait_s
+        return [job.instance_id for job in jobs_for("m7", state) if job.reason is JobReason.MISSING]
+
+    assert job_ids(wait_s - 0.1) == [] and job_ids(wait_s) == ["b"]
+    engines[1].is_busy, engines[1].accepts_adapter_jobs, engines[1].free_at_s = True, False, 105.0
+    load_s = MODELS[7].load_s
+    assert job_ids(wait_s + load_s - 0.1) == [] and job_ids(wait_s + load_s) == ["popular"]
+
+
 def test_only_an_overdue_model_is_loaded_before_a_missing_one_in_much_higher_demand():
     state = busy_site(
         awaited=["m7", "m6"],
