Waiting: a gateway learns how long waits take instead of assuming how many end well

Seen: whether a request waited followed fixed probabilities (0.35 for a load, 0.42 for an adapter, 0.72 for a place, 0.3 for a service without replicas) that fell by half in 1 to 4 s, the same everywhere, whatever had become of the waits before. Change: `wait_history.py` counts, by service, model and what is waited for, the time that requests waited (also in vain) and the waits that ended with a replica; their quotient is the mean wait. A request waits while the value of a response after the mean wait exceeds what a wait in vain costs. There was no such input before.

--- a/src/crowsill/gateway/replica_registry.py
+++ b/src/crowsill/gateway/replica_registry.py
@@ -10,6 +10,7 @@
 from crowsill.gateway.exclusion import ExclusionReason
 from crowsill.gateway.replica_signals import ReplicaLoad
 from crowsill.gateway.replica_work import OwnWork
+from crowsill.gateway.wait_history import WaitHistory
 from crowsill.model.exclusions import MAX_REPORTED_EXCLUSIONS, ExcludedReplica
 from crowsill.model.instances import Instance, InstanceState
 from crowsill.model.replica_limits import MAX_REPORTED_LIMITS, LimitReport
@@ -205,6 +206,7 @@
         version: Version of the last directory update that was applied.
         waiting_to_open: Number of requests here that wait for a replica to open, by the replica and
             whether they are urgent.
+        wait_history: How long requests waited here.
         uses_pace: Whether the pace of replicas is used; if not, it is neither recorded nor told.
         costs: What requests cost; None if the choice of a replica does not depend on it.
     """
@@ -214,6 +216,7 @@
         self.uses_pace = uses_pace
         self.costs: CostModel | None = None
         self.waiting_to_open: Counter[tuple[str, bool]] = Counter()
+        self.wait_history = WaitHistory()
         self._records: dict[str, ReplicaRecord] = {}
         self._by_service: dict[str, list[ReplicaRecord]] = {}
         self._latency_models: dict[str, LatencyModel] = {}
--- a/src/crowsill/gateway/wait_estimates.py
+++ b/src/crowsill/gateway/wait_estimates.py
@@ -1,5 +1,7 @@
 """Estimates when a replica can accept a request that none accepts now. Pure."""
 
+import math
+
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import (
@@ -10,37 +12,20 @@
     min_load_s,
 )
 from crowsill.gateway.wait_decision import WaitEstimate
+from crowsill.gateway.wait_history import WaitCause, WaitHistory, WaitKey
 from crowsill.model.routes import ModelWeights
 
-# Time within which the control group considers reported demand and, if it loads the model,
-# informs the gateways.
-PLACEMENT_DECISION_S = 0.5
-# Time in which a probability falls to a half. Placement often decides on a requested load only
-# after requests have waited for a while, so demand for a rare model must be reported for some
-# seconds.
-REQUESTED_LOAD_HALVING_S = 4.0
 # Time that a load order takes in addition to the load itself.
 ORDER_OVERHEAD_S = 0.2
 # A load that is overdue by some time may take that time again, and at least this long.
 MIN_OVERDUE_WAIT_S = 0.2
-# Median time until a missing adapter is loaded.
-MEDIAN_ADAPTER_LOAD_S = 0.45
-ADAPTER_LOAD_HALVING_S = 1.0
-# Time until a full replica has capacity again.
-CAPACITY_WAIT_S = 0.3
-CAPACITY_HALVING_S = 1.0
-NO_REPLICA_WAIT_S = 0.5
-# Probability that a waiting request is eventually sent to a replica, by the reason for its wait.
-REQUESTED_LOAD_PROBABILITY = 0.35
-ADAPTER_LOAD_PROBABILITY = 0.42
-CAPACITY_PROBABILITY = 0.72
-# Probability that a load in progress succeeds, and that a service without replicas has one again
-# soon.
+# Probability that a load in progress succeeds.
 LOADING_PROBABILITY = 0.9
-NO_REPLICA_PROBABILITY = 0.3
 # After a backoff a replica accepts one request first and may ask for another backoff; requests of
 # other gateways may use up the rate that a limit permits.
 REOPENED_PROBABILITY = 0.5
+# Share of waits that end within their mean, where each second is as likely to end one as the last.
+ENDED_WITHIN_MEAN = 1.0 - math.exp(-1.0)
 
 
 def estimate_wait(
@@ -49,7 +34,8 @@
     *,
     records: list[ReplicaRecord],
     weights: ModelWeights | None,
-    waited_s: float,
+    history: WaitHistory,
+    service: str,
     now_s: float,
     is_urgent: bool = True,
 ) -> WaitEstimate:
@@ -60,61 +46,55 @@
         request: The request.
         records: Instances of its service.
         weights: The model that it needs, or None if the routes don't define it.
-        waited_s: Time since its arrival.
+        history: Waits at this gateway.
+        service: Its service.
         now_s: Current monotonic time.
         is_urgent: Whether the request cannot wait.
     """
-    if reason in (NoReplicaReason.NO_REPLICA, NoReplicaReason.UNREACHABLE):
-        return _decaying_estimate(
-            NO_REPLICA_WAIT_S,
-            NO_REPLICA_PROBABILITY,
-            NO_REPLICA_WAIT_S,
-            NO_REPLICA_WAIT_S,
-            waited_s,
-        )
     if reason is NoReplicaReason.ALL_CLOSED:
         first = first_to_open(records, request, now_s, is_urgent)
         return _until_open(first, now_s, is_urgent)
+    cause = wait_cause(reason, request, records)
+    if cause is None:
+        ready_s = _remaining_s(min(_expected_loads(request, records)), now_s)
+        return WaitEstimate(ready_s, LOADING_PROBABILITY, ready_s)
+    load_s = 0.0
+    if cause is WaitCause.LOAD_ORDER:
+        if weights is None:
+            return WaitEstimate(float("inf"), 0.0, 0.0)
+        load_s = min_load_s(weights, _suitable(request, records)) + ORDER_OVERHEAD_S
+    mean_s = history.mean_s(WaitKey(service, cause, request.model), now_s)
+    return WaitEstimate(mean_s + load_s, ENDED_WITHIN_MEAN, mean_s)
+
+
+def wait_cause(
+    reason: NoReplicaReason, request: CallerRequest, records: list[ReplicaRecord]
+) -> WaitCause | None:
+    """Return what a request waits for; None if it is known when that comes."""
+    if reason is NoReplicaReason.ALL_CLOSED:
+        return None
+    if reason in (NoReplicaReason.NO_REPLICA, NoReplicaReason.UNREACHABLE):
+        return WaitCause.NO_REPLICA
     if reason is not NoReplicaReason.NO_MODEL:
-        return _decaying_estimate(
-            CAPACITY_WAIT_S, CAPACITY_PROBABILITY, CAPACITY_WAIT_S, CAPACITY_HALVING_S, waited_s
-        )
-    return _until_loaded(request, records, weights, waited_s, now_s)
+        return WaitCause.CAPACITY
+    if any(record.instance.serves(request.model) for record in _suitable(request, records)):
+        return WaitCause.ADAPTER
+    return None if _expected_loads(request, records) else WaitCause.LOAD_ORDER
 
 
-def _until_loaded(
-    request: CallerRequest,
-    records: list[ReplicaRecord],
-    weights: ModelWeights | None,
-    waited_s: float,
-    now_s: float,
-) -> WaitEstimate:
-    """Return when a replica may hold the model and adapter of the request."""
-    suitable = [record for record in records if has_software_version(record, request)]
-    accepting = accepting_or_listed(suitable)
-    if any(record.instance.serves(request.model) for record in accepting):
-        # Only the adapter is missing.
-        return _decaying_estimate(
-            MEDIAN_ADAPTER_LOAD_S,
-            ADAPTER_LOAD_PROBABILITY,
-            MEDIAN_ADAPTER_LOAD_S,
-            ADAPTER_LOAD_HALVING_S,
-            waited_s,
-        )
-    expected_at_s = [
+def _suitable(request: CallerRequest, records: list[ReplicaRecord]) -> list[ReplicaRecord]:
+    return accepting_or_listed(
+        [record for record in records if has_software_version(record, request)]
+    )
+
+
+def _expected_loads(request: CallerRequest, records: list[ReplicaRecord]) -> list[float]:
+    """Return when the loads of the model that are in progress are expected to end."""
+    return [
         record.model_ready_at_s[request.model]
-        for record in accepting
+        for record in _suitable(request, records)
         if request.model in record.model_ready_at_s
     ]
-    if expected_at_s:
-        ready_s = _remaining_s(min(expected_at_s), now_s)
-        return WaitEstimate(ready_s, LOADING_PROBABILITY, ready_s)
-    if weights is None:
-        return WaitEstimate(float("inf"), 0.0, 0.0)
-    load_s = min_load_s(weights, suitable) + ORDER_OVERHEAD_S
-    return _decaying_estimate(
-        load_s, REQUESTED_LOAD_PROBABILITY, PLACEMENT_DECISION_S, REQUESTED_LOAD_HALVING_S, waited_s
-    )
 
 
 def _until_open(record: ReplicaRecord | None, now_s: float, is_urgent: bool) -> WaitEstimate:
@@ -131,16 +111,3 @@
         if expected_at_s > now_s
         else max(MIN_OVERDUE_WAIT_S, now_s - expected_at_s)
     )
-
-
-def _decaying_estimate(
-    ready_s: float, probability: float, known_after_s: float, halving_s: float, waited_s: float
-) -> WaitEstimate:
-    """Return an estimate whose probability falls with the time waited.
-
-    >>> _decaying_estimate(2.0, 0.4, 0.5, 4.0, 0.0).probability
-    0.4
-    >>> _decaying_estimate(2.0, 0.4, 0.5, 4.0, 4.0).probability
-    0.2
-    """
-    return WaitEstimate(ready_s, probability * halving_s / (halving_s + waited_s), known_after_s)
--- a/src/crowsill/gateway/waiting.py
+++ b/src/crowsill/gateway/waiting.py
@@ -26,7 +26,8 @@
     should_wait,
     wait_budget,
 )
-from crowsill.gateway.wait_estimates import estimate_wait
+from crowsill.gateway.wait_estimates import estimate_wait, wait_cause
+from crowsill.gateway.wait_history import WaitCause, WaitKey
 from crowsill.gateway.wait_turns import Turn
 from crowsill.model.routes import ModelWeights, Route
 
@@ -78,6 +79,8 @@
         self._loop = asyncio.get_running_loop()
         self._turn = self._new_turn(admission)
         self._has_let_others_go = False
+        # What the request waits for, if it is not known when that comes.
+        self._wait_key: WaitKey | None = None
 
     def _new_turn(self, admission: Admission) -> Turn | None:
         """Return the place of the request in the queue; None if requests wait in no order."""
@@ -113,6 +116,7 @@
         """Record that the request is sent to a replica."""
         if self._turn is not None:
             self._turn.note_sent()
+        self._end_wait()
 
     def note_end(self, end: AttemptEnd | None) -> None:
         """Record the end of an attempt; None if nothing was sent."""
@@ -161,9 +165,48 @@
         poll_s = CAPACITY_POLL_S if reason is NoReplicaReason.ALL_FULL else DEMAND_REPEAT_S
         if reason is NoReplicaReason.ALL_CLOSED:
             return await self._wait_to_open(min(remaining_s, poll_s))
-        await self._wait_for_change(min(remaining_s, poll_s))
+        await self._wait_and_record(reason, min(remaining_s, poll_s))
         return True
 
+    async def _wait_and_record(self, reason: NoReplicaReason, time_s: float) -> None:
+        """Wait for a change, and record how long.
+
+        The time in which the request let others go first does not count.
+        """
+        self._note_cause(reason)
+        if self._wait_key is None:
+            await self._wait_for_change(time_s)
+            return
+        began_at_s, gave_way_s = self._loop.time(), self._gave_way_s()
+        try:
+            await self._wait_for_change(time_s)
+        finally:
+            now_s = self._loop.time()
+            waited_s = now_s - began_at_s - (self._gave_way_s() - gave_way_s)
+            self._context.registry.wait_history.note_waited(self._wait_key, waited_s, now_s)
+
+    def _gave_way_s(self) -> float:
+        return 0.0 if self._turn is None else self._turn.gave_way_s()
+
+    def _note_cause(self, reason: NoReplicaReason) -> None:
+        """Note what the request waits for; a load that was ordered ends the wait for its order."""
+        records = self._context.registry.of_service(self._log.service)
+        cause = wait_cause(reason, self._request, records)
+        if self._wait_key is not None and self._wait_key.cause is WaitCause.LOAD_ORDER:
+            is_ordered = reason is NoReplicaReason.NO_MODEL and cause is not WaitCause.LOAD_ORDER
+            if is_ordered or reason is NoReplicaReason.ALL_FULL:
+                self._end_wait()
+        self._wait_key = None
+        if cause is not None:
+            self._wait_key = WaitKey(self._log.service, cause, self._request.model)
+
+    def _end_wait(self) -> None:
+        """Record that what the request waited for has come."""
+        if self._wait_key is not None:
+            history = self._context.registry.wait_history
+            history.note_ended(self._wait_key, self._loop.time())
+            self._wait_key = None
+
     async def _wait_to_open(self, time_s: float) -> bool:
         """Wait for some time; return False at once if enough others wait for the same replica.
 
@@ -240,23 +283,18 @@
 
     def _estimate(self, reason: NoReplicaReason) -> WaitEstimate:
         """Estimate when a replica may take the request."""
-        request, now_s = self._request, self._loop.time()
-        records = self._context.registry.of_service(self._log.service)
-        waited_s = now_s - request.arrived_at_s
-        is_ordered = self._turn is not None and reason is NoReplicaReason.ALL_FULL
-        if self._turn is not None and is_ordered:
-            # Time in which it let others go first does not make a place less likely.
-            waited_s -= self._turn.gave_way_s()
+        registry, service = self._context.registry, self._log.service
         estimate = estimate_wait(
             reason,
-            request,
-            records=records,
+            self._request,
+            records=registry.of_service(service),
             weights=self._weights(),
-            waited_s=waited_s,
-            now_s=now_s,
+            history=registry.wait_history,
+            service=service,
+            now_s=self._loop.time(),
             is_urgent=self._is_urgent,
         )
-        if self._turn is None or not is_ordered:
+        if self._turn is None or reason is not NoReplicaReason.ALL_FULL:
             return estimate
         turn_after_s = self._turn.expected_after_s()
         return in_order(estimate, turn_after_s, self._wait_budget(), self._response_s())
