Waiting: a timeout too small for a float in seconds ends no decision

Change: the target is scaled only for a caller with less time than the timeout. Test: odd timeouts and waits; the smallest one failed before.

--- a/src/crowsill/gateway/wait_decision.py
+++ b/src/crowsill/gateway/wait_decision.py
@@ -102,7 +102,9 @@
     if route.kind is RouteKind.STREAM:
         gaps_s = route.target_gap_ms / 1000.0 * STREAM_ABANDON_GAPS
         abandons_after_s = max(STREAM_ABANDON_S, target_s * STREAM_ABANDON_TARGETS, gaps_s)
-    return WaitBudget(waited_s, total_s, target_s * total_s / timeout_s, abandons_after_s)
+    if total_s < timeout_s:
+        target_s *= total_s / timeout_s
+    return WaitBudget(waited_s, total_s, target_s, abandons_after_s)
 
 
 def should_wait(estimate: WaitEstimate, budget: WaitBudget, response_s: float) -> bool:
--- a/tests/test_wait_decision.py
+++ b/tests/test_wait_decision.py
@@ -128,6 +128,14 @@
         assert found.target_s == pytest.approx(0.3 * wait_ms / 2000.0)
 
 
+@pytest.mark.parametrize("timeout_ms", [5e-324, 1e-9, 1.0])
+@pytest.mark.parametrize("wait_ms", [None, 0.0, -5.0, 5000.0])
+def test_an_odd_timeout_ends_no_decision(timeout_ms, wait_ms):
+    route = Route("r", "h", "/", RouteKind.STREAM, timeout_ms, [], target_latency_ms=300)
+    found = wait_budget(route, wait_ms, 0.1)
+    assert not should_wait(WaitEstimate(0.3, 0.9, 0.3), found, 0.1)
+
+
 KINDS = (RouteKind.STREAM, RouteKind.AT_MOST_ONCE)
 WAIT_ESTIMATES = (
     WaitEstimate(0.3, 0.72, 0.3),
