Placement: how urgent a request is follows from its route's times and the load

Seen: a route counted as urgent up to a target of 2,000 ms and not at all beyond it, and one ranked above an urgent route a third of the way up (`OUTRANKING_URGENCY`). Change: the urgency of a request is the share of its response's value that a load of its model would cost, by the route's target and timeout and the time of the load. The operator's rank is kept strictly: a route is as urgent as any that is ranked below it at one of its services. Tests: urgency by times and load, by rank, continuous with the target; the test of a third of the way (`..._counts_as_urgent_in_part`) is replaced by these.

--- a/src/crowsill/gateway/exchange.py
+++ b/src/crowsill/gateway/exchange.py
@@ -200,7 +200,9 @@
         """Count the request as demand, and for the retry budget of its service."""
         self._context.retry_budgets.earned(self._service).earn(self._loop.time())
         request, table = self._request, self._context.table
-        urgency = 0.0 if table is None else table.urgency(route)
+        urgency = 0.0
+        if table is not None and request.model:
+            urgency = table.urgency(route, self._service, request.model)
         self._context.demand.note_request(self._service, request.model, request.adapter, urgency)
 
     def _reject(self, rejection: Rejection) -> None:
--- a/src/crowsill/gateway/routing_table.py
+++ b/src/crowsill/gateway/routing_table.py
@@ -2,14 +2,12 @@
 
 from random import Random
 
+from crowsill.gateway.wait_decision import wait_budget
 from crowsill.model.routes import Route, RouteConfiguration, ServiceDefinition
 from crowsill.tenancy.identity import TenantDirectory
 
 # Routes with a latency target up to this are for callers who do not wait.
 URGENT_TARGET_MS = 2000.0
-# Urgency of a route with a longer target that the operator ranks above an urgent one: a long target
-# means that its callers can wait, not that they matter less.
-OUTRANKING_URGENCY = 0.34
 
 
 def is_urgent(route: Route) -> bool:
@@ -33,7 +31,9 @@
         }
         tenants = configuration.tenants
         self.tenants = TenantDirectory(tenants) if tenants else None
-        self._outranking = outranking_routes(configuration.routes)
+        self._outranked = outranked_routes(configuration.routes)
+        # Urgencies by route and load time.
+        self._urgencies: dict[tuple[str, float], float] = {}
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             self._by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
@@ -48,11 +48,23 @@
         definition = self.services.get(service)
         return "" if definition is None else definition.probe_path
 
-    def urgency(self, route: Route) -> float:
-        """Return how urgent it is to keep a route's models loaded, from 0 to 1."""
-        if is_urgent(route):
-            return 1.0
-        return OUTRANKING_URGENCY if route.name in self._outranking else 0.0
+    def urgency(self, route: Route, service: str, model: str) -> float:
+        """Return how urgent it is for a route's requests that their model is loaded, from 0 to 1.
+
+        That is the share of a response's value that is lost if the model has to be loaded first.
+        A route is as urgent as any that the operator ranks below it at one of its services.
+        """
+        definition = self.services.get(service)
+        weights = None
+        if definition is not None and definition.engine is not None:
+            weights = definition.engine.model(model)
+        if weights is None:
+            return 0.0
+        key = (route.name, weights.load_s)
+        if key not in self._urgencies:
+            routes = (route, *self._outranked.get(route.name, ()))
+            self._urgencies[key] = max(lost_value(item, weights.load_s) for item in routes)
+        return self._urgencies[key]
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path` at `host`, or None.
@@ -77,30 +89,41 @@
         return None
 
 
-def outranking_routes(routes: list[Route]) -> frozenset[str]:
-    """Return the routes that the operator ranks above an urgent route of the same service.
+def lost_value(route: Route, delay_s: float) -> float:
+    """Return the share of a response's value that is lost if it is delayed.
+
+    >>> from crowsill.model.routes import RouteKind
+    >>> route = Route("r", "h", "/", RouteKind.STREAM, 8000, [], target_latency_ms=4000)
+    >>> lost_value(route, 4.0), lost_value(route, 5.0), lost_value(route, 9.0)
+    (0.0, 0.25, 1.0)
+    """
+    return 1.0 - wait_budget(route, None, 0.0).response_value(delay_s)
+
+
+def outranked_routes(routes: list[Route]) -> dict[str, list[Route]]:
+    """Return the routes that the operator ranks below each route at one of its services.
 
     >>> from crowsill.model.routes import RouteKind, WeightedService
-    >>> def route(name, target_ms, rank, service="s"):
-    ...     share = [WeightedService(service, 1)]
-    ...     return Route(name, "h", f"/{name}/", RouteKind.STREAM, 1, share, target_ms, rank=rank)
-    >>> sorted(outranking_routes([route("chat", 800, 2), route("letter", 6000, 1)]))
-    ['letter']
-    >>> sorted(outranking_routes([route("chat", 800, 1), route("letter", 6000, 1)]))
-    []
+    >>> def route(name, rank, service="s"):
+    ...     shares = [WeightedService(service, 1)]
+    ...     return Route(name, "h", "/", RouteKind.STREAM, 1, shares, rank=rank)
+    >>> below = outranked_routes([route("chat", 2), route("letter", 1), route("other", 3, "t")])
+    >>> {name: [item.name for item in found] for name, found in below.items()}
+    {'chat': [], 'letter': ['chat'], 'other': []}
     """
-    urgent_routes = [route for route in routes if is_urgent(route)]
-    worst_urgent_rank: dict[str, int] = {}
-    for route in urgent_routes:
+    by_service: dict[str, list[Route]] = {}
+    for route in routes:
         for share in route.services:
-            worst_urgent_rank[share.service] = max(
-                route.rank, worst_urgent_rank.get(share.service, route.rank)
-            )
-    return frozenset(
-        route.name
+            by_service.setdefault(share.service, []).append(route)
+    return {
+        route.name: [
+            other
+            for share in route.services
+            for other in by_service[share.service]
+            if other.rank > route.rank
+        ]
         for route in routes
-        if any(route.rank < worst_urgent_rank.get(share.service, -1) for share in route.services)
-    )
+    }
 
 
 def pick_service(route: Route, random: Random) -> str:
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -2,13 +2,23 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 
 from crowsill.clock import monotonic_s
 from crowsill.gateway.caller_protocol import CallerConnection
 from crowsill.gateway.missing_resources import MAX_RETAINED, MissingResources
-from crowsill.gateway.routing_table import OUTRANKING_URGENCY
+from crowsill.gateway.routing_table import GatewayRoutingTable
 from crowsill.model.instances import LoadedModel, LoadingModel
+from crowsill.model.routes import (
+    EngineLimits,
+    ModelWeights,
+    Route,
+    RouteConfiguration,
+    RouteKind,
+    ServiceDefinition,
+    WeightedService,
+)
 from tests.control_group import until
 from tests.gateway_world import (
     ID,
@@ -292,16 +302,69 @@
     assert len(due) == MAX_RETAINED and "m9" not in due and "m10" in due
 
 
-def test_a_patient_route_with_a_higher_rank_counts_as_urgent_in_part():
-    # Otherwise models of such a route are loaded after those of a route with a short target
-    # latency, and it is served least although the operator ranks it higher.
+def test_requests_count_as_urgent_by_what_a_load_costs_their_callers():
     async def scenario():
         async with world(respond_ok) as here:
             for _ in range(100):
-                here.role.demand.note_request("engines", "patient", "", OUTRANKING_URGENCY)
+                here.role.demand.note_request("engines", "patient", "", 0.25)
                 here.role.demand.note_request("engines", "short", "", 1.0)
                 here.role.demand.note_request("engines", "idle", "", 0.0)
             urgent = here.role._follower.urgent.collect()
-            assert urgent == {"engines|patient": 34, "engines|short": 100}
+            assert urgent == {"engines|patient": 25, "engines|short": 100}
 
     run(scenario())
+
+
+def engine_routes(*routes):
+    """Return a table of stream routes to engines whose model `m` loads in 8 s, `n` in 2 s."""
+    models = [ModelWeights("m", 70.0, 8.0), ModelWeights("n", 70.0, 2.0)]
+    limits = EngineLimits(220.0, 4, 8, 1000, 1.0, models)
+    found = [
+        Route(
+            name,
+            "h",
+            f"/{name}/",
+            RouteKind.STREAM,
+            timeout_ms,
+            [WeightedService("engines", 1)],
+            target_latency_ms=target_ms,
+            rank=rank,
+        )
+        for name, timeout_ms, target_ms, rank in routes
+    ]
+    return GatewayRoutingTable(
+        RouteConfiguration(1, found, [ServiceDefinition("engines", 100, limits)])
+    )
+
+
+def urgencies(table, model):
+    routes = table.configuration.routes
+    return {route.name: round(table.urgency(route, "engines", model), 3) for route in routes}
+
+
+def test_urgency_follows_from_the_times_of_the_route_and_the_load():
+    table = engine_routes(
+        ("chat", 5000, 800, 1), ("letter", 16000, 6000, 1), ("slow", 30000, 9000, 1)
+    )
+    assert urgencies(table, "m") == {"chat": 1.0, "letter": 0.2, "slow": 0.0}
+    assert urgencies(table, "n") == {"chat": 0.286, "letter": 0.0, "slow": 0.0}
+    assert urgencies(table, "unknown") == {"chat": 0.0, "letter": 0.0, "slow": 0.0}
+
+
+def test_a_route_is_as_urgent_as_any_that_is_ranked_below_it():
+    # Otherwise models of such a route are loaded after those of a route with a short target
+    # latency, and it is served least although the operator ranks it higher.
+    table = engine_routes(
+        ("chat", 5000, 800, 2), ("letter", 16000, 6000, 1), ("slow", 30000, 9000, 2)
+    )
+    assert urgencies(table, "m") == {"chat": 1.0, "letter": 1.0, "slow": 0.0}
+
+
+def test_urgency_changes_continuously_with_the_target():
+    # The load takes 2 s, less than any caller waits for the first event.
+    found = [
+        urgencies(engine_routes(("r", 9000, target_ms, 1)), "n")["r"]
+        for target_ms in range(600, 4000, 50)
+    ]
+    assert found == sorted(found, reverse=True) and found[0] > 0.15 and found[-1] == 0.0
+    assert max(before - after for before, after in itertools.pairwise(found)) < 0.02
--- a/tests/test_odd_configurations.py
+++ b/tests/test_odd_configurations.py
@@ -92,7 +92,9 @@
         table = GatewayRoutingTable(accepted)
         for route in accepted.routes:
             assert pick_service(route, Random(1)) in table.services
-            assert table.urgency(route) >= 0.0
+            for service in accepted.services:
+                for model in service.engine.models if service.engine else ():
+                    assert 0.0 <= table.urgency(route, service.name, model.name) <= 1.0
         for service in accepted.services:
             if service.engine is not None and service.engine.models:
                 window = LoadWindow(5.0, service.engine.store_loads_per_s, 3)
