--- a/src/crowsill/gateway/wait_decision.py
+++ b/src/crowsill/gateway/wait_decision.py
@@ -96,7 +96,7 @@
     WaitBudget(waited_s=0.25, total_s=2.5, target_s=0.4, abandons_after_s=3.2)
     """
     timeout_s = route.timeout_ms / 1000.0
-    total_s = timeout_s if wait_ms is None else min(timeout_s, wait_ms / 1000.0)
+    total_s = timeout_s if wait_ms is None else min(timeout_s, max(0.0, wait_ms) / 1000.0)
     target_s = route.target_latency_ms / 1000.0
     abandons_after_s = float("inf")
     if route.kind is RouteKind.STREAM:
