Members: an elected member opens no stream to the leader to itself

Cause: the link asked whether the member leads and knows all commits only before it opened the stream. Change: it follows an address only while it is neither elected nor leads, asked before and throughout.

--- a/src/crowsill/control/driver.py
+++ b/src/crowsill/control/driver.py
@@ -116,6 +116,11 @@
         """Whether this member leads and knows every committed entry."""
         return self.node.is_established_leader
 
+    @property
+    def is_elected(self) -> bool:
+        """Whether this member leads, even if it doesn't know every committed entry yet."""
+        return self.node.leader_id == self.node.member_id
+
     def has_lease(self) -> bool:
         """Whether this member is provably the only leader, and has applied all of earlier terms.
 
--- a/src/crowsill/control/leader_link.py
+++ b/src/crowsill/control/leader_link.py
@@ -42,9 +42,8 @@
     async def run(self) -> None:
         """Follow the leader until cancelled."""
         while True:
-            driver = self._service.driver
-            address = None if driver is None else driver.leader_address()
-            if driver is None or address is None or driver.is_leader:
+            address = self._address_to_follow()
+            if address is None:
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             await self._follow(address)
@@ -64,7 +63,7 @@
         try:
             # Checked in parallel with the requests: a request to a leader that vanished silently
             # lasts until its time-out, and all requests of followers would wait for it.
-            while not connection.is_closed and self._still_leads(address):
+            while not connection.is_closed and self._address_to_follow() == address:
                 await asyncio.sleep(LEADER_CHECK_INTERVAL_S)
         finally:
             self._service.leader_stream = None
@@ -78,9 +77,16 @@
             await self._service.refresh_from_leader()
             await asyncio.sleep(REFRESH_INTERVAL_S)
 
-    def _still_leads(self, address: str) -> bool:
+    def _address_to_follow(self) -> str | None:
+        """Return the address of the leader, if it is known and another member.
+
+        A member that followed itself would receive all that it pushes to the leader, and push it
+        again.
+        """
         driver = self._service.driver
-        return driver is not None and driver.leader_address() == address
+        if driver is None or driver.is_elected or driver.is_leader:
+            return None
+        return driver.leader_address()
 
     def _on_push(self, _connection: Connection, body: Body) -> None:
         if isinstance(body, FleetUpdate) and self._fleet.adopt(body.delta):
--- a/tests/test_leader_link.py
+++ b/tests/test_leader_link.py
@@ -22,7 +22,9 @@
     """The parts of a following member that the link uses."""
 
     def __init__(self):
-        self.driver = SimpleNamespace(is_leader=False, leader_address=lambda: self.address)
+        self.driver = SimpleNamespace(
+            is_leader=False, is_elected=False, leader_address=lambda: self.address
+        )
         self.address = None
         self.leader_stream = None
         self.refreshed = 0
@@ -92,3 +94,29 @@
             await own_server.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_an_elected_member_opens_no_stream_to_itself():
+    async def scenario():
+        connections = []
+
+        async def on_request(connection, _body):
+            connections.append(connection)
+            return Freshness(0, 1)
+
+        server = ConnectionServer(LOCAL, on_request, lambda *_: None, lambda _: None)
+        member = Follower()
+        member.driver.is_elected = True
+        member.address = f"127.0.0.1:{await server.start('127.0.0.1', 0)}"
+        link = LeaderLink(LOCAL, member, FleetView(), lambda delta: None)
+        link_task = asyncio.create_task(link.run())
+        await asyncio.sleep(0.5)
+        assert member.leader_stream is None and connections == []
+        # It follows once another member is elected.
+        member.driver.is_elected = False
+        await until(lambda: member.refreshed > 0)
+        link_task.cancel()
+        await asyncio.gather(link_task, return_exceptions=True)
+        await server.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
