Placement: before any request nothing is evicted

Cause: copies of models that others hold too were taken for surplus. Change: before any request models that no engine holds are loaded where there is room, and nowhere else. Test: copies make no room for such a model, however many there are (failed before).

--- a/src/crowsill/placement/copy_planner.py
+++ b/src/crowsill/placement/copy_planner.py
@@ -323,9 +323,8 @@
     def _prefetch(self) -> None:
         """Before any request, load the models that no engine holds, the slowest loads first.
 
-        Their first callers would wait for the load. A copy is evicted only if other engines hold
-        its model too, so that no model gets lost, and only for a model that has to be fetched from
-        the weight store.
+        Their first callers would wait for the load. Nothing is evicted for that: engines begin with
+        the busy models on many of them, and what is held tells more than no request yet.
         """
         missing = [model for name, model in self._models.items() if self._value.copies(name) == 0]
         for model in sorted(missing, key=lambda item: -self._shortest_load(item)[0]):
@@ -340,42 +339,17 @@
         return min(loads, default=(model.load_s, True))
 
     def _prefetch_job(self, model: ModelWeights) -> Job | None:
-        """Return the load of a model that no engine holds at the engine where it is shortest."""
+        """Return the load of a model at an engine with room where it is shortest, or None."""
         load_s, from_store = self._shortest_load(model)
         if from_store and self._store_loads <= 0:
             return None
-        engines = [
-            engine
-            for engine in self._free_engines()
-            if engine.load_time_s(model) == (load_s, from_store)
-        ]
-        choices: list[tuple[EngineView, tuple[str, ...]]] = [(engine, ()) for engine in engines]
-        if from_store:
-            choices += [(engine, self._surplus_copies(engine)[:1]) for engine in engines]
-        for engine, unload in choices:
-            if self._is_room_without(engine, unload, model):
+        for engine in self._free_engines():
+            has_room = engine.used_mb(self._models) + model.memory_mb <= engine.limits.memory_mb
+            if has_room and engine.load_time_s(model) == (load_s, from_store):
                 reason = JobReason.PREFETCHED
-                return Job(engine.instance_id, unload, model.name, "", from_store, load_s, reason)
+                return Job(engine.instance_id, (), model.name, "", from_store, load_s, reason)
         return None
 
-    def _surplus_copies(self, engine: EngineView) -> tuple[str, ...]:
-        """Return the models of an engine that others hold too and its machine keeps cached.
-
-        Those with the most copies come first.
-        """
-        surplus = [
-            name for name in engine.held if engine.has_cached(name) and self._value.copies(name) > 1
-        ]
-        return tuple(sorted(surplus, key=lambda name: (-self._value.copies(name), name)))
-
-    def _is_room_without(
-        self, engine: EngineView, unload: tuple[str, ...], model: ModelWeights
-    ) -> bool:
-        """Whether an engine has room for a model once it has unloaded others."""
-        freed_mb = sum(engine.model_mb(name, self._models.get(name)) for name in unload)
-        used_mb = engine.used_mb(self._models) - freed_mb
-        return used_mb + model.memory_mb <= engine.limits.memory_mb
-
     def _add(self, job: Job) -> None:
         self._jobs.append(job)
         self._assigned.add(job.instance_id)
--- a/src/crowsill/placement/copy_value.py
+++ b/src/crowsill/placement/copy_value.py
@@ -1,8 +1,8 @@
 """The value of one more copy of a model, and of each existing copy. Pure.
 
-Values are weighted requests per second: a request with a short target weighs more than a patient
-one, because a patient one may still be served after a load. The first copy of a model serves its
-requests. A further copy relieves the others and remains when an engine is lost.
+Values are weighted requests per second: a request whose response loses its value by a load weighs
+more than a patient one, which may still be served after a load. The first copy of a model serves
+its requests. A further copy relieves the others and remains when an engine is lost.
 """
 
 from crowsill.placement.copy_views import EngineView, ServiceView, models_by_name
@@ -22,9 +22,9 @@
 # Time until the loss of a copy is detected and its load starts, in seconds: one second, plus
 # sometimes the time in which a new leader gives no orders.
 REACTION_S = 3.0
-# Weights of a request with a short target and of a patient one. A patient request may still be in
-# time after a load, but its weight is not negligible: else a class of requests that always has to
-# wait for a load would get the worst service.
+# Weights of a request whose value a load would cost, and of a patient one. A patient request may
+# still be in time after a load, but its weight is not negligible: else a class of requests that
+# always has to wait for a load would get the worst service.
 URGENT_WEIGHT = 10.0
 PATIENT_WEIGHT = 2.5
 # Share of the loss that counts for a copy that its machine keeps cached, since it loads again soon.
