Crash checks: replicas that have crashed do not show that a gateway lost its links

Cause: the gateway that saw the third crash tried two other replicas, to tell a crash from a loss of its own links. It drew the two that had crashed before (E222 reason=crash result=refused twice), and waited 6 s for the group to remove the replica or to record its crash, which nobody else could report. After that the crash was forgotten. The lost replica itself could be drawn as well, since entries were compared by identity and are renewed with each change.

Change: replicas whose crash the group has recorded are left out; if it records those that were tried later, the links are tried again. Instances are compared by id.

A gateway that lost all links still counts no crash.

--- a/src/crowsill/gateway/crash_watch.py
+++ b/src/crowsill/gateway/crash_watch.py
@@ -78,7 +78,7 @@
         query: Callable[[GroupRequest, float], Awaitable[Body | None]],
         on_crashed: Callable[[str], None],
         *,
-        is_own_failure: Callable[[Instance], Awaitable[bool]],
+        find_lost_beside: Callable[[Instance, Callable[[str], bool]], Awaitable[list[str]]],
         is_listed: Callable[[str], bool],
         draining_for_s: Callable[[str], float] = lambda _instance_id: math.inf,
     ) -> None:
@@ -90,7 +90,8 @@
             query: Sends a request to the control group; returns the reply, or None if there was
                 none within the given seconds.
             on_crashed: Receives the id of each instance that crashed.
-            is_own_failure: Whether no other replica is reached from here either.
+            find_lost_beside: Returns the ids of instances that show that this gateway lost its own
+                links, see `ReplicaWatch.find_lost_beside`; none if the instance alone is lost.
             is_listed: Whether the directory lists an instance as running.
             draining_for_s: Returns for how many seconds an instance is known to drain.
         """
@@ -98,7 +99,7 @@
         self._guard = guard
         self._query = query
         self._on_crashed = on_crashed
-        self._is_own_failure = is_own_failure
+        self._find_lost_beside = find_lost_beside
         self._is_listed = is_listed
         self._draining_for_s = draining_for_s
         self._loop = asyncio.get_running_loop()
@@ -197,7 +198,7 @@
             # A replica that refuses because it has too many connections still serves the others.
             if self._pool.has_open(instance.instance_id):
                 continue
-            if await self._is_own_failure(instance) and not await self._is_confirmed(instance):
+            if not await self._is_confirmed(instance):
                 break
             self._record_crash(instance)
             return True
@@ -214,13 +215,24 @@
         return bool(left)
 
     async def _is_confirmed(self, instance: Instance) -> bool:
-        """Whether the group soon removes a replica, or records its crash for another gateway."""
+        """Whether a replica that refuses connections has crashed, and not this gateway's links.
+
+        If other replicas were lost at the same moment, the group must soon remove the replica, or
+        record its crash for another gateway. Crashes of the others that the group records explain
+        why they were lost.
+        """
         end_at_s = self._loop.time() + REMOVAL_WAIT_S
         instance_id = instance.instance_id
-        while self._is_listed(instance_id) and not self._guard.has_crashed(instance_id):
+        lost_beside = await self._find_lost_beside(instance, self._guard.has_crashed)
+        while lost_beside:
+            if not self._is_listed(instance_id) or self._guard.has_crashed(instance_id):
+                return True
             if self._loop.time() >= end_at_s:
                 return False
-            await asyncio.sleep(REMOVAL_POLL_S)
+            if all(self._guard.has_crashed(other_id) for other_id in lost_beside):
+                lost_beside = await self._find_lost_beside(instance, self._guard.has_crashed)
+            else:
+                await asyncio.sleep(REMOVAL_POLL_S)
         return True
 
     async def _refuses_connections(self, instance: Instance) -> bool:
--- a/src/crowsill/gateway/replica_watch.py
+++ b/src/crowsill/gateway/replica_watch.py
@@ -274,22 +274,36 @@
             instance, lambda: self._registry.find(instance.instance_id) is record
         )
 
-    async def is_own_failure(self, instance: Instance) -> bool:
-        """Whether the links of this gateway failed, and not the replica.
+    async def find_lost_beside(
+        self, instance: Instance, has_crashed: Callable[[str], bool]
+    ) -> list[str]:
+        """Return the ids of instances that show that the links of this gateway failed.
 
         Then no other replica is reached either, and another one was lost at the same moment.
         Replicas that a request has crashed one after the other were lost before.
+
+        Args:
+            instance: The instance that is lost.
+            has_crashed: Whether an instance is known to have crashed, which shows nothing about
+                the links.
+
+        Returns:
+            The replicas that were tried and not reached; none if the links work.
         """
-        others = [record for record in self._registry.listed() if record.instance is not instance]
+        others = [
+            record
+            for record in self._registry.listed()
+            if record.instance.instance_id != instance.instance_id
+            and not has_crashed(record.instance.instance_id)
+        ]
         lost_at_s = self._pool.lost_at_s(instance.instance_id)
         if not any(self._was_lost_at(item.instance.instance_id, lost_at_s) for item in others):
-            return False
+            return []
         sample = self._random.sample(others, min(CHECKED_REPLICAS, len(others)))
-        return not any(
-            await asyncio.gather(
-                *(self._is_reached(record, CheckReason.CRASH) for record in sample)
-            )
+        reached = await asyncio.gather(
+            *(self._is_reached(record, CheckReason.CRASH) for record in sample)
         )
+        return [] if any(reached) else [record.instance.instance_id for record in sample]
 
     def _was_lost_at(self, instance_id: str, at_s: float) -> bool:
         """Whether a connection to a replica was lost, or failed to open, at about a given time."""
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -181,7 +181,7 @@
             self.crash_guard,
             self._follower.query,
             self._on_crashed,
-            is_own_failure=self.replica_watch.is_own_failure,
+            find_lost_beside=self.replica_watch.find_lost_beside,
             is_listed=self.registry.is_listed,
             draining_for_s=lambda instance_id: self.registry.draining_for_s(
                 instance_id, asyncio.get_running_loop().time()
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -78,12 +78,12 @@
             self.guard,
             self._query,
             self.crashed.append,
-            is_own_failure=self._is_own_failure,
+            find_lost_beside=self._find_lost_beside,
             is_listed=lambda instance_id: instance_id in self.listed,
         )
 
-    async def _is_own_failure(self, _instance):
-        return self.has_lost_links
+    async def _find_lost_beside(self, _instance, _has_crashed):
+        return ["i-2"] if self.has_lost_links else []
 
     async def _query(self, message, _timeout_s):
         if not self.is_connected:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -320,7 +320,7 @@
                 role.crash_guard,
                 query,
                 lambda _instance_id: None,
-                is_own_failure=role.replica_watch.is_own_failure,
+                find_lost_beside=role.replica_watch.find_lost_beside,
                 is_listed=role.registry.is_listed,
             )
             port = await Port().open()
