Admission: the less time a caller has to come back, the more likely it is admitted

Callers saw: under overload a caller with 1.1 s left was admitted whatever its rank, and one with 1.2 s left was refused like any other: it was told to come back after 1 s, too late for an answer.

Cause: a threshold on the remaining time in refusal_delay_s.

Change: a refused caller comes back after MIN_RETRY_AFTER_S at the earliest (Retry-After is in whole seconds); the share of its response's value that this costs it is the probability that it is admitted all the same. Targets and timeouts are those of its route, scaled to its time left. One whose time is shorter than the response is refused: it can't be served. The time to a first event is looked up only while the tenant is limited.

LATEST_RETURN_* stay open.

--- a/src/crowsill/gateway/admission_level.py
+++ b/src/crowsill/gateway/admission_level.py
@@ -5,6 +5,7 @@
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
 from crowsill.gateway.selection import Choice, NoReplicaReason, has_resources
+from crowsill.gateway.wait_decision import WaitBudget
 from crowsill.model.service_pressure import AdmissionLevel, TenantLevel
 from crowsill.overload.owed_work import MIN_RETRY_AFTER_S, retry_spread_s
 
@@ -60,39 +61,47 @@
             return frozenset()
         return frozenset(service.service for service in self._level.services)
 
+    def limits(self, service: str, tenant: str, now_s: float) -> bool:
+        """Whether the admission of a tenant's requests to a service is limited now."""
+        return (service, tenant) in self._tenants and self.is_fresh(now_s)
+
     def refusal_delay_s(
         self,
         service: str,
         tenant: str,
         number: int,
         *,
-        remaining_s: float,
+        budget: WaitBudget,
+        response_s: float,
         draws: tuple[float, float],
         now_s: float,
     ) -> float | None:
         """Return None if a request is admitted, else the seconds after which to come back.
 
+        A refused caller comes back `MIN_RETRY_AFTER_S` later at the earliest. The share of its
+        response's value that this costs is the probability that it is admitted all the same: who
+        has time to come back gives way to those who have not.
+
         Args:
             service: Its service.
             tenant: Its tenant; empty without one.
             number: Its class.
-            remaining_s: Time until its deadline.
+            budget: How long its caller waits.
+            response_s: Time to the first data of a response.
             draws: Two random numbers from 0 to 1: for admission, and to spread callers' returns.
             now_s: Current monotonic time in seconds.
         """
-        cut = self._tenants.get((service, tenant))
-        if cut is None or not self.is_fresh(now_s):
+        if not self.limits(service, tenant, now_s):
             return None
-        if number < cut.cut_class:
-            return None
-        if number == cut.cut_class and draws[0] < cut.share_percent / 100.0:
+        cut = self._tenants[service, tenant]
+        share = cut.share_percent / 100.0 if number == cut.cut_class else 0.0
+        share += (1.0 - share) * budget.lost_by_return(MIN_RETRY_AFTER_S, response_s)
+        if number < cut.cut_class or draws[0] < share:
             return None
         delay_s = cut.retry_after_ds / 10.0
         delay_s += draws[1] * retry_spread_s(delay_s)
-        if remaining_s * LATEST_RETURN_SHARE < MIN_RETRY_AFTER_S:
-            # It could not come back in time.
-            return None
-        latest_s = remaining_s * (LATEST_RETURN_SHARE - LATEST_RETURN_SPREAD * draws[1])
+        left_s = budget.total_s - budget.waited_s
+        latest_s = left_s * (LATEST_RETURN_SHARE - LATEST_RETURN_SPREAD * draws[1])
         return max(MIN_RETRY_AFTER_S, min(delay_s, latest_s))
 
 
--- a/src/crowsill/gateway/request_pressure.py
+++ b/src/crowsill/gateway/request_pressure.py
@@ -66,7 +66,6 @@
         rank = admission.rank(route)
         self._service = service
         self._tenant = "" if admission.tenant is None else admission.tenant.name
-        budget = wait_budget(route, request.wait_ms, 0.0)
         self._class = admission_class(rank)
         self._work = request_work(
             request.model, request.prompt_tokens, request.output_tokens, request.length_hint
@@ -74,11 +73,14 @@
         self._count(1.0)
         now_s = monotonic_s()
         shared.log_changes(now_s)
+        if not shared.view.limits(service, self._tenant, now_s):
+            return None
         delay_s = shared.view.refusal_delay_s(
             service,
             self._tenant,
             self._class,
-            remaining_s=budget.total_s,
+            budget=wait_budget(route, request.wait_ms, 0.0),
+            response_s=self._idle_ms() / 1000.0,
             draws=(shared.random.random(), shared.random.random()),
             now_s=now_s,
         )
@@ -92,16 +94,20 @@
             return None
         return self._refuse(rank, delay_s)
 
+    def _idle_ms(self) -> float:
+        """Return the time to the first event at an idle engine; 0 for a plain service."""
+        request = self._request
+        if not request.model:
+            return 0.0
+        latency_model = self._registry.latency_model(self._service)
+        return latency_model.idle_first_event_ms(request.model, request.prompt_tokens)
+
     def _has_free_room(self, choice: Choice | NoReplicaReason) -> bool:
-        request, idle_ms = self._request, 0.0
-        if request.model:
-            latency_model = self._registry.latency_model(self._service)
-            idle_ms = latency_model.idle_first_event_ms(request.model, request.prompt_tokens)
         return has_free_room(
             self._registry.of_service(self._service),
-            request,
+            self._request,
             choice,
-            idle_ms=idle_ms,
+            idle_ms=self._idle_ms(),
             now_s=asyncio.get_running_loop().time(),
         )
 
--- a/src/crowsill/gateway/wait_decision.py
+++ b/src/crowsill/gateway/wait_decision.py
@@ -76,6 +76,24 @@
             return 1.0
         return (self.total_s - after_s) / (self.total_s - self.target_s)
 
+    def lost_by_return(self, delay_s: float, response_s: float) -> float:
+        """Return the share of a response's value that is lost if the caller comes back later.
+
+        Args:
+            delay_s: Time after which it comes back.
+            response_s: Time to the first data of a response.
+
+        >>> budget = WaitBudget(0.0, 5.0, 1.0, math.inf)
+        >>> [round(budget.lost_by_return(delay_s, 0.5), 2) for delay_s in (0.5, 2.5, 4.5)]
+        [0.0, 0.5, 1.0]
+        """
+        # A caller that comes back waits anew for the first data.
+        budget = replace(self, abandons_after_s=math.inf)
+        now_value = budget.response_value(self.waited_s + response_s)
+        if now_value <= 0.0:
+            return 0.0
+        return 1.0 - budget.response_value(self.waited_s + delay_s + response_s) / now_value
+
 
 def wait_budget(route: Route, wait_ms: float | None, waited_s: float) -> WaitBudget:
     """Return how long the caller of a request waits.
--- a/tests/patterns/shared_room.py
+++ b/tests/patterns/shared_room.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 from random import Random
@@ -12,6 +13,7 @@
 from crowsill.control.gateway_use import REPORT_INTERVAL_S
 from crowsill.gateway.admission_level import FREE_SHARE, LevelView
 from crowsill.gateway.follower import HEARTBEAT_S
+from crowsill.gateway.wait_decision import WaitBudget
 from crowsill.model.service_pressure import admission_class
 from crowsill.overload.level_keeper import LevelKeeper
 from crowsill.overload.pressure_counter import HELD_SHARE, PressureCounter
@@ -204,6 +206,11 @@
         gateway.view.note(level, now_s)
         gateway.used_share = used_share
 
+    def _budget(self, caller, now_s):
+        """Return how long a caller waits; its responses lose value in the second half."""
+        left_s = caller.first_at_s + caller.deadline_s - now_s
+        return WaitBudget(0.0, left_s, left_s / 2.0, math.inf)
+
     def _arrive(self, now_s, caller):
         gateway = self.random.choice(self.gateways)
         number = admission_class(caller.rank)
@@ -213,7 +220,8 @@
             SERVICE,
             caller.tenant,
             number,
-            remaining_s=caller.first_at_s + caller.deadline_s - now_s,
+            budget=self._budget(caller, now_s),
+            response_s=0.0,
             draws=draws,
             now_s=now_s,
         )
--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import itertools
+import math
 from random import Random
 from types import SimpleNamespace
 
@@ -27,6 +29,7 @@
 from crowsill.gateway.request_pressure import RequestPressure
 from crowsill.gateway.selection import Choice, NoReplicaReason
 from crowsill.gateway.shared_admission import SharedAdmission
+from crowsill.gateway.wait_decision import WaitBudget
 from crowsill.model.instances import Instance, LoadedModel
 from crowsill.model.replica_use import ReplicaUse
 from crowsill.model.service_pressure import (
@@ -97,9 +100,19 @@
     return decided
 
 
-def refusal_s(view, tenant, number, *, draw=0.5, now_s=0.0, remaining_s=30.0):
+def budget_of(remaining_s, target_s=2.0):
+    return WaitBudget(0.0, remaining_s, target_s, math.inf)
+
+
+def refusal_s(view, tenant, number, *, draw=0.5, now_s=0.0, budget=None):
     return view.refusal_delay_s(
-        "plain", tenant, number, remaining_s=remaining_s, draws=(draw, 0.0), now_s=now_s
+        "plain",
+        tenant,
+        number,
+        budget=budget or budget_of(30.0),
+        response_s=0.3,
+        draws=(draw, 0.0),
+        now_s=now_s,
     )
 
 
@@ -313,7 +326,13 @@
     view.note(level(), 0.0)
     delays_s = [
         view.refusal_delay_s(
-            "plain", "", 3, remaining_s=remaining_s, draws=(0.5, random.random()), now_s=0.0
+            "plain",
+            "",
+            3,
+            budget=budget_of(remaining_s),
+            response_s=0.3,
+            draws=(0.5, random.random()),
+            now_s=0.0,
         )
         for remaining_s in (30.0, 3.0)
         for _ in range(200)
@@ -322,6 +341,29 @@
     assert all(1.0 <= delay_s <= 2.7 for delay_s in delays_s[200:])
 
 
+def admitted_share(view, budget, number):
+    random = Random(1)
+    draws = [random.random() for _ in range(2000)]
+    return sum(
+        refusal_s(view, "", number, draw=draw, budget=budget) is None for draw in draws
+    ) / len(draws)
+
+
+@pytest.mark.parametrize("number", [3, 4])
+def test_the_less_time_callers_have_to_come_back_the_more_are_admitted_without_a_jump(number):
+    view = LevelView()
+    view.note(level(cut_class=3, share_percent=40), 0.0)
+    lefts_s = [tenths / 10.0 for tenths in range(4, 80)]
+    # As for callers that have less time than their route gives: the target is shorter, too.
+    shares = [admitted_share(view, budget_of(left_s, left_s / 4.0), number) for left_s in lefts_s]
+    assert shares == sorted(shares, reverse=True)
+    # Coming back after a second costs all, or nothing.
+    assert shares[0] == 1.0 and 0.3 < admitted_share(view, budget_of(30.0), 3) < 0.5
+    assert admitted_share(view, budget_of(30.0), 4) == 0.0
+    steps = [before - after for before, after in itertools.pairwise(shares)]
+    assert max(steps) < 0.2
+
+
 def engines_with(*used, model="m", reported_at_s=10.0):
     records = []
     for number, requests in enumerate(used):
