Gateways: a caller is urgent if coming back after a second costs it value

Cause: URGENT_TARGET_MS.

Change: a route is urgent if a response that comes a second later, the shortest Retry-After, has less than its full value, by the target and the timeout of the route. Nothing changes for targets below 1 s or above 2 s.

--- a/src/crowsill/gateway/routing_table.py
+++ b/src/crowsill/gateway/routing_table.py
@@ -4,15 +4,23 @@
 
 from crowsill.gateway.wait_decision import wait_budget
 from crowsill.model.routes import Route, RouteConfiguration, ServiceDefinition
+from crowsill.overload.owed_work import MIN_RETRY_AFTER_S
 from crowsill.tenancy.identity import TenantDirectory
 
-# Routes with a latency target up to this are for callers who do not wait.
-URGENT_TARGET_MS = 2000.0
-
 
 def is_urgent(route: Route) -> bool:
-    """Whether a route's callers do not wait."""
-    return route.target_latency_ms <= URGENT_TARGET_MS
+    """Whether a route's callers cannot wait.
+
+    A caller that is told to come back does so after a second at the earliest. If its response then
+    still has its full value, it can give way to others.
+
+    >>> from crowsill.model.routes import RouteKind
+    >>> chat = Route("chat", "h", "/", RouteKind.STREAM, 8000, [], target_latency_ms=800)
+    >>> letter = Route("letter", "h", "/", RouteKind.STREAM, 60000, [], target_latency_ms=4000)
+    >>> is_urgent(chat), is_urgent(letter)
+    (True, False)
+    """
+    return lost_value(route, MIN_RETRY_AFTER_S) > 0.0
 
 
 class GatewayRoutingTable:
--- a/tests/test_wait_decision.py
+++ b/tests/test_wait_decision.py
@@ -9,6 +9,7 @@
 
 from crowsill.gateway.replica_registry import ReplicaRecord
 from crowsill.gateway.request import CallerRequest
+from crowsill.gateway.routing_table import is_urgent
 from crowsill.gateway.selection import NoReplicaReason
 from crowsill.gateway.wait_decision import (
     RETRY_RANK_INTERVAL_S,
@@ -280,3 +281,11 @@
     for number in range(MAX_KEYS * 2):
         history.note_waited(WaitKey("s", WaitCause.CAPACITY, f"m{number}"), 1.0, 0.0)
     assert len(history._waits) == MAX_KEYS
+
+
+@pytest.mark.parametrize(
+    ("target_ms", "urgent"), [(300, True), (990, True), (1000, False), (1500, False), (6000, False)]
+)
+def test_callers_that_lose_nothing_by_coming_back_after_a_second_give_way(target_ms, urgent):
+    route = Route("r", "h", "/", RouteKind.AT_MOST_ONCE, 8000, [], target_latency_ms=target_ms)
+    assert is_urgent(route) is urgent
