Placement: the share of requests for unknown adapters is learnt from the requests

Cause: UNKNOWN_ADAPTER_SHARE.

Change: the leader counts, by service, which requests for adapters are the first for theirs within the memory of the demand, halved in 30 s. Before any request all adapters are unknown.

Evidence: tests/test_unknown_adapters.py (new input: does not run on the code before).

--- a/src/crowsill/control/model_placer.py
+++ b/src/crowsill/control/model_placer.py
@@ -22,6 +22,7 @@
 from crowsill.placement.demand import DemandEstimate
 from crowsill.placement.load_window import LoadWindow
 from crowsill.placement.missing_requests import MAX_REQUEST_GAP_S, MissingRequests
+from crowsill.placement.unknown_adapters import UnknownAdapters
 from crowsill.state.commands import RecordMissingModels
 from crowsill.state.missing_models import most_requested
 
@@ -128,6 +129,7 @@
         self._windows: dict[str, LoadWindow] = {}
         self._demand = DemandEstimate(DEMAND_HALF_LIFE_S)
         self._urgent = DemandEstimate(DEMAND_HALF_LIFE_S)
+        self._unknown_adapters = UnknownAdapters()
         self._overloaded = DemandEstimate(OVERLOAD_HALF_LIFE_S)
         self._requested_at_s: dict[str, float] = {}
         self._waited_for_at_s: dict[str, float] = {}
@@ -235,6 +237,7 @@
             self._requested_at_s[resource] = now_s
             if "/" not in resource:
                 self._missing_requests.note(resource, count, now_s)
+        self._unknown_adapters.add(counts, self._demand.rates, now_s)
         self._demand.add(counts, now_s)
         self._overloaded.add(self._ports.collect_overloaded(), now_s)
         self._urgent.add(_with_model_totals(self._ports.collect_urgent()), now_s)
@@ -297,6 +300,7 @@
             engines=views,
             demand=_select_service(self._demand.rates, name),
             urgent=_select_service(self._urgent.rates, name),
+            unknown_adapter_share=self._unknown_adapters.share(name),
             overloaded=_select_service(self._overloaded.rates, name),
             requested_at_s=_select_service(self._requested_at_s, name),
             awaited=awaited,
--- a/src/crowsill/placement/copy_value.py
+++ b/src/crowsill/placement/copy_value.py
@@ -44,8 +44,6 @@
 # The value rises in the same way for a model that has been missing for longer than this time, in
 # seconds.
 LONG_MISSING_S = 4.0
-# Share of the requests for adapters that are for adapters without recent requests.
-UNKNOWN_ADAPTER_SHARE = 0.15
 # A model with more overloaded requests per second than this gets another copy.
 MIN_OVERLOAD_PER_S = 0.4
 # Share of the overloaded requests that another copy is expected to serve in time.
@@ -275,5 +273,6 @@
             name, slash, adapter = resource.partition("/")
             if slash and name == model:
                 is_held = adapter in engine.held[model]
-                missing += self.weight(resource) * (UNKNOWN_ADAPTER_SHARE if is_held else 1.0)
+                share = self._view.unknown_adapter_share if is_held else 1.0
+                missing += self.weight(resource) * share
         return missing
--- a/src/crowsill/placement/copy_views.py
+++ b/src/crowsill/placement/copy_views.py
@@ -174,6 +174,8 @@
         missing_since_at_s: Time of the first of these requests, by model.
         turn_share: Share of the engines that may load rare models in turn, at least one engine; 0
             for no turns.
+        unknown_adapter_share: Share of the requests for adapters that are for adapters without
+            recent requests.
         store_loads: Number of loads from the weight store that may start now.
         is_settled: Whether no engine has joined for a while, so that the fleet is complete.
         now_s: The current time.
@@ -198,6 +200,7 @@
     missed_requests: dict[str, float] = field(default_factory=dict)
     missing_since_at_s: dict[str, float] = field(default_factory=dict)
     turn_share: float = 0.34
+    unknown_adapter_share: float = 1.0
 
     def last_request_at_s(self, resource: str) -> float:
         """Return the monotonic time of the last request for a resource, in seconds."""
