Gateways: one that starts takes the leader's count of gateways once it counts all

Callers saw: a gateway that had just started divided connections to replicas, and the places of brittle ones, by eight for ten seconds, whatever the site has; of three gateways it took 3/8 of its part. On a site with more than eight its part was too large until the first report.

Cause: a count of a leader that has led for long was treated like one of a new leader, which learns of gateways one after the other.

Change: a confirmation says whether the leader has led for the time within which each live entry must have reported (ENTRY_EXPIRY_S). Such a count is in force at once; others only raise the assumed number, as before. Older leaders don't say it, then the ten seconds stand.

Open: a gateway that starts within 4 s of an election of a leader on a site with more than eight.

--- a/src/crowsill/control/service.py
+++ b/src/crowsill/control/service.py
@@ -425,7 +425,8 @@
         if driver is None or not driver.has_lease():
             return None
         revision = driver.machine.configuration.current.revision
-        entries = len(self.reports.live_entries.live(monotonic_s()))
+        now_s = monotonic_s()
+        live_entries = self.reports.live_entries
         members = driver.node.membership.members
         # The lease is checked again after the state is read, so the returned state was current.
         machine = driver.machine
@@ -436,14 +437,15 @@
         )
         freshness = Freshness(
             revision,
-            entries,
+            len(live_entries.live(now_s)),
             [f"{member.host}:{member.port}" for member in members],
             *versions,
             member_zones=[self._zones.get(member.member_id, "") for member in members],
             limits=self.reports.replica_grants.to_reports(),
-            suspected=self.liveness.suspected(monotonic_s()),
-            reached=self.liveness.reach.reached(monotonic_s()),
+            suspected=self.liveness.suspected(now_s),
+            reached=self.liveness.reach.reached(now_s),
             lacks_commits=not driver.has_applied_commits(),
+            has_all_entries=live_entries.has_all(driver.node.term, now_s),
         )
         return freshness if driver.has_lease() else None
 
--- a/src/crowsill/control/subscribers.py
+++ b/src/crowsill/control/subscribers.py
@@ -44,6 +44,8 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, _LiveEntry] = {}
+        self._counted_term: int | None = None
+        self._counted_since_s = float("inf")
 
     def note(self, statuses: list[EntryStatus], now_s: float) -> None:
         """Record the status reports of entries, unless newer ones are known.
@@ -66,6 +68,12 @@
         }
         return [entry.status for entry in self._entries.values()]
 
+    def has_all(self, term: int, now_s: float) -> bool:
+        """Whether all live entries have reported to this member since it leads in a term."""
+        if self._counted_term != term:
+            self._counted_term, self._counted_since_s = term, now_s
+        return now_s - self._counted_since_s >= ENTRY_EXPIRY_S
+
     def to_reports(self, now_s: float) -> list[EntryStatus]:
         """Return the status reports with their age, as a follower passes them on."""
         self.live(now_s)
--- a/src/crowsill/gateway/follower.py
+++ b/src/crowsill/gateway/follower.py
@@ -89,6 +89,7 @@
         on_reach: Receives the replicas that gateways fail to reach and those that were reached
             again, and the time (`clock.monotonic_s`) just before the heartbeat was sent.
         on_member: Called when a member has confirmed current state for the first time.
+        on_gateways: Receives the number of gateways, and whether the leader has counted all.
     """
 
     on_routes: Callable[[RouteDocument], None]
@@ -102,6 +103,7 @@
     on_reach: Callable[[list[SuspectedReplica], list[ReachedReplica], float], None] = (
         lambda _suspected, _reached, _sent_at_s: None
     )
+    on_gateways: Callable[[int, bool], None] = lambda _gateways, _is_complete: None
     on_member: Callable[[], None] = lambda: None
 
 
@@ -316,7 +318,9 @@
         if self._guard.version < freshness.suspects_version:
             return
         self._pending_freshness = None
-        self._hooks.on_current(max(1, freshness.entries), self._heartbeat_sent_at_s)
+        gateways = max(1, freshness.entries)
+        self._hooks.on_gateways(gateways, freshness.has_all_entries)
+        self._hooks.on_current(gateways, self._heartbeat_sent_at_s)
 
     def send_notice(self, notice: GroupNotice) -> bool:
         """Send a notice to the group without waiting; return whether it could be sent."""
--- a/src/crowsill/gateway/role.py
+++ b/src/crowsill/gateway/role.py
@@ -127,6 +127,7 @@
             on_peers=self._on_peers,
             on_reach=self._on_reach,
             on_member=self._on_member,
+            on_gateways=self._on_gateways,
         )
         if self.shared_admission is not None:
             hooks = replace(
@@ -288,14 +289,16 @@
 
     def _on_current(self, gateways: int, confirmed_at_s: float) -> None:
         self._confirmed_at_s = confirmed_at_s
-        now_s = asyncio.get_running_loop().time()
-        self._gateway_count.note(gateways, now_s)
         if not self._is_current:
             self._is_current = True
             READY.set(1)
             log_event(Event.READINESS_CHANGED, ready=True, gateways=gateways)
             self._notify_change()
 
+    def _on_gateways(self, gateways: int, is_complete: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._gateway_count.note(gateways, now_s, is_complete=is_complete)
+
     def _notify_change(self, *, concerns_all: bool = False) -> None:
         """Wake what waits for a change; in ordered waiting all, or those that get their turn."""
         self._changed.set()
--- a/src/crowsill/transport/messages.py
+++ b/src/crowsill/transport/messages.py
@@ -225,6 +225,7 @@
         reached: Replicas that some gateway has reached lately after others had failed to.
         lacks_commits: Whether the leader has yet to apply committed entries, which other members
             may have applied; those that it has acknowledged it has applied.
+        has_all_entries: Whether the leader has led for long enough that `entries` counts all.
     """
 
     revision: int
@@ -241,6 +242,7 @@
     suspected: list[SuspectedReplica] = []
     reached: list[ReachedReplica] = []
     lacks_commits: bool = False
+    has_all_entries: bool = False
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration-update"):
