--- a/src/crowsill/placement/copy_value.py
+++ b/src/crowsill/placement/copy_value.py
@@ -14,8 +14,8 @@
     speed_under_limit,
 )
 
-# Probability per second that an engine is lost with its models. In bad failures most of the engines
-# are lost within half a minute, in calm operation none.
+# Assumed probability per second that an engine is lost with its models: its callers then wait for a
+# reload unless there is a spare copy.
 LOSS_RATE_PER_S = 0.02
 # What a third copy saves in such a loss, as a share of what the second one saves, and so on.
 FURTHER_SPARE_SHARE = 0.2
